--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,985 @@
+//! All decisions of heronroute. What goes in and comes out is defined in `src/interface.rs`.
+//!
+//! The ordinary path is a bulkhead: each destination owns a pool of permits sized rate x p99 x safety, a call
+//! holds a permit until its outcome, and messages wait in the destination's hold, oldest first. Around it stand
+//! a call budget (pace), a judgement of each endpoint's health with single trials, and a paced return. A *lane*
+//! is what has one limit and one pool: a destination, or one route of it where routes are apart.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Safety factor of the sizing rule, as in the source.
+const SAFETY: f64 = 1.5;
+/// A new pool gets this share of the slots: wide enough to learn from, too small to do harm.
+const START_SHARE: f64 = 0.1;
+/// A sized pool never exceeds this share of the slots; more is only borrowed.
+const SHARE_CAP: f64 = 0.34;
+/// With borrowed slots a destination stays below this share.
+const BORROW_CAP: f64 = 0.74;
+/// A sick destination holds at most this share of the slots.
+const SICK_CAP: f64 = 0.5;
+/// All sick destinations together hold at most this share, so that frozen pools cannot fill the slots.
+const ALL_SICK_CAP: f64 = 0.6;
+/// Slots kept free of borrowers, as a share.
+const BORROW_RESERVE: f64 = 0.15;
+/// Memory of arrival rates: long against clumps, short against a day's swing.
+const RATE_MEMORY: f64 = 8e6;
+/// Weight of a new latency sample once there are many.
+const LATENCY_GAIN: f64 = 0.04;
+/// Assumed p99 before the first sample.
+const P99_UNKNOWN: f64 = 2e6;
+/// Silence beyond this multiple of p99 is a symptom.
+const SILENCE: f64 = 1.5;
+/// Silence shorter than this is never a symptom.
+const SILENCE_LEAST: f64 = 4e5;
+/// Weight of one outcome in an endpoint's share of failures; two in a row cross one half.
+const FAIL_GAIN: f64 = 0.3;
+/// Share of failures at which an endpoint is in trouble.
+const FAIL_LIMIT: f64 = 0.5;
+/// Time between trials: first, and at most.
+const TRIAL_FIRST: Micros = 200_000;
+const TRIAL_MOST: Micros = 2_000_000;
+/// Trouble that lasted at least this long may have been an outage: the return is paced.
+const COLD_AFTER: Micros = 1_500_000;
+/// Share of the allowed load that this sender uses on a cold destination.
+const RAMP_SAFETY: f64 = 0.75;
+/// What each further message of a batch weighs on a cold destination, in calls.
+const BATCH_WEIGHT: f64 = 0.25;
+/// Repeatable messages are waited for this multiple of p99, at least `TIMEOUT_LEAST`.
+const TIMEOUT: f64 = 4.0;
+const TIMEOUT_LEAST: f64 = 1.2e6;
+/// Part of a keyed window after which an attempt is given up, so that a resend fits in.
+const WINDOW_PART: f64 = 0.45;
+/// Budget after a refusal, its growth a second, and the least of it, as shares.
+const BUDGET_CUT: f64 = 0.75;
+const BUDGET_GROWTH: f64 = 0.08;
+const BUDGET_LEAST: f64 = 0.15;
+/// Share of a known limit that is used at most.
+const LIMIT_PART: f64 = 0.95;
+/// Saved-up calls, in seconds of budget.
+const BURST: f64 = 0.4;
+/// Pause after a refusal that told no wait.
+const REFUSED_PAUSE: Micros = 250_000;
+/// Room kept free below `max_open`, as a share, so that new messages are never turned away unseen.
+const ROOM: f64 = 0.06;
+/// Between rounds with work at hand.
+const TICK: Micros = 10_000;
+/// Pools are resized this often.
+const RESIZE: Micros = 500_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum LaneKey {
+    Whole(DestId),
+    Route(EndpointId),
+}
+
+/// Events a second, fading with `RATE_MEMORY`.
+#[derive(Clone, Copy)]
+struct Rate {
+    born: Micros,
+    at: Micros,
+    value: f64,
+}
+
+impl Rate {
+    fn new(now: Micros) -> Self {
+        Rate { born: now, at: now, value: 0.0 }
+    }
+    fn add(&mut self, now: Micros) {
+        self.value = self.value * (-((now - self.at) as f64) / RATE_MEMORY).exp() + 1e6 / RATE_MEMORY;
+        self.at = now;
+    }
+    fn get(&self, now: Micros) -> f64 {
+        let age = (now - self.born).max(1_000_000) as f64;
+        self.value * (-((now - self.at) as f64) / RATE_MEMORY).exp() / (1.0 - (-age / RATE_MEMORY).exp())
+    }
+}
+
+/// Latency as a log-normal, which gives a p99 from few samples.
+#[derive(Clone, Copy, Default)]
+struct Latency {
+    n: f64,
+    mu: f64,
+    var: f64,
+    recent: f64,
+}
+
+impl Latency {
+    fn learn(&mut self, elapsed: Micros) {
+        let x = elapsed.max(1_000) as f64;
+        self.recent = if self.n == 0.0 { x } else { self.recent + 0.3 * (x - self.recent) };
+        // A slow spell widens the picture only little by little: the sized latency is that of health.
+        let l = if self.n < 8.0 { x.ln() } else { x.ln().min(self.p99().ln() + 0.7) };
+        let gain = (1.0 / (self.n + 1.0)).max(LATENCY_GAIN);
+        let d = l - self.mu;
+        self.mu += gain * d;
+        self.var = (1.0 - gain) * (self.var + gain * d * d);
+        self.n += 1.0;
+    }
+    fn p99(&self) -> f64 {
+        if self.n == 0.0 {
+            return P99_UNKNOWN;
+        }
+        (self.mu + 2.33 * self.var.sqrt()).exp() * (1.0 + 3.0 / (self.n + 1.0))
+    }
+    fn mean(&self) -> f64 {
+        if self.n == 0.0 { P99_UNKNOWN / 4.0 } else { (self.mu + self.var / 2.0).exp() }
+    }
+    fn slow(&self) -> bool {
+        self.n > 0.0 && self.recent > self.p99()
+    }
+    fn silence(&self) -> f64 {
+        (SILENCE * self.p99()).max(2.0 * self.recent).max(SILENCE_LEAST)
+    }
+}
+
+struct Lane {
+    dest: DestId,
+    limit: Option<f64>,
+    latency: Latency,
+    permits: u32,
+    resized: Micros,
+    out: u32,
+    wait_until: Micros,
+    budget: f64,
+    tokens: f64,
+    filled: Micros,
+    cut: Micros,
+    sent: Rate,
+}
+
+struct Dest {
+    rate: Rate,
+    hold: BTreeSet<(u64, MsgId)>,
+    endpoints: BTreeSet<EndpointId>,
+}
+
+struct Trouble {
+    since: Micros,
+    next: Micros,
+    backoff: Micros,
+    trial: Option<Micros>,
+    /// Only symptoms that prove nothing ran: an unsafe message may be the trial.
+    harmless: bool,
+    probing: bool,
+    probed: bool,
+}
+
+struct Warm {
+    since: Micros,
+    tokens: f64,
+    filled: Micros,
+}
+
+struct Endpoint {
+    lane: LaneKey,
+    dest: DestId,
+    kind: usize,
+    zone: usize,
+    listed: bool,
+    out: u32,
+    used: Micros,
+    conns: u32,
+    conn_cap: u32,
+    last_ok: Micros,
+    fails: f64,
+    trouble: Option<Trouble>,
+    warm: Option<Warm>,
+}
+
+struct Attempt {
+    no: u32,
+    call: u64,
+    sent: Micros,
+}
+
+struct Msg {
+    seq: u64,
+    class: usize,
+    tenant: usize,
+    key: Option<String>,
+    dest: DestId,
+    deadline: Micros,
+    attempts: u32,
+    out: Vec<Attempt>,
+    may_run: Option<(Micros, EndpointId)>,
+    avoid: Option<EndpointId>,
+    closed: bool,
+}
+
+struct Call {
+    endpoint: EndpointId,
+    sent: Micros,
+    left: u32,
+    judged: bool,
+    trial: bool,
+}
+
+#[derive(Default)]
+struct Key {
+    queue: BTreeSet<(u64, MsgId)>,
+    rest_until: Micros,
+}
+
+/// Decides for one sender. Feed it rounds of events; it answers with actions.
+pub struct Dispatcher {
+    now: Micros,
+    random: u64,
+    set: Settings,
+    seq: u64,
+    lanes: BTreeMap<LaneKey, Lane>,
+    dests: BTreeMap<DestId, Dest>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    msgs: BTreeMap<MsgId, Msg>,
+    calls: BTreeMap<u64, Call>,
+    keys: BTreeMap<String, Key>,
+    used: u32,
+    wake: Micros,
+}
+
+impl Dispatcher {
+    /// Starts a dispatcher.
+    ///
+    /// # Errors
+    /// When the settings hold a figure with which it cannot work.
+    pub fn new(now: Micros, seed: u64, settings: Settings) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        Ok(Dispatcher {
+            now,
+            random: seed | 1,
+            set: settings,
+            seq: 0,
+            lanes: BTreeMap::new(),
+            dests: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            msgs: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            used: 0,
+            wake: Micros::MIN,
+        })
+    }
+
+    /// Takes all that happened by `now`, then decides.
+    pub fn round(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
+        self.now = now.max(self.now);
+        for event in events {
+            self.absorb(event);
+        }
+        self.finish_due(out);
+        self.watch();
+        self.probe(out);
+        self.dispatch(out);
+        self.make_room(out);
+        self.set_timer(out);
+    }
+
+    fn absorb(&mut self, event: &Event) {
+        match event {
+            Event::Members { whole, entries } => self.members(*whole, entries),
+            Event::Message { id, class, tenant, key, dest, time_left, again } => {
+                if self.msgs.contains_key(id) {
+                    return;
+                }
+                self.seq += 1;
+                let now = self.now;
+                let ordered = self.set.classes.get(*class).is_some_and(|c| c.ordered);
+                let msg = Msg {
+                    seq: self.seq,
+                    class: *class,
+                    tenant: *tenant,
+                    key: key.clone().filter(|_| ordered),
+                    dest: *dest,
+                    deadline: now + (*time_left).clamp(0, MAX_SPAN),
+                    attempts: 0,
+                    out: Vec::new(),
+                    may_run: None,
+                    avoid: None,
+                    closed: false,
+                };
+                if let Some(k) = &msg.key {
+                    self.keys.entry(k.clone()).or_default().queue.insert((self.seq, *id));
+                }
+                let d = self.dest(*dest);
+                // Clients that come again are no new demand: they must not widen the pool.
+                if !again {
+                    d.rate.add(now);
+                }
+                d.hold.insert((msg.seq, *id));
+                self.msgs.insert(*id, msg);
+            }
+            Event::Outcome { id, attempt, outcome, last, elapsed, wait, report, .. } => {
+                self.outcome(*id, *attempt, *outcome, *last, *elapsed, (*wait).clamp(0, MAX_SPAN), *report);
+            }
+            Event::Left { id } => self.close(*id),
+            Event::Timer { .. } => {}
+            Event::Probed { endpoint, outcome, report } => {
+                let now = self.now;
+                self.read(*endpoint, *report);
+                let Some(t) = self.endpoints.get_mut(endpoint).and_then(|e| e.trouble.as_mut()) else {
+                    return;
+                };
+                t.probing = false;
+                if *outcome == Outcome::Done {
+                    t.probed = true;
+                    t.next = now;
+                } else {
+                    t.backoff = (t.backoff * 2).min(TRIAL_MOST);
+                    t.next = now + t.backoff;
+                }
+            }
+            Event::Note { .. } => {}
+        }
+    }
+
+    fn dest(&mut self, id: DestId) -> &mut Dest {
+        let now = self.now;
+        self.dests.entry(id).or_insert_with(|| Dest {
+            rate: Rate::new(now),
+            hold: BTreeSet::new(),
+            endpoints: BTreeSet::new(),
+        })
+    }
+
+    fn members(&mut self, whole: bool, entries: &[EndpointEntry]) {
+        if whole {
+            self.endpoints.values_mut().for_each(|e| e.listed = false);
+        }
+        for entry in entries {
+            let apart = self.set.kinds.get(entry.kind).is_some_and(|k| k.apart);
+            let lane = if apart { LaneKey::Route(entry.endpoint) } else { LaneKey::Whole(entry.dest) };
+            let now = self.now;
+            let listed = entry.status == Status::Up;
+            let start = ((self.set.slots as f64 * START_SHARE) as u32).max(1);
+            if !listed && !self.endpoints.contains_key(&entry.endpoint) {
+                continue;
+            }
+            self.dest(entry.dest).endpoints.insert(entry.endpoint);
+            let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0);
+            let limit = if self.set.weights == Weights::Silent { None } else { weight };
+            let l = self.lanes.entry(lane).or_insert_with(|| Lane {
+                dest: entry.dest,
+                limit: None,
+                latency: Latency::default(),
+                permits: start,
+                resized: now,
+                out: 0,
+                wait_until: now,
+                budget: f64::INFINITY,
+                tokens: 1.0,
+                filled: now,
+                cut: Micros::MIN / 2,
+                sent: Rate::new(now),
+            });
+            l.limit = limit.or(l.limit);
+            let e = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
+                lane,
+                dest: entry.dest,
+                kind: entry.kind,
+                zone: entry.zone,
+                listed,
+                out: 0,
+                used: Micros::MIN / 2,
+                conns: 0,
+                conn_cap: u32::MAX,
+                last_ok: now,
+                fails: 0.0,
+                trouble: None,
+                warm: None,
+            });
+            e.listed = listed;
+        }
+        // What is gone and has nothing out is forgotten.
+        let gone: Vec<EndpointId> =
+            self.endpoints.iter().filter(|(_, e)| !e.listed && e.out == 0).map(|(id, _)| *id).collect();
+        for id in gone {
+            if let Some(e) = self.endpoints.remove(&id) {
+                if let Some(d) = self.dests.get_mut(&e.dest) {
+                    d.endpoints.remove(&id);
+                }
+                if matches!(e.lane, LaneKey::Route(_)) {
+                    self.lanes.remove(&e.lane);
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, endpoint: EndpointId, report: Option<Report>) {
+        let Some(lane) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane)) else {
+            return;
+        };
+        if let Some(limit) = report.and_then(|r| r.limit).filter(|l| l.is_finite() && *l > 0.0) {
+            lane.limit = Some(limit);
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn outcome(
+        &mut self,
+        id: MsgId,
+        attempt: u32,
+        outcome: Outcome,
+        last: bool,
+        elapsed: Micros,
+        wait: Micros,
+        report: Option<Report>,
+    ) {
+        let now = self.now;
+        let Some(msg) = self.msgs.get_mut(&id) else { return };
+        let Some(at) = msg.out.iter().position(|a| a.no == attempt) else {
+            return;
+        };
+        let a = msg.out.remove(at);
+        let Some(call) = self.calls.get_mut(&a.call) else {
+            return;
+        };
+        let (endpoint, trial, first) = (call.endpoint, call.trial, !call.judged);
+        call.judged = true;
+        call.left = call.left.saturating_sub(1);
+        let over = call.left == 0;
+        if !outcome.never_ran() && outcome != Outcome::Done {
+            let sent = msg.may_run.map_or(a.sent, |m| m.0.min(a.sent));
+            msg.may_run = Some((sent, msg.may_run.map_or(endpoint, |m| m.1)));
+            if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
+                if outcome != Outcome::Error {
+                    key.rest_until = now + self.set.order_settle;
+                }
+            }
+        }
+        msg.avoid = Some(endpoint);
+        let closed = last || outcome == Outcome::Done || msg.closed;
+        if over {
+            self.calls.remove(&a.call);
+            self.used -= 1;
+            if let Some(e) = self.endpoints.get_mut(&endpoint) {
+                e.out -= 1;
+                e.used = now;
+                if let Some(l) = self.lanes.get_mut(&e.lane) {
+                    l.out -= 1;
+                }
+            }
+        }
+        if first {
+            self.read(endpoint, report);
+            self.judge(endpoint, outcome, elapsed, a.sent, wait, trial);
+        }
+        if closed {
+            self.close(id);
+        } else if self.may_retry(id) {
+            let (seq, dest) = (self.msgs[&id].seq, self.msgs[&id].dest);
+            self.dest(dest).hold.insert((seq, id));
+        }
+        // A message that may not be tried again and has nothing out is failed by `finish_due`.
+    }
+
+    /// What one call's end says of its endpoint and lane.
+    fn judge(
+        &mut self,
+        id: EndpointId,
+        outcome: Outcome,
+        took: Micros,
+        sent: Micros,
+        wait: Micros,
+        trial: bool,
+    ) {
+        let now = self.now;
+        let jitter = self.jitter();
+        let Some(e) = self.endpoints.get_mut(&id) else {
+            return;
+        };
+        let Some(lane) = self.lanes.get_mut(&e.lane) else {
+            return;
+        };
+        match outcome {
+            Outcome::Done => {
+                lane.latency.learn(took);
+                e.last_ok = now;
+                e.fails *= 1.0 - FAIL_GAIN;
+                if let Some(t) = &mut e.trouble {
+                    if trial {
+                        t.trial = None;
+                        t.next = now;
+                    }
+                    if e.fails < FAIL_LIMIT && (trial || sent >= t.since || now - t.since < COLD_AFTER) {
+                        if now - t.since >= COLD_AFTER {
+                            e.warm = Some(Warm { since: now, tokens: 0.0, filled: now });
+                        }
+                        e.trouble = None;
+                    }
+                }
+                return;
+            }
+            Outcome::Skipped | Outcome::Cancelled => {
+                if let Some(t) = e.trouble.as_mut().filter(|_| trial) {
+                    t.trial = None;
+                }
+                return;
+            }
+            Outcome::Busy => {
+                lane.wait_until = lane.wait_until.max(now + if wait > 0 { wait } else { REFUSED_PAUSE });
+                if now - lane.cut > REFUSED_PAUSE {
+                    lane.cut = now;
+                    let top = lane.limit.unwrap_or(f64::INFINITY);
+                    let least = if top.is_finite() { top * BUDGET_LEAST } else { 0.5 };
+                    let from = lane.budget.min(top).min((lane.sent.get(now) * 1.5).max(least));
+                    lane.budget = (from * BUDGET_CUT).max(least);
+                    lane.tokens = lane.tokens.min(0.0);
+                }
+            }
+            // Refused while another call succeeded meanwhile: its table of connections is full, it is not down.
+            Outcome::ConnectFailed if e.last_ok > sent => {
+                e.conn_cap = e.out.max(1);
+                return;
+            }
+            _ => {}
+        }
+        e.fails += FAIL_GAIN * (1.0 - e.fails);
+        let harmless = outcome.never_ran();
+        match &mut e.trouble {
+            Some(t) => {
+                t.harmless &= harmless;
+                if trial {
+                    t.trial = None;
+                    t.probed = false;
+                    t.backoff = (t.backoff * 2).min(TRIAL_MOST);
+                    t.next = now + (t.backoff as f64 * jitter) as Micros;
+                }
+            }
+            None if e.fails > FAIL_LIMIT => e.trouble = Some(Trouble::new(now, harmless)),
+            None => {}
+        }
+    }
+
+    fn jitter(&mut self) -> f64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        0.8 + 0.4 * (self.random >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// The message is over for its client. Attempts still out are remembered until they end.
+    fn close(&mut self, id: MsgId) {
+        let Some(msg) = self.msgs.get_mut(&id) else { return };
+        msg.closed = true;
+        let entry = (msg.seq, id);
+        if let Some(d) = self.dests.get_mut(&msg.dest) {
+            d.hold.remove(&entry);
+        }
+        if msg.out.is_empty() {
+            if let Some(k) = msg.key.take() {
+                if let Some(key) = self.keys.get_mut(&k) {
+                    key.queue.remove(&entry);
+                    if key.queue.is_empty() && key.rest_until <= self.now {
+                        self.keys.remove(&k);
+                    }
+                }
+            }
+            self.msgs.remove(&id);
+        }
+    }
+
+    fn class(&self, msg: &Msg) -> ClassSettings {
+        self.set.classes.get(msg.class).cloned().unwrap_or_default()
+    }
+
+    /// Whether a further attempt is allowed at all, now.
+    fn may_retry(&self, id: MsgId) -> bool {
+        let Some(msg) = self.msgs.get(&id) else {
+            return false;
+        };
+        if msg.closed || !msg.out.is_empty() || msg.attempts >= self.set.max_attempts {
+            return false;
+        }
+        let class = self.class(msg);
+        match (class.effect, msg.may_run) {
+            (Effect::Free, _) | (_, None) => true,
+            (Effect::Guarded, Some((first, _))) => self.now < first + class.window,
+            (Effect::SingleShot, Some(_)) => false,
+        }
+    }
+
+    /// Whether a client may be told that handing it in again does no harm.
+    fn may_refuse(&self, msg: &Msg) -> bool {
+        let class = self.class(msg);
+        class.effect == Effect::Free
+            || (msg.out.is_empty() && msg.may_run.is_none())
+            || (class.effect == Effect::Guarded && class.group == Group::All)
+    }
+
+    fn finish(&mut self, id: MsgId, out: &mut Vec<Action>) {
+        let Some(msg) = self.msgs.get(&id) else { return };
+        out.push(if self.may_refuse(msg) {
+            Action::Refuse { id, retry_after: self.set.max_retry_after / 2 }
+        } else {
+            Action::Fail { id }
+        });
+        self.close(id);
+    }
+
+    /// The final answers that are due: time is up, or nothing more may be tried.
+    fn finish_due(&mut self, out: &mut Vec<Action>) {
+        let mut due = Vec::new();
+        for (id, msg) in self.msgs.iter().filter(|(_, m)| !m.closed) {
+            let late = self.now + self.set.quantum >= msg.deadline;
+            if late || (msg.out.is_empty() && !self.may_retry(*id)) {
+                due.push(*id);
+            }
+        }
+        for id in due {
+            self.finish(id, out);
+        }
+    }
+
+    /// Silence past p99 is a symptom; so is a trial that stays unanswered.
+    fn watch(&mut self) {
+        let now = self.now;
+        for call in self.calls.values() {
+            let Some(e) = self.endpoints.get_mut(&call.endpoint) else {
+                continue;
+            };
+            let Some(lane) = self.lanes.get(&e.lane) else {
+                continue;
+            };
+            let silent = now - call.sent > lane.latency.silence() as Micros && e.last_ok <= call.sent;
+            match &mut e.trouble {
+                None if silent => e.trouble = Some(Trouble::new(now, false)),
+                Some(t) if silent && t.trial.is_some_and(|s| s == call.sent) => {
+                    t.trial = None;
+                    t.probed = false;
+                    t.harmless = false;
+                    t.backoff = (t.backoff * 2).min(TRIAL_MOST);
+                    t.next = now + t.backoff;
+                }
+                _ => {}
+            }
+        }
+        for (key, lane) in &mut self.lanes {
+            let cap = lane.limit.map_or(f64::INFINITY, |l| l * LIMIT_PART);
+            let dt = (now - lane.filled) as f64 / 1e6;
+            if lane.budget.is_finite() {
+                lane.budget = (lane.budget * (1.0 + BUDGET_GROWTH * dt)).min(cap.max(0.5));
+            }
+            let pace = lane.budget.min(cap);
+            lane.tokens = if pace.is_finite() {
+                (lane.tokens + pace * dt).min((pace * BURST).max(1.0))
+            } else {
+                f64::INFINITY
+            };
+            lane.filled = now;
+            let mine = |e: &&Endpoint| e.listed && e.lane == *key;
+            let sick =
+                lane.latency.slow() || self.endpoints.values().filter(mine).any(|e| e.trouble.is_some());
+            if now - lane.resized >= RESIZE && !sick {
+                lane.resized = now;
+                let Some(dest) = self.dests.get(&lane.dest) else {
+                    continue;
+                };
+                let top = ((self.set.slots as f64 * SHARE_CAP).ceil() as u32).max(1);
+                let sized = (dest.rate.get(now) * lane.latency.p99() / 1e6 * SAFETY).ceil() as u32;
+                lane.permits = sized.clamp(1, top);
+            }
+        }
+        let (from, warm_up, multiple) = (self.set.cold_from, self.set.warm_up, self.set.fall_multiple);
+        let senders = self.set.senders as f64;
+        for e in self.endpoints.values_mut() {
+            let Some(w) = &mut e.warm else { continue };
+            let (Some(d), Some(l)) = (self.dests.get(&e.dest), self.lanes.get(&e.lane)) else {
+                continue;
+            };
+            if now - w.since >= warm_up {
+                e.warm = None;
+                continue;
+            }
+            let share = from + (1.0 - from) * (now - w.since) as f64 / warm_up.max(1) as f64;
+            let usual = d.rate.get(now).max(l.limit.map_or(0.0, |x| x / senders));
+            let parts = if matches!(e.lane, LaneKey::Route(_)) { 1 } else { d.endpoints.len().max(1) };
+            let pace = RAMP_SAFETY * multiple * share * usual / parts as f64;
+            w.tokens = (w.tokens + pace * (now - w.filled) as f64 / 1e6).min(1.0_f64.max(pace * 0.25));
+            w.filled = now;
+        }
+    }
+
+    /// Endpoints in trouble are asked by a probe first, where that is allowed.
+    fn probe(&mut self, out: &mut Vec<Action>) {
+        if !self.set.probes {
+            return;
+        }
+        for (id, e) in &mut self.endpoints {
+            let Some(lane) = self.lanes.get(&e.lane) else {
+                continue;
+            };
+            let wanted = self.dests.get(&e.dest).is_some_and(|d| !d.hold.is_empty());
+            let Some(t) = &mut e.trouble else { continue };
+            let due = !t.harmless && !t.probed && !t.probing && t.trial.is_none() && self.now >= t.next;
+            if e.listed && wanted && due && self.now >= lane.wait_until {
+                t.probing = true;
+                out.push(Action::Probe { endpoint: *id });
+            }
+        }
+    }
+
+    /// The endpoints of a destination that could take a call now, each with whether only a repeatable message
+    /// may go there, and its cost.
+    fn usable(&self, dest: DestId) -> Vec<(EndpointId, bool, f64)> {
+        let now = self.now;
+        let slots = self.set.slots as f64;
+        let Some(d) = self.dests.get(&dest) else {
+            return Vec::new();
+        };
+        let mut total = 0;
+        let mut doubtful = false;
+        for id in &d.endpoints {
+            let e = &self.endpoints[id];
+            total += e.out;
+            doubtful |= e.trouble.is_some() || self.lanes.get(&e.lane).is_some_and(|l| l.latency.slow());
+        }
+        let part = |share: f64| ((slots * share) as u32).max(1);
+        let ceiling = if doubtful { part(SICK_CAP) } else { part(BORROW_CAP) };
+        let free = self.set.slots.saturating_sub(self.used);
+        if total >= ceiling || (doubtful && self.sick_out() >= part(ALL_SICK_CAP)) {
+            return Vec::new();
+        }
+        let reserve = (slots * BORROW_RESERVE).ceil() as u32;
+        let mut list = Vec::new();
+        for id in &d.endpoints {
+            let e = &self.endpoints[id];
+            let Some(lane) = self.lanes.get(&e.lane) else {
+                continue;
+            };
+            let borrow = !doubtful && free > reserve;
+            if !e.listed
+                || now < lane.wait_until
+                || lane.tokens < 1.0
+                || (lane.out >= lane.permits && !borrow)
+            {
+                continue;
+            }
+            if e.out >= e.conn_cap || e.warm.as_ref().is_some_and(|w| w.tokens < 1.0) {
+                continue;
+            }
+            let mut careful = false;
+            if let Some(t) = &e.trouble {
+                if now < t.next || t.trial.is_some() || t.probing {
+                    continue;
+                }
+                if !t.harmless && self.set.probes && !t.probed {
+                    continue;
+                }
+                careful = !t.harmless && !t.probed;
+            }
+            let mut cost = lane.latency.mean() * (1.0 + e.out as f64);
+            if e.zone != self.set.zone {
+                cost *= 1.0 + 30.0 * self.set.cross_zone_price;
+            }
+            let warm = now - e.used < self.set.idle_close && e.out < e.conns * self.set.streams;
+            if !warm {
+                cost *= 1.0 + 10.0 * self.set.handshake_price;
+            }
+            if matches!(e.lane, LaneKey::Route(_)) {
+                cost *= 1.0 + 100.0 * self.set.zone_fees.get(e.zone).copied().unwrap_or(0.0);
+            }
+            if e.trouble.is_some() {
+                cost *= 10.0;
+            }
+            list.push((*id, careful, cost));
+        }
+        list.sort_by(|a, b| a.2.total_cmp(&b.2));
+        list
+    }
+
+    fn sick_out(&self) -> u32 {
+        let sick =
+            |e: &&Endpoint| e.trouble.is_some() || self.lanes.get(&e.lane).is_some_and(|l| l.latency.slow());
+        self.endpoints.values().filter(sick).map(|e| e.out).sum()
+    }
+
+    /// Whether this message may go to this endpoint now.
+    fn fits(&self, id: MsgId, endpoint: EndpointId, careful: bool) -> bool {
+        let msg = &self.msgs[&id];
+        let class = self.class(msg);
+        if !self.may_retry(id) || (careful && class.effect == Effect::SingleShot) {
+            return false;
+        }
+        if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get(k)) {
+            if key.queue.first() != Some(&(msg.seq, id)) || (msg.attempts == 0 && self.now < key.rest_until) {
+                return false;
+            }
+        }
+        match (class.effect, class.group, msg.may_run) {
+            (Effect::Guarded, Group::Endpoint, Some((_, at))) => at == endpoint,
+            (Effect::Guarded, Group::Zone, Some((_, at))) => {
+                let zone = |e: EndpointId| self.endpoints.get(&e).map(|e| e.zone);
+                zone(at).is_some() && zone(at) == zone(endpoint)
+            }
+            _ => true,
+        }
+    }
+
+    /// The worth that a message would earn if delivered `ahead` from now.
+    fn worth(&self, msg: &Msg, ahead: f64) -> f64 {
+        let c = self.class(msg);
+        let (aim, deadline) = (c.aim.max(1) as f64, c.deadline.max(1) as f64);
+        let age = deadline - (msg.deadline - self.now) as f64 + ahead;
+        if age <= aim {
+            return c.worth;
+        }
+        if age >= deadline {
+            return 0.0;
+        }
+        c.worth
+            * match self.set.late {
+                Late::Line => 1.0 - (1.0 - c.late_share) * (age - aim) / (deadline - aim).max(1.0),
+                Late::Halves => 0.5_f64.powf((age - aim) / aim).max(c.late_share),
+            }
+    }
+
+    fn candidate(&self, dest: DestId) -> Option<(f64, MsgId, EndpointId)> {
+        let list = self.usable(dest);
+        if list.is_empty() {
+            return None;
+        }
+        for (_, id) in &self.dests[&dest].hold {
+            let msg = &self.msgs[id];
+            let mut ok = list.iter().filter(|(e, careful, _)| self.fits(*id, *e, *careful));
+            let first = ok.next();
+            let choice = match first {
+                Some((e, ..)) if msg.avoid == Some(*e) => ok.next().or(first),
+                _ => first,
+            };
+            if let Some((e, ..)) = choice {
+                let mean = self.lanes[&self.endpoints[e].lane].latency.mean();
+                return Some((self.worth(msg, mean) / mean, *id, *e));
+            }
+        }
+        None
+    }
+
+    fn dispatch(&mut self, out: &mut Vec<Action>) {
+        let mut open: Vec<DestId> =
+            self.dests.iter().filter(|(_, d)| !d.hold.is_empty()).map(|(id, _)| *id).collect();
+        while self.used < self.set.slots && !open.is_empty() {
+            let mut best: Option<(f64, MsgId, EndpointId)> = None;
+            open.retain(|dest| match self.candidate(*dest) {
+                None => false,
+                Some(c) => {
+                    if best.is_none_or(|b| c.0 > b.0) {
+                        best = Some(c);
+                    }
+                    true
+                }
+            });
+            let Some((_, id, endpoint)) = best else { break };
+            self.send(id, endpoint, out);
+        }
+    }
+
+    /// One call: this message, and where the kind batches, others of the hold that may share its fate.
+    fn send(&mut self, id: MsgId, endpoint: EndpointId, out: &mut Vec<Action>) {
+        let now = self.now;
+        let (dest, kind) = (self.endpoints[&endpoint].dest, self.endpoints[&endpoint].kind);
+        let trial = self.endpoints[&endpoint].trouble.is_some();
+        let most = if trial { 1 } else { self.set.kinds.get(kind).map_or(1, |k| k.batch.max(1)) as usize };
+        let mut batch = vec![id];
+        for (_, other) in &self.dests[&dest].hold {
+            if batch.len() >= most {
+                break;
+            }
+            if *other != id && self.fits(*other, endpoint, false) {
+                batch.push(*other);
+            }
+        }
+        self.seq += 1;
+        let call = self.seq;
+        self.calls.insert(call, Call { endpoint, sent: now, left: batch.len() as u32, judged: false, trial });
+        self.used += 1;
+        let Some(e) = self.endpoints.get_mut(&endpoint) else {
+            return;
+        };
+        let Some(lane) = self.lanes.get_mut(&e.lane) else {
+            return;
+        };
+        if now - e.used >= self.set.idle_close && e.out == 0 {
+            e.conns = 0;
+        }
+        e.out += 1;
+        e.used = now;
+        e.conns = e.conns.max(e.out.div_ceil(self.set.streams.max(1)));
+        if let Some(t) = &mut e.trouble {
+            t.trial = Some(now);
+        }
+        if let Some(w) = &mut e.warm {
+            w.tokens -= 1.0 + BATCH_WEIGHT * (batch.len() - 1) as f64;
+        }
+        lane.out += 1;
+        lane.tokens -= 1.0;
+        lane.sent.add(now);
+        let patience = (TIMEOUT * lane.latency.p99()).max(TIMEOUT_LEAST) as Micros;
+        for id in batch {
+            let Some(msg) = self.msgs.get_mut(&id) else {
+                continue;
+            };
+            let class = self.set.classes.get(msg.class).cloned().unwrap_or_default();
+            let left = msg.deadline - now;
+            let timeout = match class.effect {
+                Effect::Free => patience,
+                Effect::Guarded => patience.min((class.window as f64 * WINDOW_PART) as Micros),
+                Effect::SingleShot => left,
+            };
+            let timeout = timeout.clamp(1, left.max(1));
+            msg.out.push(Attempt { no: msg.attempts, call, sent: now });
+            msg.attempts += 1;
+            if let Some(d) = self.dests.get_mut(&dest) {
+                d.hold.remove(&(msg.seq, id));
+            }
+            out.push(Action::Send { id, endpoint, timeout });
+        }
+    }
+
+    /// Short of room, what earns least is shed first.
+    fn make_room(&mut self, out: &mut Vec<Action>) {
+        let room = ((self.set.max_open as f64 * ROOM).ceil() as usize).max(1);
+        let most = (self.set.max_open as usize).saturating_sub(room);
+        let open = self.msgs.values().filter(|m| !m.closed).count();
+        if open <= most {
+            return;
+        }
+        let mut held: Vec<(f64, MsgId)> = Vec::new();
+        for d in self.dests.values() {
+            for (_, id) in &d.hold {
+                let msg = &self.msgs[id];
+                if self.may_refuse(msg) {
+                    held.push((self.worth(msg, 0.0), *id));
+                }
+            }
+        }
+        held.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        for (_, id) in held.into_iter().take(open - most) {
+            self.finish(id, out);
+        }
+    }
+
+    fn set_timer(&mut self, out: &mut Vec<Action>) {
+        let open = self.msgs.values().filter(|m| !m.closed).map(|m| m.deadline).min();
+        let Some(deadline) = open else { return };
+        let at = (deadline - self.set.quantum).min(self.now + TICK).max(self.now + 1);
+        if self.wake > self.now && self.wake <= at {
+            return;
+        }
+        self.wake = at;
+        out.push(Action::Timer { at, token: 0 });
+    }
+}
+
+impl Trouble {
+    fn new(now: Micros, harmless: bool) -> Self {
+        Trouble {
+            since: now,
+            next: now + TRIAL_FIRST,
+            backoff: TRIAL_FIRST,
+            trial: None,
+            harmless,
+            probing: false,
+            probed: false,
+        }
+    }
+}
