--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,15 +6,15 @@
 pub type Micros = i64;
 
 /// A message, by the sender's number for it. Numbers are never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct MsgId(pub u64);
 
 /// An endpoint, by the sender's number for it; the same number whenever it is named again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct EndpointId(pub u32);
 
 /// A destination: the receiver that a message is meant for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct DestId(pub i64);
 
 /// What a second delivery of a message would do.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,10 @@
 const ALL_SICK_CAP: f64 = 0.6;
 /// Slots kept free of borrowers, as a share.
 const BORROW_RESERVE: f64 = 0.15;
+/// With fewer free slots than this share, silent calls are given up ...
+const RECLAIM_RESERVE: f64 = 0.2;
+/// ... once they have been out for this multiple of what counts as silence.
+const RECLAIM_AFTER: f64 = 3.0;
 /// Memory of arrival rates: long against clumps, short against a day's swing.
 const RATE_MEMORY: f64 = 8e6;
 /// Weight of a new latency sample once there are many.
@@ -67,14 +71,16 @@
 /// Pools are resized this often.
 const RESIZE: Micros = 500_000;
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 enum LaneKey {
+    #[default]
+    Nowhere,
     Whole(DestId),
     Route(EndpointId),
 }
 
 /// Events a second, fading with `RATE_MEMORY`.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Rate {
     born: Micros,
     at: Micros,
@@ -133,6 +139,7 @@
     }
 }
 
+#[derive(Default)]
 struct Lane {
     dest: DestId,
     limit: Option<f64>,
@@ -154,6 +161,7 @@
     endpoints: BTreeSet<EndpointId>,
 }
 
+#[derive(Default)]
 struct Trouble {
     since: Micros,
     next: Micros,
@@ -171,6 +179,7 @@
     filled: Micros,
 }
 
+#[derive(Default)]
 struct Endpoint {
     lane: LaneKey,
     dest: DestId,
@@ -180,7 +189,7 @@
     out: u32,
     used: Micros,
     conns: u32,
-    conn_cap: u32,
+    conn_cap: Option<u32>,
     last_ok: Micros,
     fails: f64,
     trouble: Option<Trouble>,
@@ -193,6 +202,7 @@
     sent: Micros,
 }
 
+#[derive(Default)]
 struct Msg {
     seq: u64,
     class: usize,
@@ -213,6 +223,7 @@
     left: u32,
     judged: bool,
     trial: bool,
+    cancelled: bool,
 }
 
 #[derive(Default)]
@@ -222,6 +233,7 @@
 }
 
 /// Decides for one sender. Feed it rounds of events; it answers with actions.
+#[derive(Default)]
 pub struct Dispatcher {
     now: Micros,
     random: u64,
@@ -244,20 +256,8 @@
     /// When the settings hold a figure with which it cannot work.
     pub fn new(now: Micros, seed: u64, settings: Settings) -> Result<Self, SettingsError> {
         settings.validate()?;
-        Ok(Dispatcher {
-            now,
-            random: seed | 1,
-            set: settings,
-            seq: 0,
-            lanes: BTreeMap::new(),
-            dests: BTreeMap::new(),
-            endpoints: BTreeMap::new(),
-            msgs: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            used: 0,
-            wake: Micros::MIN,
-        })
+        let (random, wake) = (seed | 1, Micros::MIN);
+        Ok(Dispatcher { now, random, wake, set: settings, ..Dispatcher::default() })
     }
 
     /// Takes all that happened by `now`, then decides.
@@ -268,6 +268,7 @@
         }
         self.finish_due(out);
         self.watch();
+        self.reclaim(out);
         self.probe(out);
         self.dispatch(out);
         self.make_room(out);
@@ -291,11 +292,7 @@
                     key: key.clone().filter(|_| ordered),
                     dest: *dest,
                     deadline: now + (*time_left).clamp(0, MAX_SPAN),
-                    attempts: 0,
-                    out: Vec::new(),
-                    may_run: None,
-                    avoid: None,
-                    closed: false,
+                    ..Msg::default()
                 };
                 if let Some(k) = &msg.key {
                     self.keys.entry(k.clone()).or_default().queue.insert((self.seq, *id));
@@ -324,8 +321,7 @@
                     t.probed = true;
                     t.next = now;
                 } else {
-                    t.backoff = (t.backoff * 2).min(TRIAL_MOST);
-                    t.next = now + t.backoff;
+                    t.again(now, 1.0);
                 }
             }
             Event::Note { .. } => {}
@@ -357,36 +353,14 @@
             self.dest(entry.dest).endpoints.insert(entry.endpoint);
             let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0);
             let limit = if self.set.weights == Weights::Silent { None } else { weight };
-            let l = self.lanes.entry(lane).or_insert_with(|| Lane {
-                dest: entry.dest,
-                limit: None,
-                latency: Latency::default(),
-                permits: start,
-                resized: now,
-                out: 0,
-                wait_until: now,
-                budget: f64::INFINITY,
-                tokens: 1.0,
-                filled: now,
-                cut: Micros::MIN / 2,
-                sent: Rate::new(now),
-            });
+            let (dest, budget, sent) = (entry.dest, f64::INFINITY, Rate::new(now));
+            let fresh =
+                || Lane { dest, permits: start, tokens: 1.0, filled: now, budget, sent, ..Lane::default() };
+            let l = self.lanes.entry(lane).or_insert_with(fresh);
             l.limit = limit.or(l.limit);
-            let e = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
-                lane,
-                dest: entry.dest,
-                kind: entry.kind,
-                zone: entry.zone,
-                listed,
-                out: 0,
-                used: Micros::MIN / 2,
-                conns: 0,
-                conn_cap: u32::MAX,
-                last_ok: now,
-                fails: 0.0,
-                trouble: None,
-                warm: None,
-            });
+            let (kind, zone) = (entry.kind, entry.zone);
+            let fresh = || Endpoint { lane, dest, kind, zone, last_ok: now, ..Endpoint::default() };
+            let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
             e.listed = listed;
         }
         // What is gone and has nothing out is forgotten.
@@ -528,7 +502,7 @@
             }
             // Refused while another call succeeded meanwhile: its table of connections is full, it is not down.
             Outcome::ConnectFailed if e.last_ok > sent => {
-                e.conn_cap = e.out.max(1);
+                e.conn_cap = Some(e.out.max(1));
                 return;
             }
             _ => {}
@@ -539,10 +513,7 @@
             Some(t) => {
                 t.harmless &= harmless;
                 if trial {
-                    t.trial = None;
-                    t.probed = false;
-                    t.backoff = (t.backoff * 2).min(TRIAL_MOST);
-                    t.next = now + (t.backoff as f64 * jitter) as Micros;
+                    t.again(now, jitter);
                 }
             }
             None if e.fails > FAIL_LIMIT => e.trouble = Some(Trouble::new(now, harmless)),
@@ -644,11 +615,8 @@
             match &mut e.trouble {
                 None if silent => e.trouble = Some(Trouble::new(now, false)),
                 Some(t) if silent && t.trial.is_some_and(|s| s == call.sent) => {
-                    t.trial = None;
-                    t.probed = false;
                     t.harmless = false;
-                    t.backoff = (t.backoff * 2).min(TRIAL_MOST);
-                    t.next = now + t.backoff;
+                    t.again(now, 1.0);
                 }
                 _ => {}
             }
@@ -699,6 +667,32 @@
         }
     }
 
+    /// Guards against silent calls filling the slots (a hung destination's unsafe calls would hold theirs until
+    /// the deadline): short of slots, with others waiting, the call that has been silent longest for its lane is
+    /// given up. Covers any cause of silence; harms an unsafe message whose answer was merely late.
+    fn reclaim(&mut self, out: &mut Vec<Action>) {
+        let reserve = (self.set.slots as f64 * RECLAIM_RESERVE).ceil() as u32;
+        let held = self.dests.values().any(|d| !d.hold.is_empty());
+        if !self.set.cancel || !held || self.set.slots.saturating_sub(self.used) >= reserve {
+            return;
+        }
+        let mut worst: Option<(f64, u64)> = None;
+        for (id, call) in self.calls.iter_mut().filter(|(_, c)| !c.cancelled) {
+            let Some(e) = self.endpoints.get(&call.endpoint) else { continue };
+            let Some(lane) = self.lanes.get(&e.lane) else { continue };
+            let over = (self.now - call.sent) as f64 / lane.latency.silence();
+            if over > RECLAIM_AFTER && worst.is_none_or(|w| over > w.0) {
+                worst = Some((over, *id));
+            }
+        }
+        let Some((_, call)) = worst else { return };
+        self.calls.entry(call).and_modify(|c| c.cancelled = true);
+        for (id, msg) in &self.msgs {
+            let attempts = msg.out.iter().filter(|a| a.call == call);
+            out.extend(attempts.map(|a| Action::Cancel { id: *id, attempt: a.no }));
+        }
+    }
+
     /// Endpoints in trouble are asked by a probe first, where that is allowed.
     fn probe(&mut self, out: &mut Vec<Action>) {
         if !self.set.probes {
@@ -754,7 +748,7 @@
             {
                 continue;
             }
-            if e.out >= e.conn_cap || e.warm.as_ref().is_some_and(|w| w.tokens < 1.0) {
+            if e.conn_cap.is_some_and(|c| e.out >= c) || e.warm.as_ref().is_some_and(|w| w.tokens < 1.0) {
                 continue;
             }
             let mut careful = false;
@@ -890,7 +884,10 @@
         }
         self.seq += 1;
         let call = self.seq;
-        self.calls.insert(call, Call { endpoint, sent: now, left: batch.len() as u32, judged: false, trial });
+        self.calls.insert(
+            call,
+            Call { endpoint, sent: now, left: batch.len() as u32, judged: false, trial, cancelled: false },
+        );
         self.used += 1;
         let Some(e) = self.endpoints.get_mut(&endpoint) else {
             return;
@@ -971,15 +968,13 @@
 }
 
 impl Trouble {
-    fn new(now: Micros, harmless: bool) -> Self {
-        Trouble {
-            since: now,
-            next: now + TRIAL_FIRST,
-            backoff: TRIAL_FIRST,
-            trial: None,
-            harmless,
-            probing: false,
-            probed: false,
-        }
+    fn new(since: Micros, harmless: bool) -> Self {
+        Trouble { since, next: since + TRIAL_FIRST, backoff: TRIAL_FIRST, harmless, ..Trouble::default() }
+    }
+    /// A trial or probe came to nothing: the next one waits longer.
+    fn again(&mut self, now: Micros, jitter: f64) {
+        (self.trial, self.probed) = (None, false);
+        self.backoff = (self.backoff * 2).min(TRIAL_MOST);
+        self.next = now + (self.backoff as f64 * jitter) as Micros;
     }
 }
