--- a/src/logic.rs
+++ b/src/logic.rs
@@ -433,6 +433,12 @@
                 }
             }
         }
+        // Each outcome of a batch may tell a wait of its own: all of them bind, not only the first.
+        if wait > 0 {
+            if let Some(l) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane)) {
+                l.wait_until = l.wait_until.max(now + wait);
+            }
+        }
         if first {
             self.read(endpoint, report);
             self.judge(endpoint, outcome, elapsed, a.sent, wait, trial);
@@ -490,7 +496,9 @@
                 return;
             }
             Outcome::Busy => {
-                lane.wait_until = lane.wait_until.max(now + if wait > 0 { wait } else { REFUSED_PAUSE });
+                if wait == 0 {
+                    lane.wait_until = lane.wait_until.max(now + REFUSED_PAUSE);
+                }
                 if now - lane.cut > REFUSED_PAUSE {
                     lane.cut = now;
                     let top = lane.limit.unwrap_or(f64::INFINITY);
