--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 
 mod interface;
 mod logic;
+mod state;
 
 pub use interface::*;
 pub use logic::Dispatcher;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,5 @@
-//! All decisions of heronroute. What goes in and comes out is defined in `src/interface.rs`.
+//! All decisions of heronroute. What goes in and comes out is defined in `src/interface.rs`, the plain data kept
+//! between rounds in `src/state.rs`.
 //!
 //! The ordinary path is a bulkhead: each destination owns a pool of permits sized rate x p99 x safety, a call
 //! holds a permit until its outcome, and messages wait in the destination's hold, oldest first. Around it stand
@@ -6,6 +7,7 @@
 //! is what has one limit and one pool: a destination, or one route of it where routes are apart.
 
 use crate::interface::*;
+use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Safety factor of the sizing rule, as in the source.
@@ -71,22 +73,6 @@
 /// Pools are resized this often.
 const RESIZE: Micros = 500_000;
 
-#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-enum LaneKey {
-    #[default]
-    Nowhere,
-    Whole(DestId),
-    Route(EndpointId),
-}
-
-/// Events a second, fading with `RATE_MEMORY`.
-#[derive(Clone, Copy, Default)]
-struct Rate {
-    born: Micros,
-    at: Micros,
-    value: f64,
-}
-
 impl Rate {
     fn new(now: Micros) -> Self {
         Rate { born: now, at: now, value: 0.0 }
@@ -101,15 +87,6 @@
     }
 }
 
-/// Latency as a log-normal, which gives a p99 from few samples.
-#[derive(Clone, Copy, Default)]
-struct Latency {
-    n: f64,
-    mu: f64,
-    var: f64,
-    recent: f64,
-}
-
 impl Latency {
     fn learn(&mut self, elapsed: Micros) {
         let x = elapsed.max(1_000) as f64;
@@ -139,99 +116,6 @@
     }
 }
 
-#[derive(Default)]
-struct Lane {
-    dest: DestId,
-    limit: Option<f64>,
-    latency: Latency,
-    permits: u32,
-    resized: Micros,
-    out: u32,
-    wait_until: Micros,
-    budget: f64,
-    tokens: f64,
-    filled: Micros,
-    cut: Micros,
-    sent: Rate,
-}
-
-struct Dest {
-    rate: Rate,
-    hold: BTreeSet<(u64, MsgId)>,
-    endpoints: BTreeSet<EndpointId>,
-}
-
-#[derive(Default)]
-struct Trouble {
-    since: Micros,
-    next: Micros,
-    backoff: Micros,
-    trial: Option<Micros>,
-    /// Only symptoms that prove nothing ran: an unsafe message may be the trial.
-    harmless: bool,
-    probing: bool,
-    probed: bool,
-}
-
-struct Warm {
-    since: Micros,
-    tokens: f64,
-    filled: Micros,
-}
-
-#[derive(Default)]
-struct Endpoint {
-    lane: LaneKey,
-    dest: DestId,
-    kind: usize,
-    zone: usize,
-    listed: bool,
-    out: u32,
-    used: Micros,
-    conns: u32,
-    conn_cap: Option<u32>,
-    last_ok: Micros,
-    fails: f64,
-    trouble: Option<Trouble>,
-    warm: Option<Warm>,
-}
-
-struct Attempt {
-    no: u32,
-    call: u64,
-    sent: Micros,
-}
-
-#[derive(Default)]
-struct Msg {
-    seq: u64,
-    class: usize,
-    tenant: usize,
-    key: Option<String>,
-    dest: DestId,
-    deadline: Micros,
-    attempts: u32,
-    out: Vec<Attempt>,
-    may_run: Option<(Micros, EndpointId)>,
-    avoid: Option<EndpointId>,
-    closed: bool,
-}
-
-struct Call {
-    endpoint: EndpointId,
-    sent: Micros,
-    left: u32,
-    judged: bool,
-    trial: bool,
-    cancelled: bool,
-}
-
-#[derive(Default)]
-struct Key {
-    queue: BTreeSet<(u64, MsgId)>,
-    rest_until: Micros,
-}
-
 /// Decides for one sender. Feed it rounds of events; it answers with actions.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -414,10 +298,10 @@
         if !outcome.never_ran() && outcome != Outcome::Done {
             let sent = msg.may_run.map_or(a.sent, |m| m.0.min(a.sent));
             msg.may_run = Some((sent, msg.may_run.map_or(endpoint, |m| m.1)));
-            if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
-                if outcome != Outcome::Error {
-                    key.rest_until = now + self.set.order_settle;
-                }
+            if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get_mut(k))
+                && outcome != Outcome::Error
+            {
+                key.rest_until = now + self.set.order_settle;
             }
         }
         msg.avoid = Some(endpoint);
@@ -434,10 +318,10 @@
             }
         }
         // Each outcome of a batch may tell a wait of its own: all of them bind, not only the first.
-        if wait > 0 {
-            if let Some(l) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane)) {
-                l.wait_until = l.wait_until.max(now + wait);
-            }
+        if wait > 0
+            && let Some(l) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane))
+        {
+            l.wait_until = l.wait_until.max(now + wait);
         }
         if first {
             self.read(endpoint, report);
@@ -545,12 +429,12 @@
             d.hold.remove(&entry);
         }
         if msg.out.is_empty() {
-            if let Some(k) = msg.key.take() {
-                if let Some(key) = self.keys.get_mut(&k) {
-                    key.queue.remove(&entry);
-                    if key.queue.is_empty() && key.rest_until <= self.now {
-                        self.keys.remove(&k);
-                    }
+            if let Some(k) = msg.key.take()
+                && let Some(key) = self.keys.get_mut(&k)
+            {
+                key.queue.remove(&entry);
+                if key.queue.is_empty() && key.rest_until <= self.now {
+                    self.keys.remove(&k);
                 }
             }
             self.msgs.remove(&id);
@@ -802,10 +686,10 @@
         if !self.may_retry(id) || (careful && class.effect == Effect::SingleShot) {
             return false;
         }
-        if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get(k)) {
-            if key.queue.first() != Some(&(msg.seq, id)) || (msg.attempts == 0 && self.now < key.rest_until) {
-                return false;
-            }
+        if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get(k))
+            && (key.queue.first() != Some(&(msg.seq, id)) || (msg.attempts == 0 && self.now < key.rest_until))
+        {
+            return false;
         }
         match (class.effect, class.group, msg.may_run) {
             (Effect::Guarded, Group::Endpoint, Some((_, at))) => at == endpoint,
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,132 @@
+//! The plain data that the decisions in `src/logic.rs` are kept in. Nothing is decided here.
+
+use crate::interface::*;
+use std::collections::BTreeSet;
+
+/// What has one limit and one pool: a destination, or a route of it where routes are apart.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum LaneKey {
+    #[default]
+    Nowhere,
+    Whole(DestId),
+    Route(EndpointId),
+}
+
+/// Events a second, fading with `RATE_MEMORY`.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Rate {
+    pub(crate) born: Micros,
+    pub(crate) at: Micros,
+    pub(crate) value: f64,
+}
+
+/// Latency as a log-normal, which gives a p99 from few samples.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Latency {
+    pub(crate) n: f64,
+    pub(crate) mu: f64,
+    pub(crate) var: f64,
+    pub(crate) recent: f64,
+}
+
+/// A lane's pool, pace and wait.
+#[derive(Default)]
+pub(crate) struct Lane {
+    pub(crate) dest: DestId,
+    pub(crate) limit: Option<f64>,
+    pub(crate) latency: Latency,
+    pub(crate) permits: u32,
+    pub(crate) resized: Micros,
+    pub(crate) out: u32,
+    pub(crate) wait_until: Micros,
+    pub(crate) budget: f64,
+    pub(crate) tokens: f64,
+    pub(crate) filled: Micros,
+    pub(crate) cut: Micros,
+    pub(crate) sent: Rate,
+}
+
+/// A destination's demand and its hold, oldest first.
+pub(crate) struct Dest {
+    pub(crate) rate: Rate,
+    pub(crate) hold: BTreeSet<(u64, MsgId)>,
+    pub(crate) endpoints: BTreeSet<EndpointId>,
+}
+
+/// An endpoint under suspicion, and the trials by which it is asked.
+#[derive(Default)]
+pub(crate) struct Trouble {
+    pub(crate) since: Micros,
+    pub(crate) next: Micros,
+    pub(crate) backoff: Micros,
+    pub(crate) trial: Option<Micros>,
+    /// Only symptoms that prove nothing ran: an unsafe message may be the trial.
+    pub(crate) harmless: bool,
+    pub(crate) probing: bool,
+    pub(crate) probed: bool,
+}
+
+/// An endpoint that came back and is loaded bit by bit.
+pub(crate) struct Warm {
+    pub(crate) since: Micros,
+    pub(crate) tokens: f64,
+    pub(crate) filled: Micros,
+}
+
+/// An endpoint's use and health.
+#[derive(Default)]
+pub(crate) struct Endpoint {
+    pub(crate) lane: LaneKey,
+    pub(crate) dest: DestId,
+    pub(crate) kind: usize,
+    pub(crate) zone: usize,
+    pub(crate) listed: bool,
+    pub(crate) out: u32,
+    pub(crate) used: Micros,
+    pub(crate) conns: u32,
+    pub(crate) conn_cap: Option<u32>,
+    pub(crate) last_ok: Micros,
+    pub(crate) fails: f64,
+    pub(crate) trouble: Option<Trouble>,
+    pub(crate) warm: Option<Warm>,
+}
+
+/// An attempt that is out.
+pub(crate) struct Attempt {
+    pub(crate) no: u32,
+    pub(crate) call: u64,
+    pub(crate) sent: Micros,
+}
+
+/// A message and what has been tried with it.
+#[derive(Default)]
+pub(crate) struct Msg {
+    pub(crate) seq: u64,
+    pub(crate) class: usize,
+    pub(crate) tenant: usize,
+    pub(crate) key: Option<String>,
+    pub(crate) dest: DestId,
+    pub(crate) deadline: Micros,
+    pub(crate) attempts: u32,
+    pub(crate) out: Vec<Attempt>,
+    pub(crate) may_run: Option<(Micros, EndpointId)>,
+    pub(crate) avoid: Option<EndpointId>,
+    pub(crate) closed: bool,
+}
+
+/// A call that is out, with the messages that share its fate.
+pub(crate) struct Call {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) sent: Micros,
+    pub(crate) left: u32,
+    pub(crate) judged: bool,
+    pub(crate) trial: bool,
+    pub(crate) cancelled: bool,
+}
+
+/// The order of a key's messages.
+#[derive(Default)]
+pub(crate) struct Key {
+    pub(crate) queue: BTreeSet<(u64, MsgId)>,
+    pub(crate) rest_until: Micros,
+}
