--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,10 +56,11 @@
 const TIMEOUT_LEAST: f64 = 1.2e6;
 /// Part of a keyed window after which an attempt is given up, so that a resend fits in.
 const WINDOW_PART: f64 = 0.45;
-/// Budget after a refusal, its growth a second, and the least of it, as shares.
+/// Budget after a refusal as a share of what was sent; its growth a second and the least of it, as shares of this
+/// sender's own demand, so that senders with more traffic get more.
 const BUDGET_CUT: f64 = 0.75;
-const BUDGET_GROWTH: f64 = 0.08;
-const BUDGET_LEAST: f64 = 0.15;
+const BUDGET_GROWTH: f64 = 0.2;
+const BUDGET_LEAST: f64 = 0.4;
 /// Share of a known limit that is used at most.
 const LIMIT_PART: f64 = 0.95;
 /// Saved-up calls, in seconds of budget.
@@ -266,9 +267,13 @@
         let Some(lane) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane)) else {
             return;
         };
-        if let Some(limit) = report.and_then(|r| r.limit).filter(|l| l.is_finite() && *l > 0.0) {
-            lane.limit = Some(limit);
+        match report.and_then(|r| r.limit) {
+            Some(limit) if limit.is_finite() && limit > 0.0 => lane.limit = Some(limit),
+            // Told that there is no limit: refusals then speak of a full queue and call for no budget.
+            Some(0.0) if lane.limit.is_none() => lane.budget = f64::INFINITY,
+            _ => return,
         }
+        lane.unlimited = lane.limit.is_none();
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -383,11 +388,12 @@
                 if wait == 0 {
                     lane.wait_until = lane.wait_until.max(now + REFUSED_PAUSE);
                 }
-                if now - lane.cut > REFUSED_PAUSE {
+                if now - lane.cut > REFUSED_PAUSE && !lane.unlimited {
                     lane.cut = now;
                     let top = lane.limit.unwrap_or(f64::INFINITY);
-                    let least = if top.is_finite() { top * BUDGET_LEAST } else { 0.5 };
-                    let from = lane.budget.min(top).min((lane.sent.get(now) * 1.5).max(least));
+                    let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
+                    let least = (own * BUDGET_LEAST).min(top * 0.5).max(0.1);
+                    let from = lane.budget.min(top).min(lane.sent.get(now).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
                 }
@@ -517,7 +523,8 @@
             let cap = lane.limit.map_or(f64::INFINITY, |l| l * LIMIT_PART);
             let dt = (now - lane.filled) as f64 / 1e6;
             if lane.budget.is_finite() {
-                lane.budget = (lane.budget * (1.0 + BUDGET_GROWTH * dt)).min(cap.max(0.5));
+                let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
+                lane.budget = (lane.budget + BUDGET_GROWTH * own.max(0.2) * dt).min(cap.max(0.5));
             }
             let pace = lane.budget.min(cap);
             lane.tokens = if pace.is_finite() {
