--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,8 +67,6 @@
 const BURST: f64 = 0.4;
 /// Pause after a refusal that told no wait.
 const REFUSED_PAUSE: Micros = 250_000;
-/// After a refusal a pool neither grows nor borrows for this long.
-const REFUSED_REST: Micros = 1_500_000;
 /// Room kept free below `max_open`, as a share, so that new messages are never turned away unseen.
 const ROOM: f64 = 0.06;
 /// Between rounds with work at hand.
@@ -390,11 +388,7 @@
                 if wait == 0 {
                     lane.wait_until = lane.wait_until.max(now + REFUSED_PAUSE);
                 }
-                if lane.unlimited {
-                    // A full queue: fewer calls at a time, and no borrowing for a while.
-                    lane.permits = lane.permits.min(lane.out.max(1));
-                    (lane.cut, lane.resized) = (now, now + REFUSED_REST - RESIZE);
-                } else if now - lane.cut > REFUSED_PAUSE {
+                if now - lane.cut > REFUSED_PAUSE && !lane.unlimited {
                     lane.cut = now;
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
@@ -645,7 +639,7 @@
             let Some(lane) = self.lanes.get(&e.lane) else {
                 continue;
             };
-            let borrow = !doubtful && free > reserve && now - lane.cut > REFUSED_REST;
+            let borrow = !doubtful && free > reserve;
             if !e.listed
                 || now < lane.wait_until
                 || lane.tokens < 1.0
