--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,6 +61,8 @@
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
+/// Where no limit is known the cut starts from this multiple of what was sent.
+const QUEUE_SLACK: f64 = 1.5;
 /// Share of a known limit that is used at most.
 const LIMIT_PART: f64 = 0.95;
 /// Saved-up calls, in seconds of budget.
@@ -269,11 +271,8 @@
         };
         match report.and_then(|r| r.limit) {
             Some(limit) if limit.is_finite() && limit > 0.0 => lane.limit = Some(limit),
-            // Told that there is no limit: refusals then speak of a full queue and call for no budget.
-            Some(0.0) if lane.limit.is_none() => lane.budget = f64::INFINITY,
-            _ => return,
+            _ => {}
         }
-        lane.unlimited = lane.limit.is_none();
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -388,12 +387,14 @@
                 if wait == 0 {
                     lane.wait_until = lane.wait_until.max(now + REFUSED_PAUSE);
                 }
-                if now - lane.cut > REFUSED_PAUSE && !lane.unlimited {
+                if now - lane.cut > REFUSED_PAUSE {
                     lane.cut = now;
+                    // Without a limit it was a full queue, which drains by itself: a gentler cut will do.
+                    let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
                     let least = (own * BUDGET_LEAST).min(top * 0.5).max(0.1);
-                    let from = lane.budget.min(top).min(lane.sent.get(now).max(least));
+                    let from = lane.budget.min(top).min((lane.sent.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,7 +34,6 @@
 pub(crate) struct Lane {
     pub(crate) dest: DestId,
     pub(crate) limit: Option<f64>,
-    pub(crate) unlimited: bool,
     pub(crate) latency: Latency,
     pub(crate) permits: u32,
     pub(crate) resized: Micros,
