--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,6 +69,8 @@
 const BURST: f64 = 0.4;
 /// Pause after a refusal that told no wait.
 const REFUSED_PAUSE: Micros = 250_000;
+/// A crowded endpoint is given one more call at a time after each such span.
+const UNCROWD: Micros = 400_000;
 /// Room kept free below `max_open`, as a share, so that new messages are never turned away unseen.
 const ROOM: f64 = 0.06;
 /// Between rounds with work at hand.
@@ -155,6 +157,8 @@
         }
         self.finish_due(out);
         self.watch();
+        let crowded = self.endpoints.iter().filter(|(_, e)| e.crowded.is_some_and(|c| c.1 == self.now));
+        out.extend(crowded.map(|(id, _)| Action::Close { endpoint: *id }));
         self.reclaim(out);
         self.probe(out);
         self.dispatch(out);
@@ -165,7 +169,7 @@
     fn absorb(&mut self, event: &Event) {
         match event {
             Event::Members { whole, entries } => self.members(*whole, entries),
-            Event::Message { id, class, tenant, key, dest, time_left, again } => {
+            Event::Message { id, class, key, dest, time_left, again, .. } => {
                 if self.msgs.contains_key(id) {
                     return;
                 }
@@ -175,7 +179,6 @@
                 let msg = Msg {
                     seq: self.seq,
                     class: *class,
-                    tenant: *tenant,
                     key: key.clone().filter(|_| ordered),
                     dest: *dest,
                     deadline: now + (*time_left).clamp(0, MAX_SPAN),
@@ -399,9 +402,10 @@
                     lane.tokens = lane.tokens.min(0.0);
                 }
             }
-            // Refused while another call succeeded meanwhile: its table of connections is full, it is not down.
+            // Guards against a full table of connections being taken for an endpoint that is down: it answered
+            // while the call was out. Fewer calls at a time for a while, and idle connections are let go for others to use.
             Outcome::ConnectFailed if e.last_ok > sent => {
-                e.conn_cap = Some(e.out.max(1));
+                e.crowded = Some((e.out.max(1), now));
                 return;
             }
             _ => {}
@@ -625,7 +629,7 @@
         for id in &d.endpoints {
             let e = &self.endpoints[id];
             total += e.out;
-            doubtful |= e.trouble.is_some() || self.lanes.get(&e.lane).is_some_and(|l| l.latency.slow());
+            doubtful |= self.doubtful(e);
         }
         let part = |share: f64| ((slots * share) as u32).max(1);
         let ceiling = if doubtful { part(SICK_CAP) } else { part(BORROW_CAP) };
@@ -648,7 +652,9 @@
             {
                 continue;
             }
-            if e.conn_cap.is_some_and(|c| e.out >= c) || e.warm.as_ref().is_some_and(|w| w.tokens < 1.0) {
+            if e.crowded.is_some_and(|(cap, at)| e.out >= cap + ((now - at) / UNCROWD) as u32)
+                || e.warm.as_ref().is_some_and(|w| w.tokens < 1.0)
+            {
                 continue;
             }
             let mut careful = false;
@@ -681,10 +687,12 @@
         list
     }
 
+    fn doubtful(&self, e: &Endpoint) -> bool {
+        e.trouble.is_some() || self.lanes.get(&e.lane).is_some_and(|l| l.latency.slow())
+    }
+
     fn sick_out(&self) -> u32 {
-        let sick =
-            |e: &&Endpoint| e.trouble.is_some() || self.lanes.get(&e.lane).is_some_and(|l| l.latency.slow());
-        self.endpoints.values().filter(sick).map(|e| e.out).sum()
+        self.endpoints.values().filter(|e| self.doubtful(e)).map(|e| e.out).sum()
     }
 
     /// Whether this message may go to this endpoint now.
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,7 +84,8 @@
     pub(crate) out: u32,
     pub(crate) used: Micros,
     pub(crate) conns: u32,
-    pub(crate) conn_cap: Option<u32>,
+    /// Calls at a time and since when, after a refused connection.
+    pub(crate) crowded: Option<(u32, Micros)>,
     pub(crate) last_ok: Micros,
     pub(crate) fails: f64,
     pub(crate) trouble: Option<Trouble>,
@@ -103,7 +104,6 @@
 pub(crate) struct Msg {
     pub(crate) seq: u64,
     pub(crate) class: usize,
-    pub(crate) tenant: usize,
     pub(crate) key: Option<String>,
     pub(crate) dest: DestId,
     pub(crate) deadline: Micros,
