--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Safety factor of the sizing rule, as in the source.
 const SAFETY: f64 = 1.5;
@@ -65,12 +65,18 @@
 const QUEUE_SLACK: f64 = 1.5;
 /// Share of a known limit that is used at most.
 const LIMIT_PART: f64 = 0.95;
+/// A rough weight may be too low by this factor: refusals teach the rest.
+const ROUGH: f64 = 1.5;
 /// Saved-up calls, in seconds of budget.
 const BURST: f64 = 0.4;
 /// Pause after a refusal that told no wait.
 const REFUSED_PAUSE: Micros = 250_000;
 /// A crowded endpoint is given one more call at a time after each such span.
 const UNCROWD: Micros = 400_000;
+/// Once messages are late, rank goes by the worth lost within this span of waiting ...
+const YIELD: f64 = 1.5e6;
+/// ... plus this share of the worth at hand, which may be lost for good if the backlog stays.
+const WORTH_NOW: f64 = 0.4;
 /// Room kept free below `max_open`, as a share, so that new messages are never turned away unseen.
 const ROOM: f64 = 0.06;
 /// Between rounds with work at hand.
@@ -196,10 +202,11 @@
                 self.msgs.insert(*id, msg);
             }
             Event::Outcome { id, attempt, outcome, last, elapsed, wait, report, .. } => {
-                self.outcome(*id, *attempt, *outcome, *last, *elapsed, (*wait).clamp(0, MAX_SPAN), *report);
+                let wait = (*wait).clamp(0, MAX_SPAN);
+                let answer = Answer { outcome: *outcome, took: *elapsed, wait, report: *report };
+                self.outcome(*id, *attempt, *last, answer);
             }
             Event::Left { id } => self.close(*id),
-            Event::Timer { .. } => {}
             Event::Probed { endpoint, outcome, report } => {
                 let now = self.now;
                 self.read(*endpoint, *report);
@@ -214,17 +221,13 @@
                     t.again(now, 1.0);
                 }
             }
-            Event::Note { .. } => {}
+            Event::Timer { .. } | Event::Note { .. } => {}
         }
     }
 
     fn dest(&mut self, id: DestId) -> &mut Dest {
         let now = self.now;
-        self.dests.entry(id).or_insert_with(|| Dest {
-            rate: Rate::new(now),
-            hold: BTreeSet::new(),
-            endpoints: BTreeSet::new(),
-        })
+        self.dests.entry(id).or_insert_with(|| Dest { rate: Rate::new(now), ..Dest::default() })
     }
 
     fn members(&mut self, whole: bool, entries: &[EndpointEntry]) {
@@ -241,8 +244,9 @@
                 continue;
             }
             self.dest(entry.dest).endpoints.insert(entry.endpoint);
-            let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0);
-            let limit = if self.set.weights == Weights::Silent { None } else { weight };
+            let slack = if self.set.weights == Weights::Rough { ROUGH } else { 1.0 };
+            let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0).map(|w| w * slack);
+            let limit = weight.filter(|_| self.set.weights != Weights::Silent);
             let (dest, budget, sent) = (entry.dest, f64::INFINITY, Rate::new(now));
             let fresh =
                 || Lane { dest, permits: start, tokens: 1.0, filled: now, budget, sent, ..Lane::default() };
@@ -272,23 +276,11 @@
         let Some(lane) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane)) else {
             return;
         };
-        match report.and_then(|r| r.limit) {
-            Some(limit) if limit.is_finite() && limit > 0.0 => lane.limit = Some(limit),
-            _ => {}
-        }
+        lane.limit = report.and_then(|r| r.limit).filter(|l| l.is_finite() && *l > 0.0).or(lane.limit);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn outcome(
-        &mut self,
-        id: MsgId,
-        attempt: u32,
-        outcome: Outcome,
-        last: bool,
-        elapsed: Micros,
-        wait: Micros,
-        report: Option<Report>,
-    ) {
+    fn outcome(&mut self, id: MsgId, attempt: u32, last: bool, answer: Answer) {
+        let Answer { outcome, wait, .. } = answer;
         let now = self.now;
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         let Some(at) = msg.out.iter().position(|a| a.no == attempt) else {
@@ -331,8 +323,8 @@
             l.wait_until = l.wait_until.max(now + wait);
         }
         if first {
-            self.read(endpoint, report);
-            self.judge(endpoint, outcome, elapsed, a.sent, wait, trial);
+            self.read(endpoint, answer.report);
+            self.judge(endpoint, answer, a.sent, trial);
         }
         if closed {
             self.close(id);
@@ -344,15 +336,8 @@
     }
 
     /// What one call's end says of its endpoint and lane.
-    fn judge(
-        &mut self,
-        id: EndpointId,
-        outcome: Outcome,
-        took: Micros,
-        sent: Micros,
-        wait: Micros,
-        trial: bool,
-    ) {
+    fn judge(&mut self, id: EndpointId, answer: Answer, sent: Micros, trial: bool) {
+        let Answer { outcome, took, wait, .. } = answer;
         let now = self.now;
         let jitter = self.jitter();
         let Some(e) = self.endpoints.get_mut(&id) else {
@@ -403,7 +388,7 @@
                 }
             }
             // Guards against a full table of connections being taken for an endpoint that is down: it answered
-            // while the call was out. Fewer calls at a time for a while, and idle connections are let go for others to use.
+            // while the call was out. Fewer calls at a time for a while, and idle connections are let go.
             Outcome::ConnectFailed if e.last_ok > sent => {
                 e.crowded = Some((e.out.max(1), now));
                 return;
@@ -740,15 +725,20 @@
         if list.is_empty() {
             return None;
         }
-        for (_, id) in &self.dests[&dest].hold {
+        // Oldest first until one is late; then those that lose most by waiting go first, oldest first among equals.
+        let mut hold: Vec<(f64, MsgId)> = self.dests[&dest].hold.iter().map(|(_, id)| (0.0, *id)).collect();
+        let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
+        if hold.iter().any(|(_, id)| late(id)) {
+            for (rank, id) in &mut hold {
+                let now = self.worth(&self.msgs[id], 0.0);
+                *rank = self.worth(&self.msgs[id], YIELD) - (1.0 + WORTH_NOW) * now;
+            }
+            hold.sort_by(|a, b| a.0.total_cmp(&b.0));
+        }
+        for (_, id) in &hold {
             let msg = &self.msgs[id];
-            let mut ok = list.iter().filter(|(e, careful, _)| self.fits(*id, *e, *careful));
-            let first = ok.next();
-            let choice = match first {
-                Some((e, ..)) if msg.avoid == Some(*e) => ok.next().or(first),
-                _ => first,
-            };
-            if let Some((e, ..)) = choice {
+            let ok = || list.iter().filter(|(e, careful, _)| self.fits(*id, *e, *careful));
+            if let Some((e, ..)) = ok().find(|(e, ..)| msg.avoid != Some(*e)).or(ok().next()) {
                 let mean = self.lanes[&self.endpoints[e].lane].latency.mean();
                 return Some((self.worth(msg, mean) / mean, *id, *e));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,7 @@
 }
 
 /// A destination's demand and its hold, oldest first.
+#[derive(Default)]
 pub(crate) struct Dest {
     pub(crate) rate: Rate,
     pub(crate) hold: BTreeSet<(u64, MsgId)>,
@@ -130,3 +131,12 @@
     pub(crate) queue: BTreeSet<(u64, MsgId)>,
     pub(crate) rest_until: Micros,
 }
+
+/// How an attempt ended, and what was told with it.
+#[derive(Clone, Copy)]
+pub(crate) struct Answer {
+    pub(crate) outcome: Outcome,
+    pub(crate) took: Micros,
+    pub(crate) wait: Micros,
+    pub(crate) report: Option<Report>,
+}
