--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,10 @@
-//! All decisions of heronroute. What goes in and comes out is defined in `src/interface.rs`, the plain data kept
-//! between rounds in `src/state.rs`.
+//! All decisions of heronroute. What goes in and comes out is defined in `src/interface.rs`, the plain data
+//! kept between rounds in `src/state.rs`.
 //!
 //! The ordinary path is a bulkhead: each destination owns a pool of permits sized rate x p99 x safety, a call
-//! holds a permit until its outcome, and messages wait in the destination's hold, oldest first. Around it stand
-//! a call budget (pace), a judgement of each endpoint's health with single trials, and a paced return. A *lane*
-//! is what has one limit and one pool: a destination, or one route of it where routes are apart.
+//! holds a permit until its outcome, and messages wait in the destination's hold, oldest first. Around it
+//! stand a call budget (pace), a judgement of each endpoint's health with single trials, and a paced return.
+//! A *lane* is what has one limit and one pool: a destination, or one route of it where routes are apart.
 
 use crate::interface::*;
 use crate::state::*;
@@ -56,8 +56,8 @@
 const TIMEOUT_LEAST: f64 = 1.2e6;
 /// Part of a keyed window after which an attempt is given up, so that a resend fits in.
 const WINDOW_PART: f64 = 0.45;
-/// Budget after a refusal as a share of what was sent; its growth a second and the least of it, as shares of this
-/// sender's own demand, so that senders with more traffic get more.
+/// Budget after a refusal as a share of what was sent; its growth a second and the least of it, as shares of
+/// this sender's own demand, so that senders with more traffic get more.
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
@@ -257,9 +257,11 @@
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
             e.listed = listed;
         }
-        // What is gone and has nothing out is forgotten.
-        let gone: Vec<EndpointId> =
-            self.endpoints.iter().filter(|(_, e)| !e.listed && e.out == 0).map(|(id, _)| *id).collect();
+        // What is gone is remembered for a warm-up: named again, its wait and its health still hold.
+        let idle = |e: &Endpoint| !e.listed && e.out == 0 && self.now - e.used > self.set.warm_up;
+        let waits = |e: &Endpoint| self.lanes.get(&e.lane).is_some_and(|l| l.wait_until > self.now);
+        let gone = self.endpoints.iter().filter(|(_, e)| idle(e) && !waits(e)).map(|(id, _)| *id);
+        let gone: Vec<EndpointId> = gone.collect();
         for id in gone {
             if let Some(e) = self.endpoints.remove(&id) {
                 if let Some(d) = self.dests.get_mut(&e.dest) {
@@ -387,8 +389,8 @@
                     lane.tokens = lane.tokens.min(0.0);
                 }
             }
-            // Guards against a full table of connections being taken for an endpoint that is down: it answered
-            // while the call was out. Fewer calls at a time for a while; idle connections are let go.
+            // Guards against a full table of connections being taken for an endpoint that is down: it
+            // answered while the call was out. Fewer calls for a while; idle connections are let go.
             Outcome::ConnectFailed if e.last_ok > sent => {
                 e.crowded = Some((e.out.max(1), now));
                 return;
@@ -538,6 +540,10 @@
         }
         let (from, warm_up, multiple) = (self.set.cold_from, self.set.warm_up, self.set.fall_multiple);
         let senders = self.set.senders as f64;
+        let mut listed: BTreeMap<LaneKey, u32> = BTreeMap::new();
+        for e in self.endpoints.values().filter(|e| e.listed) {
+            *listed.entry(e.lane).or_default() += 1;
+        }
         for e in self.endpoints.values_mut() {
             let Some(w) = &mut e.warm else { continue };
             let (Some(d), Some(l)) = (self.dests.get(&e.dest), self.lanes.get(&e.lane)) else {
@@ -549,15 +555,15 @@
             }
             let share = from + (1.0 - from) * (now - w.since) as f64 / warm_up.max(1) as f64;
             let usual = d.rate.get(now).max(l.limit.map_or(0.0, |x| x / senders));
-            let parts = if matches!(e.lane, LaneKey::Route(_)) { 1 } else { d.endpoints.len().max(1) };
+            let parts = listed.get(&e.lane).copied().unwrap_or(1);
             let pace = RAMP_SAFETY * multiple * share * usual / parts as f64;
             w.tokens = (w.tokens + pace * (now - w.filled) as f64 / 1e6).min(1.0_f64.max(pace * 0.25));
             w.filled = now;
         }
     }
 
-    /// Guards against silent calls filling the slots (a hung destination's unsafe calls would hold theirs until
-    /// the deadline): short of slots, with others waiting, the call that has been silent longest for its lane is
+    /// Guards against silent calls filling the slots (a hung destination's unsafe calls hold theirs until the
+    /// deadline): short of slots, with others waiting, the call that has been silent longest for its lane is
     /// given up. Covers any cause of silence; harms an unsafe message whose answer was merely late.
     fn reclaim(&mut self, out: &mut Vec<Action>) {
         let reserve = (self.set.slots as f64 * RECLAIM_RESERVE).ceil() as u32;
@@ -614,7 +620,7 @@
         for id in &d.endpoints {
             let e = &self.endpoints[id];
             total += e.out;
-            doubtful |= self.doubtful(e);
+            doubtful |= e.listed && self.doubtful(e);
         }
         let part = |share: f64| ((slots * share) as u32).max(1);
         let ceiling = if doubtful { part(SICK_CAP) } else { part(BORROW_CAP) };
@@ -725,7 +731,7 @@
         if list.is_empty() {
             return None;
         }
-        // Oldest first until one is late; then those that lose most by waiting go first, oldest first among equals.
+        // Oldest first until one is late; then those that lose most by waiting, oldest first among equals.
         let mut hold: Vec<(f64, MsgId)> = self.dests[&dest].hold.iter().map(|(_, id)| (0.0, *id)).collect();
         let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
         if hold.iter().any(|(_, id)| late(id)) {
