--- a/src/logic.rs
+++ b/src/logic.rs
@@ -383,9 +383,7 @@
                     let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
-                    // Where calls carry many messages, fewer calls will do: the learnt budget may fall further.
-                    let batch = self.set.kinds.get(e.kind).map_or(1, |k| k.batch.max(1));
-                    let least = (own * BUDGET_LEAST / batch as f64).min(top * 0.5).max(0.1);
+                    let least = (own * BUDGET_LEAST).min(top * 0.5).max(0.1);
                     let from = lane.budget.min(top).min((lane.sent.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
