--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,12 +56,12 @@
 const TIMEOUT_LEAST: f64 = 1.2e6;
 /// Part of a keyed window after which an attempt is given up, so that a resend fits in.
 const WINDOW_PART: f64 = 0.45;
-/// Budget after a refusal as a share of what was sent; its growth a second and the least of it, as shares of
+/// Budget after a refusal as a share of what was accepted; its growth a second and the least of it, as shares of
 /// this sender's own demand, so that senders with more traffic get more.
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
-/// Where no limit is known the cut starts from this multiple of what was sent.
+/// Where no limit is known the cut starts from this multiple of what was accepted.
 const QUEUE_SLACK: f64 = 1.5;
 /// Share of a known limit that is used at most.
 const LIMIT_PART: f64 = 0.95;
@@ -247,9 +247,16 @@
             let slack = if self.set.weights == Weights::Rough { ROUGH } else { 1.0 };
             let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0).map(|w| w * slack);
             let limit = weight.filter(|_| self.set.weights != Weights::Silent);
-            let (dest, budget, sent) = (entry.dest, f64::INFINITY, Rate::new(now));
-            let fresh =
-                || Lane { dest, permits: start, tokens: 1.0, filled: now, budget, sent, ..Lane::default() };
+            let (dest, budget, accepted) = (entry.dest, f64::INFINITY, Rate::new(now));
+            let fresh = || Lane {
+                dest,
+                permits: start,
+                tokens: 1.0,
+                filled: now,
+                budget,
+                accepted,
+                ..Lane::default()
+            };
             let l = self.lanes.entry(lane).or_insert_with(fresh);
             l.limit = limit.or(l.limit);
             let (kind, zone) = (entry.kind, entry.zone);
@@ -351,6 +358,7 @@
         match outcome {
             Outcome::Done => {
                 lane.latency.learn(took);
+                lane.accepted.add(now);
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
                 if let Some(t) = &mut e.trouble {
@@ -384,7 +392,7 @@
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
                     let least = (own * BUDGET_LEAST).min(top * 0.5).max(0.1);
-                    let from = lane.budget.min(top).min((lane.sent.get(now) * slack).max(least));
+                    let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
                 }
@@ -813,7 +821,6 @@
         }
         lane.out += 1;
         lane.tokens -= 1.0;
-        lane.sent.add(now);
         let patience = (TIMEOUT * lane.latency.p99()).max(TIMEOUT_LEAST) as Micros;
         for id in batch {
             let Some(msg) = self.msgs.get_mut(&id) else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,7 +43,7 @@
     pub(crate) tokens: f64,
     pub(crate) filled: Micros,
     pub(crate) cut: Micros,
-    pub(crate) sent: Rate,
+    pub(crate) accepted: Rate,
 }
 
 /// A destination's demand and its hold, oldest first.
