--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,8 +56,8 @@
 const TIMEOUT_LEAST: f64 = 1.2e6;
 /// Part of a keyed window after which an attempt is given up, so that a resend fits in.
 const WINDOW_PART: f64 = 0.45;
-/// Budget after a refusal as a share of what was accepted; its growth a second and the least of it, as shares of
-/// this sender's own demand, so that senders with more traffic get more.
+/// Budget after a refusal as a share of what was accepted; its growth a second and the least of it, as
+/// shares of this sender's own demand, so that senders with more traffic get more.
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
@@ -67,6 +67,8 @@
 const LIMIT_PART: f64 = 0.95;
 /// A rough weight may be too low by this factor: refusals teach the rest.
 const ROUGH: f64 = 1.5;
+/// Calls a second that stand for no budget at all.
+const UNPACED: f64 = 1e6;
 /// Saved-up calls, in seconds of budget.
 const BURST: f64 = 0.4;
 /// Pause after a refusal that told no wait.
@@ -215,8 +217,7 @@
                 };
                 t.probing = false;
                 if *outcome == Outcome::Done {
-                    t.probed = true;
-                    t.next = now;
+                    (t.probed, t.next) = (true, now);
                 } else {
                     t.again(now, 1.0);
                 }
@@ -363,8 +364,7 @@
                 e.fails *= 1.0 - FAIL_GAIN;
                 if let Some(t) = &mut e.trouble {
                     if trial {
-                        t.trial = None;
-                        t.next = now;
+                        (t.trial, t.next) = (None, now);
                     }
                     if e.fails < FAIL_LIMIT && (trial || sent >= t.since || now - t.since < COLD_AFTER) {
                         if now - t.since >= COLD_AFTER {
@@ -522,27 +522,19 @@
         for (key, lane) in &mut self.lanes {
             let cap = lane.limit.map_or(f64::INFINITY, |l| l * LIMIT_PART);
             let dt = (now - lane.filled) as f64 / 1e6;
+            let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
             if lane.budget.is_finite() {
-                let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
                 lane.budget = (lane.budget + BUDGET_GROWTH * own.max(0.2) * dt).min(cap.max(0.5));
             }
-            let pace = lane.budget.min(cap);
-            lane.tokens = if pace.is_finite() {
-                (lane.tokens + pace * dt).min((pace * BURST).max(1.0))
-            } else {
-                f64::INFINITY
-            };
+            let pace = lane.budget.min(cap).min(UNPACED);
+            lane.tokens = (lane.tokens + pace * dt).min((pace * BURST).max(1.0));
             lane.filled = now;
-            let mine = |e: &&Endpoint| e.listed && e.lane == *key;
-            let sick =
-                lane.latency.slow() || self.endpoints.values().filter(mine).any(|e| e.trouble.is_some());
+            let ill = |e: &Endpoint| e.listed && e.lane == *key && e.trouble.is_some();
+            let sick = lane.latency.slow() || self.endpoints.values().any(ill);
             if now - lane.resized >= RESIZE && !sick {
                 lane.resized = now;
-                let Some(dest) = self.dests.get(&lane.dest) else {
-                    continue;
-                };
                 let top = ((self.set.slots as f64 * SHARE_CAP).ceil() as u32).max(1);
-                let sized = (dest.rate.get(now) * lane.latency.p99() / 1e6 * SAFETY).ceil() as u32;
+                let sized = (own * lane.latency.p99() / 1e6 * SAFETY).ceil() as u32;
                 lane.permits = sized.clamp(1, top);
             }
         }
