--- a/src/logic.rs
+++ b/src/logic.rs
@@ -252,7 +252,7 @@
             let fresh = || Lane {
                 dest,
                 permits: start,
-                tokens: 1.0,
+                tokens: UNPACED,
                 filled: now,
                 budget,
                 accepted,
