--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,8 +14,8 @@
 const SAFETY: f64 = 1.5;
 /// A new pool gets this share of the slots: wide enough to learn from, too small to do harm.
 const START_SHARE: f64 = 0.1;
-/// A sized pool never exceeds this share of the slots; more is only borrowed.
-const SHARE_CAP: f64 = 0.34;
+/// A sized pool never exceeds this share of the slots, the design's fifth; more is only borrowed.
+const SHARE_CAP: f64 = 0.2;
 /// With borrowed slots a destination stays within this share: it may fall silent the moment after.
 const BORROW_CAP: f64 = 0.5;
 /// A sick destination holds at most this share of the slots.
