--- a/tests/design.rs
+++ b/tests/design.rs
@@ -216,3 +216,21 @@
         assert!(w.attempts.len() >= before + 3, "{outcome:?} left the path narrow");
     }
 }
+
+/// Calls that a destination with this gap between messages gets when nothing may be borrowed.
+fn permits_after(gap: Micros) -> usize {
+    let mut w = World::new(settings(), vec![entry(1, 1, 0), entry(2, 2, 0), entry(3, 3, 0)]);
+    w.healthy(1000, 60, UNSAFE, 1, gap);
+    fill(&mut w, 100, 20, UNSAFE, 2);
+    fill(&mut w, 200, 20, UNSAFE, 3);
+    let free = 12 - w.out.len();
+    assert_eq!(free, 2, "the others borrowed all but the reserve");
+    fill(&mut w, 300, 5, UNSAFE, 1).len()
+}
+
+#[test]
+fn a_pool_is_sized_by_rate_times_p99_times_one_and_a_half() {
+    // 5 a second x about 0.1 s x 1.5 is one permit; 20 a second needs more than the two slots left.
+    assert_eq!(permits_after(200 * MS), 1);
+    assert_eq!(permits_after(50 * MS), 2);
+}
--- a/wirehost/tests/host.rs
+++ b/wirehost/tests/host.rs
@@ -85,3 +85,23 @@
         assert!(error.contains(want), "{line}: {error}");
     }
 }
+
+#[test]
+fn the_program_ends_with_one_plain_line_on_bad_input() {
+    use std::io::Write;
+    use std::process::{Command, Stdio};
+    let mut child = Command::new(env!("CARGO_BIN_EXE_heronroute-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("starts");
+    let input = format!("{}\n{}\n", batch(1, &[]), r#"{"TUs":2,"seq":2,"msgs":[7]}"#);
+    child.stdin.take().expect("piped").write_all(input.as_bytes()).expect("written");
+    let done = child.wait_with_output().expect("ends");
+    let error = String::from_utf8_lossy(&done.stderr);
+    assert!(!done.status.success());
+    assert_eq!(error.lines().count(), 1, "{error}");
+    assert!(error.contains("line 2: message 1"), "{error}");
+    assert_eq!(String::from_utf8_lossy(&done.stdout).lines().count(), 1);
+}
