A round costs what changed: an agenda by due time and a set of destinations to look at

Cause: each round scanned all lanes x endpoints, messages and calls, and a 10 ms tick ran while anything was open.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,7 +8,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Safety factor of the sizing rule, as in the source.
 const SAFETY: f64 = 1.5;
@@ -81,8 +81,6 @@
 const WORTH_NOW: f64 = 0.4;
 /// Room kept free below `max_open`, as a share, so that new messages are never turned away unseen.
 const ROOM: f64 = 0.06;
-/// Between rounds with work at hand.
-const TICK: Micros = 10_000;
 /// Pools are resized this often.
 const RESIZE: Micros = 500_000;
 
@@ -142,7 +140,14 @@
     msgs: BTreeMap<MsgId, Msg>,
     calls: BTreeMap<u64, Call>,
     keys: BTreeMap<String, Key>,
+    /// What falls due when: a round looks at this and at `ready`, never at all that exists.
+    agenda: BTreeSet<(Micros, Due)>,
+    /// Destinations with a hold for which something has changed, or that wait for a slot.
+    ready: BTreeSet<DestId>,
+    plain: ClassSettings,
+    open: usize,
     used: u32,
+    sweep_at: Micros,
     wake: Micros,
 }
 
@@ -161,20 +166,17 @@
     pub fn round(&mut self, now: Micros, events: &[Event], out: &mut Vec<Action>) {
         self.now = now.max(self.now);
         for event in events {
-            self.absorb(event);
+            self.absorb(event, out);
         }
-        self.finish_due(out);
-        self.watch();
-        let crowded = self.endpoints.iter().filter(|(_, e)| e.crowded.is_some_and(|c| c.1 == self.now));
-        out.extend(crowded.map(|(id, _)| Action::Close { endpoint: *id }));
+        self.sweep();
+        self.fall_due(out);
         self.reclaim(out);
-        self.probe(out);
         self.dispatch(out);
         self.make_room(out);
         self.set_timer(out);
     }
 
-    fn absorb(&mut self, event: &Event) {
+    fn absorb(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::Members { whole, entries } => self.members(*whole, entries),
             Event::Message { id, class, key, dest, time_left, again, .. } => {
@@ -183,38 +185,36 @@
                 }
                 self.seq += 1;
                 let now = self.now;
-                let ordered = self.set.classes.get(*class).is_some_and(|c| c.ordered);
-                let msg = Msg {
-                    seq: self.seq,
-                    class: *class,
-                    key: key.clone().filter(|_| ordered),
-                    dest: *dest,
-                    deadline: now + (*time_left).clamp(0, MAX_SPAN),
-                    ..Msg::default()
-                };
+                let (seq, class, dest, deadline) =
+                    (self.seq, *class, *dest, now + (*time_left).clamp(0, MAX_SPAN));
+                let key = key.clone().filter(|_| self.set.classes.get(class).is_some_and(|c| c.ordered));
+                let msg = Msg { seq, class, key, dest, deadline, ..Msg::default() };
                 if let Some(k) = &msg.key {
                     self.keys.entry(k.clone()).or_default().queue.insert((self.seq, *id));
                 }
-                let d = self.dest(*dest);
+                let d = self.dest(dest);
                 // Clients that come again are no new demand: they must not widen the pool.
                 if !again {
                     d.rate.add(now);
                 }
                 d.hold.insert((msg.seq, *id));
+                self.ready.insert(dest);
+                self.agenda.insert((msg.deadline - self.set.quantum, Due::Msg(*id)));
+                self.open += 1;
                 self.msgs.insert(*id, msg);
             }
             Event::Outcome { id, attempt, outcome, last, elapsed, wait, report, .. } => {
                 let wait = (*wait).clamp(0, MAX_SPAN);
                 let answer = Answer { outcome: *outcome, took: *elapsed, wait, report: *report };
-                self.outcome(*id, *attempt, *last, answer);
+                self.outcome(*id, *attempt, *last, answer, out);
             }
             Event::Left { id } => self.close(*id),
             Event::Probed { endpoint, outcome, report } => {
                 let now = self.now;
                 self.read(*endpoint, *report);
-                let Some(t) = self.endpoints.get_mut(endpoint).and_then(|e| e.trouble.as_mut()) else {
-                    return;
-                };
+                let Some(e) = self.endpoints.get_mut(endpoint) else { return };
+                self.ready.insert(e.dest);
+                let Some(t) = &mut e.trouble else { return };
                 t.probing = false;
                 if *outcome == Outcome::Done {
                     (t.probed, t.next) = (true, now);
@@ -234,30 +234,24 @@
     fn members(&mut self, whole: bool, entries: &[EndpointEntry]) {
         if whole {
             self.endpoints.values_mut().for_each(|e| e.listed = false);
+            self.ready.extend(self.dests.keys());
         }
         for entry in entries {
             let apart = self.set.kinds.get(entry.kind).is_some_and(|k| k.apart);
             let lane = if apart { LaneKey::Route(entry.endpoint) } else { LaneKey::Whole(entry.dest) };
             let now = self.now;
             let listed = entry.status == Status::Up;
-            let start = ((self.set.slots as f64 * START_SHARE) as u32).max(1);
+            let permits = ((self.set.slots as f64 * START_SHARE) as u32).max(1);
             if !listed && !self.endpoints.contains_key(&entry.endpoint) {
                 continue;
             }
             self.dest(entry.dest).endpoints.insert(entry.endpoint);
+            self.ready.insert(entry.dest);
             let slack = if self.set.weights == Weights::Rough { ROUGH } else { 1.0 };
             let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0).map(|w| w * slack);
             let limit = weight.filter(|_| self.set.weights != Weights::Silent);
-            let (dest, budget, accepted) = (entry.dest, f64::INFINITY, Rate::new(now));
-            let fresh = || Lane {
-                dest,
-                permits: start,
-                tokens: UNPACED,
-                filled: now,
-                budget,
-                accepted,
-                ..Lane::default()
-            };
+            let (dest, budget, tokens, accepted) = (entry.dest, f64::INFINITY, UNPACED, Rate::new(now));
+            let fresh = || Lane { dest, permits, tokens, filled: now, budget, accepted, ..Lane::default() };
             let l = self.lanes.entry(lane).or_insert_with(fresh);
             l.limit = limit.or(l.limit);
             let (kind, zone) = (entry.kind, entry.zone);
@@ -265,48 +259,57 @@
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
             e.listed = listed;
         }
-        // What is gone is remembered for a warm-up: named again, its wait and its health still hold.
-        let idle = |e: &Endpoint| !e.listed && e.out == 0 && self.now - e.used > self.set.warm_up;
-        let waits = |e: &Endpoint| self.lanes.get(&e.lane).is_some_and(|l| l.wait_until > self.now);
-        let gone = self.endpoints.iter().filter(|(_, e)| idle(e) && !waits(e)).map(|(id, _)| *id);
-        let gone: Vec<EndpointId> = gone.collect();
-        for id in gone {
-            if let Some(e) = self.endpoints.remove(&id) {
-                if let Some(d) = self.dests.get_mut(&e.dest) {
-                    d.endpoints.remove(&id);
-                }
-                if matches!(e.lane, LaneKey::Route(_)) {
-                    self.lanes.remove(&e.lane);
-                }
-            }
+    }
+
+    /// Frees what is no longer named, so that a sender can run for months. What is gone is remembered for a
+    /// warm-up: named again, its wait and its health still hold.
+    fn sweep(&mut self) {
+        let (now, keep) = (self.now, self.set.warm_up.max(RESIZE));
+        if now < self.sweep_at {
+            return;
         }
+        self.sweep_at = now + keep;
+        let lanes = &self.lanes;
+        let waits = |e: &Endpoint| lanes.get(&e.lane).is_some_and(|l| l.wait_until > now);
+        self.endpoints.retain(|_, e| e.listed || e.out > 0 || now - e.used <= keep || waits(e));
+        for d in self.dests.values_mut() {
+            d.endpoints.retain(|id| self.endpoints.contains_key(id));
+        }
+        self.dests.retain(|_, d| !d.endpoints.is_empty() || !d.hold.is_empty() || now - d.rate.at <= keep);
+        self.lanes.retain(|key, lane| match key {
+            LaneKey::Route(id) => self.endpoints.contains_key(id),
+            _ => self.dests.contains_key(&lane.dest),
+        });
+        self.keys.retain(|_, k| !k.queue.is_empty() || k.rest_until > now);
     }
 
     fn read(&mut self, endpoint: EndpointId, report: Option<Report>) {
-        let Some(lane) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane)) else {
-            return;
-        };
-        lane.limit = report.and_then(|r| r.limit).filter(|l| l.is_finite() && *l > 0.0).or(lane.limit);
+        let limit = report.and_then(|r| r.limit).filter(|l| l.is_finite() && *l > 0.0);
+        if let Some(lane) = self.lane_of(endpoint) {
+            lane.limit = limit.or(lane.limit);
+        }
+    }
+
+    fn lane_of(&mut self, endpoint: EndpointId) -> Option<&mut Lane> {
+        self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane))
     }
 
-    fn outcome(&mut self, id: MsgId, attempt: u32, last: bool, answer: Answer) {
+    fn outcome(&mut self, id: MsgId, attempt: u32, last: bool, answer: Answer, out: &mut Vec<Action>) {
         let Answer { outcome, wait, .. } = answer;
         let now = self.now;
         let Some(msg) = self.msgs.get_mut(&id) else { return };
-        let Some(at) = msg.out.iter().position(|a| a.no == attempt) else {
-            return;
-        };
+        let Some(at) = msg.out.iter().position(|a| a.no == attempt) else { return };
         let a = msg.out.remove(at);
-        let Some(call) = self.calls.get_mut(&a.call) else {
-            return;
-        };
+        let Some(call) = self.calls.get_mut(&a.call) else { return };
         let (endpoint, trial, first) = (call.endpoint, call.trial, !call.judged);
-        call.judged = true;
-        call.left = call.left.saturating_sub(1);
+        (call.judged, call.left) = (true, call.left.saturating_sub(1));
         let over = call.left == 0;
         if !outcome.never_ran() && outcome != Outcome::Done {
             let sent = msg.may_run.map_or(a.sent, |m| m.0.min(a.sent));
             msg.may_run = Some((sent, msg.may_run.map_or(endpoint, |m| m.1)));
+            if let Some(c) = self.set.classes.get(msg.class).filter(|c| c.effect == Effect::Guarded) {
+                self.agenda.insert((sent + c.window, Due::Msg(id)));
+            }
             if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get_mut(k))
                 && outcome != Outcome::Error
             {
@@ -315,47 +318,43 @@
         }
         msg.avoid = Some(endpoint);
         let closed = last || outcome == Outcome::Done || msg.closed;
-        if over {
+        if let Some(e) = self.endpoints.get_mut(&endpoint).filter(|_| over) {
+            (e.out, e.used) = (e.out - 1, now);
+            self.lanes.entry(e.lane).and_modify(|l| l.out -= 1);
             self.calls.remove(&a.call);
             self.used -= 1;
-            if let Some(e) = self.endpoints.get_mut(&endpoint) {
-                e.out -= 1;
-                e.used = now;
-                if let Some(l) = self.lanes.get_mut(&e.lane) {
-                    l.out -= 1;
-                }
-            }
         }
         // Each outcome of a batch may tell a wait of its own: all of them bind, not only the first.
         if wait > 0
-            && let Some(l) = self.endpoints.get(&endpoint).and_then(|e| self.lanes.get_mut(&e.lane))
+            && let Some(l) = self.lane_of(endpoint)
         {
             l.wait_until = l.wait_until.max(now + wait);
         }
         if first {
             self.read(endpoint, answer.report);
-            self.judge(endpoint, answer, a.sent, trial);
+            self.judge(endpoint, answer, a.sent, trial, out);
+        }
+        if let Some(e) = self.endpoints.get(&endpoint) {
+            self.ready.insert(e.dest);
         }
         if closed {
             self.close(id);
         } else if self.may_retry(id) {
             let (seq, dest) = (self.msgs[&id].seq, self.msgs[&id].dest);
             self.dest(dest).hold.insert((seq, id));
+        } else if self.msgs[&id].out.is_empty() {
+            self.finish(id, out);
         }
-        // A message that may not be tried again and has nothing out is failed by `finish_due`.
     }
 
     /// What one call's end says of its endpoint and lane.
-    fn judge(&mut self, id: EndpointId, answer: Answer, sent: Micros, trial: bool) {
+    fn judge(&mut self, id: EndpointId, answer: Answer, sent: Micros, trial: bool, out: &mut Vec<Action>) {
         let Answer { outcome, took, wait, .. } = answer;
         let now = self.now;
         let jitter = self.jitter();
-        let Some(e) = self.endpoints.get_mut(&id) else {
-            return;
-        };
-        let Some(lane) = self.lanes.get_mut(&e.lane) else {
-            return;
-        };
+        self.refresh(self.endpoints.get(&id).map_or_else(DestId::default, |e| e.dest));
+        let Some(e) = self.endpoints.get_mut(&id) else { return };
+        let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
         match outcome {
             Outcome::Done => {
                 lane.latency.learn(took);
@@ -368,7 +367,7 @@
                     }
                     if e.fails < FAIL_LIMIT && (trial || sent >= t.since || now - t.since < COLD_AFTER) {
                         if now - t.since >= COLD_AFTER {
-                            e.warm = Some(Warm { since: now, tokens: 0.0, filled: now });
+                            e.warm = Some(Warm { since: now, tokens: 0.0, pace: 0.0, filled: now });
                         }
                         e.trouble = None;
                     }
@@ -401,6 +400,7 @@
             // answered while the call was out. Fewer calls for a while; idle connections are let go.
             Outcome::ConnectFailed if e.last_ok > sent => {
                 e.crowded = Some((e.out.max(1), now));
+                out.push(Action::Close { endpoint: id });
                 return;
             }
             _ => {}
@@ -429,6 +429,10 @@
     /// The message is over for its client. Attempts still out are remembered until they end.
     fn close(&mut self, id: MsgId) {
         let Some(msg) = self.msgs.get_mut(&id) else { return };
+        if !msg.closed {
+            self.open -= 1;
+            self.agenda.remove(&(msg.deadline - self.set.quantum, Due::Msg(id)));
+        }
         msg.closed = true;
         let entry = (msg.seq, id);
         if let Some(d) = self.dests.get_mut(&msg.dest) {
@@ -442,20 +446,19 @@
                 if key.queue.is_empty() && key.rest_until <= self.now {
                     self.keys.remove(&k);
                 }
+                self.ready.insert(msg.dest);
             }
             self.msgs.remove(&id);
         }
     }
 
-    fn class(&self, msg: &Msg) -> ClassSettings {
-        self.set.classes.get(msg.class).cloned().unwrap_or_default()
+    fn class(&self, msg: &Msg) -> &ClassSettings {
+        self.set.classes.get(msg.class).unwrap_or(&self.plain)
     }
 
     /// Whether a further attempt is allowed at all, now.
     fn may_retry(&self, id: MsgId) -> bool {
-        let Some(msg) = self.msgs.get(&id) else {
-            return false;
-        };
+        let Some(msg) = self.msgs.get(&id) else { return false };
         if msg.closed || !msg.out.is_empty() || msg.attempts >= self.set.max_attempts {
             return false;
         }
@@ -485,79 +488,91 @@
         self.close(id);
     }
 
-    /// The final answers that are due: time is up, or nothing more may be tried.
-    fn finish_due(&mut self, out: &mut Vec<Action>) {
-        let mut due = Vec::new();
-        for (id, msg) in self.msgs.iter().filter(|(_, m)| !m.closed) {
-            let late = self.now + self.set.quantum >= msg.deadline;
-            if late || (msg.out.is_empty() && !self.may_retry(*id)) {
-                due.push(*id);
+    fn fall_due(&mut self, out: &mut Vec<Action>) {
+        while let Some((_, due)) = self.agenda.first().copied().filter(|(at, _)| *at <= self.now) {
+            self.agenda.pop_first();
+            match due {
+                Due::Msg(id) => self.expire(id, out),
+                Due::Call(id) => self.listen(id),
+                Due::Dest(id) => _ = self.ready.insert(id),
             }
         }
-        for id in due {
+    }
+
+    /// The final answer is due: time is up, or nothing more may be tried.
+    fn expire(&mut self, id: MsgId, out: &mut Vec<Action>) {
+        let Some(msg) = self.msgs.get(&id).filter(|m| !m.closed) else { return };
+        if self.now + self.set.quantum >= msg.deadline || (msg.out.is_empty() && !self.may_retry(id)) {
             self.finish(id, out);
         }
     }
 
     /// Silence past p99 is a symptom; so is a trial that stays unanswered.
-    fn watch(&mut self) {
+    fn listen(&mut self, id: u64) {
         let now = self.now;
-        for call in self.calls.values() {
-            let Some(e) = self.endpoints.get_mut(&call.endpoint) else {
-                continue;
-            };
-            let Some(lane) = self.lanes.get(&e.lane) else {
-                continue;
-            };
-            let silent = now - call.sent > lane.latency.silence() as Micros && e.last_ok <= call.sent;
+        let Some(call) = self.calls.get(&id) else { return };
+        let Some(e) = self.endpoints.get_mut(&call.endpoint) else { return };
+        let Some(lane) = self.lanes.get(&e.lane) else { return };
+        let silence = lane.latency.silence();
+        let (patience, longest) = (silence as Micros + 1, (silence * RECLAIM_AFTER) as Micros + 1);
+        if now - call.sent < patience {
+            self.agenda.insert((call.sent + patience, Due::Call(id)));
+            return;
+        }
+        if e.last_ok <= call.sent {
             match &mut e.trouble {
-                None if silent => e.trouble = Some(Trouble::new(now, false)),
-                Some(t) if silent && t.trial.is_some_and(|s| s == call.sent) => {
+                None => e.trouble = Some(Trouble::new(now, false)),
+                Some(t) if t.trial.is_some_and(|s| s == call.sent) => {
                     t.harmless = false;
                     t.again(now, 1.0);
                 }
                 _ => {}
             }
+            self.ready.insert(e.dest);
+        }
+        if now - call.sent < longest {
+            self.agenda.insert((call.sent + longest, Due::Call(id)));
         }
-        for (key, lane) in &mut self.lanes {
+    }
+
+    /// Brings a destination's budgets, pools and ramps up to the present.
+    fn refresh(&mut self, dest: DestId) {
+        let now = self.now;
+        let Some(d) = self.dests.get(&dest) else { return };
+        let own = d.rate.get(now);
+        let mut parts = BTreeMap::<LaneKey, (u32, bool)>::new();
+        for e in d.endpoints.iter().filter_map(|id| self.endpoints.get(id)).filter(|e| e.listed) {
+            let part = parts.entry(e.lane).or_default();
+            *part = (part.0 + 1, part.1 || e.trouble.is_some());
+        }
+        let (from, warm_up, multiple) = (self.set.cold_from, self.set.warm_up, self.set.fall_multiple);
+        for id in &d.endpoints {
+            let Some(e) = self.endpoints.get_mut(id) else { continue };
+            let Some(lane) = self.lanes.get_mut(&e.lane) else { continue };
+            let (parts, ill) = parts.get(&e.lane).copied().unwrap_or((1, false));
             let cap = lane.limit.map_or(f64::INFINITY, |l| l * LIMIT_PART);
             let dt = (now - lane.filled) as f64 / 1e6;
-            let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
             if lane.budget.is_finite() {
                 lane.budget = (lane.budget + BUDGET_GROWTH * own.max(0.2) * dt).min(cap.max(0.5));
             }
-            let pace = lane.budget.min(cap).min(UNPACED);
-            lane.tokens = (lane.tokens + pace * dt).min((pace * BURST).max(1.0));
+            lane.pace = lane.budget.min(cap).min(UNPACED);
+            lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
             lane.filled = now;
-            let ill = |e: &Endpoint| e.listed && e.lane == *key && e.trouble.is_some();
-            let sick = lane.latency.slow() || self.endpoints.values().any(ill);
-            if now - lane.resized >= RESIZE && !sick {
+            if now - lane.resized >= RESIZE && !lane.latency.slow() && !ill {
                 lane.resized = now;
                 let top = ((self.set.slots as f64 * SHARE_CAP).ceil() as u32).max(1);
                 let sized = (own * lane.latency.p99() / 1e6 * SAFETY).ceil() as u32;
                 lane.permits = sized.clamp(1, top);
             }
-        }
-        let (from, warm_up, multiple) = (self.set.cold_from, self.set.warm_up, self.set.fall_multiple);
-        let senders = self.set.senders as f64;
-        let mut listed: BTreeMap<LaneKey, u32> = BTreeMap::new();
-        for e in self.endpoints.values().filter(|e| e.listed) {
-            *listed.entry(e.lane).or_default() += 1;
-        }
-        for e in self.endpoints.values_mut() {
             let Some(w) = &mut e.warm else { continue };
-            let (Some(d), Some(l)) = (self.dests.get(&e.dest), self.lanes.get(&e.lane)) else {
-                continue;
-            };
             if now - w.since >= warm_up {
                 e.warm = None;
                 continue;
             }
             let share = from + (1.0 - from) * (now - w.since) as f64 / warm_up.max(1) as f64;
-            let usual = d.rate.get(now).max(l.limit.map_or(0.0, |x| x / senders));
-            let parts = listed.get(&e.lane).copied().unwrap_or(1);
-            let pace = RAMP_SAFETY * multiple * share * usual / parts as f64;
-            w.tokens = (w.tokens + pace * (now - w.filled) as f64 / 1e6).min(1.0_f64.max(pace * 0.25));
+            let usual = own.max(lane.limit.map_or(0.0, |x| x / self.set.senders as f64));
+            w.pace = RAMP_SAFETY * multiple * share * usual / parts as f64;
+            w.tokens = (w.tokens + w.pace * (now - w.filled) as f64 / 1e6).min(1.0_f64.max(w.pace * 0.25));
             w.filled = now;
         }
     }
@@ -567,12 +582,13 @@
     /// given up. Covers any cause of silence; harms an unsafe message whose answer was merely late.
     fn reclaim(&mut self, out: &mut Vec<Action>) {
         let reserve = (self.set.slots as f64 * RECLAIM_RESERVE).ceil() as u32;
-        let held = self.dests.values().any(|d| !d.hold.is_empty());
-        if !self.set.cancel || !held || self.set.slots.saturating_sub(self.used) >= reserve {
+        let held = |d: &DestId| self.dests.get(d).is_some_and(|d| !d.hold.is_empty());
+        let short = self.set.slots.saturating_sub(self.used) < reserve;
+        if !self.set.cancel || !short || !self.ready.iter().any(held) {
             return;
         }
         let mut worst: Option<(f64, u64)> = None;
-        for (id, call) in self.calls.iter_mut().filter(|(_, c)| !c.cancelled) {
+        for (id, call) in self.calls.iter().filter(|(_, c)| !c.cancelled) {
             let Some(e) = self.endpoints.get(&call.endpoint) else { continue };
             let Some(lane) = self.lanes.get(&e.lane) else { continue };
             let over = (self.now - call.sent) as f64 / lane.latency.silence();
@@ -589,18 +605,13 @@
     }
 
     /// Endpoints in trouble are asked by a probe first, where that is allowed.
-    fn probe(&mut self, out: &mut Vec<Action>) {
-        if !self.set.probes {
-            return;
-        }
-        for (id, e) in &mut self.endpoints {
-            let Some(lane) = self.lanes.get(&e.lane) else {
-                continue;
-            };
-            let wanted = self.dests.get(&e.dest).is_some_and(|d| !d.hold.is_empty());
-            let Some(t) = &mut e.trouble else { continue };
-            let due = !t.harmless && !t.probed && !t.probing && t.trial.is_none() && self.now >= t.next;
-            if e.listed && wanted && due && self.now >= lane.wait_until {
+    fn probe(&mut self, dest: DestId, out: &mut Vec<Action>) {
+        let Some(d) = self.dests.get(&dest).filter(|_| self.set.probes) else { return };
+        for id in &d.endpoints {
+            let Some(e) = self.endpoints.get_mut(id).filter(|e| e.listed) else { continue };
+            let waits = self.lanes.get(&e.lane).is_none_or(|l| self.now < l.wait_until);
+            let Some(t) = e.trouble.as_mut().filter(|_| !waits) else { continue };
+            if !t.harmless && !t.probed && !t.probing && t.trial.is_none() && self.now >= t.next {
                 t.probing = true;
                 out.push(Action::Probe { endpoint: *id });
             }
@@ -608,74 +619,67 @@
     }
 
     /// The endpoints of a destination that could take a call now, each with whether only a repeatable message
-    /// may go there, and its cost.
-    fn usable(&self, dest: DestId) -> Vec<(EndpointId, bool, f64)> {
+    /// may go there, and its cost; and when to look again where none can.
+    fn usable(&self, dest: DestId) -> (Vec<(EndpointId, bool, f64)>, Look) {
         let now = self.now;
         let slots = self.set.slots as f64;
-        let Some(d) = self.dests.get(&dest) else {
-            return Vec::new();
-        };
-        let mut total = 0;
-        let mut doubtful = false;
-        for id in &d.endpoints {
-            let e = &self.endpoints[id];
-            total += e.out;
-            doubtful |= e.listed && self.doubtful(e);
-        }
+        let (mut list, mut look) = (Vec::new(), Look { at: Micros::MAX, slot: false });
+        let Some(d) = self.dests.get(&dest) else { return (list, look) };
+        let mine = || d.endpoints.iter().filter_map(|id| self.endpoints.get(id).map(|e| (id, e)));
+        let total: u32 = mine().map(|(_, e)| e.out).sum();
+        let doubtful = mine().any(|(_, e)| e.listed && self.doubtful(e));
         let part = |share: f64| ((slots * share) as u32).max(1);
         let ceiling = if doubtful { part(SICK_CAP) } else { part(BORROW_CAP) };
+        let full = total >= ceiling;
+        let sick = doubtful && self.sick_out() >= part(ALL_SICK_CAP);
+        look.slot = sick;
         let free = self.set.slots.saturating_sub(self.used);
-        if total >= ceiling || (doubtful && self.sick_out() >= part(ALL_SICK_CAP)) {
-            return Vec::new();
-        }
-        let reserve = (slots * BORROW_RESERVE).ceil() as u32;
-        let mut list = Vec::new();
-        for id in &d.endpoints {
-            let e = &self.endpoints[id];
-            let Some(lane) = self.lanes.get(&e.lane) else {
-                continue;
-            };
-            let borrow = !doubtful && free > reserve;
-            if !e.listed
-                || now < lane.wait_until
-                || lane.tokens < 1.0
-                || (lane.out >= lane.permits && !borrow)
+        let borrow = !doubtful && free > (slots * BORROW_RESERVE).ceil() as u32;
+        for (id, e) in mine().filter(|(_, e)| e.listed) {
+            let Some(lane) = self.lanes.get(&e.lane) else { continue };
+            let mut from = lane.wait_until;
+            for (tokens, pace) in e.warm.iter().map(|w| (w.tokens, w.pace)).chain([(lane.tokens, lane.pace)])
             {
-                continue;
+                if tokens < 1.0 {
+                    from = from.max(now + ((1.0 - tokens) / pace.max(1e-3) * 1e6) as Micros + 1);
+                }
             }
-            if e.crowded.is_some_and(|(cap, at)| e.out >= cap + ((now - at) / UNCROWD) as u32)
-                || e.warm.as_ref().is_some_and(|w| w.tokens < 1.0)
-            {
-                continue;
+            if let Some((cap, at)) = e.crowded.filter(|c| e.out >= c.0) {
+                from = from.max(at + UNCROWD * Micros::from(e.out + 1 - cap));
             }
             let mut careful = false;
             if let Some(t) = &e.trouble {
-                if now < t.next || t.trial.is_some() || t.probing {
+                if t.trial.is_some() || t.probing {
                     continue;
                 }
-                if !t.harmless && self.set.probes && !t.probed {
+                from = from.max(t.next);
+                if from <= now && !t.harmless && self.set.probes && !t.probed {
                     continue;
                 }
                 careful = !t.harmless && !t.probed;
             }
-            let mut cost = lane.latency.mean() * (1.0 + e.out as f64);
-            if e.zone != self.set.zone {
-                cost *= 1.0 + 30.0 * self.set.cross_zone_price;
-            }
-            let warm = now - e.used < self.set.idle_close && e.out < e.conns * self.set.streams;
-            if !warm {
-                cost *= 1.0 + 10.0 * self.set.handshake_price;
-            }
-            if matches!(e.lane, LaneKey::Route(_)) {
-                cost *= 1.0 + 100.0 * self.set.zone_fees.get(e.zone).copied().unwrap_or(0.0);
+            if from > now {
+                look.at = look.at.min(from);
+                continue;
             }
-            if e.trouble.is_some() {
-                cost *= 10.0;
+            let tight = lane.out >= lane.permits && !borrow;
+            look.slot |= tight;
+            if full || sick || tight {
+                continue;
             }
+            let warm = now - e.used < self.set.idle_close && e.out < e.conns * self.set.streams;
+            let more = |on: bool, price: f64| if on { 1.0 + price } else { 1.0 };
+            let fee = self.set.zone_fees.get(e.zone).copied().unwrap_or(0.0);
+            let cost = lane.latency.mean()
+                * (1.0 + e.out as f64)
+                * more(e.zone != self.set.zone, 30.0 * self.set.cross_zone_price)
+                * more(!warm, 10.0 * self.set.handshake_price)
+                * more(matches!(e.lane, LaneKey::Route(_)), 100.0 * fee)
+                * more(e.trouble.is_some(), 9.0);
             list.push((*id, careful, cost));
         }
         list.sort_by(|a, b| a.2.total_cmp(&b.2));
-        list
+        (list, look)
     }
 
     fn doubtful(&self, e: &Endpoint) -> bool {
@@ -683,7 +687,8 @@
     }
 
     fn sick_out(&self) -> u32 {
-        self.endpoints.values().filter(|e| self.doubtful(e)).map(|e| e.out).sum()
+        let sick = |c: &&Call| self.endpoints.get(&c.endpoint).is_some_and(|e| self.doubtful(e));
+        self.calls.values().filter(sick).count() as u32
     }
 
     /// Whether this message may go to this endpoint now.
@@ -713,61 +718,82 @@
         let c = self.class(msg);
         let (aim, deadline) = (c.aim.max(1) as f64, c.deadline.max(1) as f64);
         let age = deadline - (msg.deadline - self.now) as f64 + ahead;
-        if age <= aim {
-            return c.worth;
-        }
-        if age >= deadline {
-            return 0.0;
-        }
-        c.worth
-            * match self.set.late {
-                Late::Line => 1.0 - (1.0 - c.late_share) * (age - aim) / (deadline - aim).max(1.0),
-                Late::Halves => 0.5_f64.powf((age - aim) / aim).max(c.late_share),
-            }
+        let share = match self.set.late {
+            _ if age <= aim => 1.0,
+            _ if age >= deadline => 0.0,
+            Late::Line => 1.0 - (1.0 - c.late_share) * (age - aim) / (deadline - aim).max(1.0),
+            Late::Halves => 0.5_f64.powf((age - aim) / aim).max(c.late_share),
+        };
+        c.worth * share
     }
 
-    fn candidate(&self, dest: DestId) -> Option<(f64, MsgId, EndpointId)> {
-        let list = self.usable(dest);
-        if list.is_empty() {
-            return None;
-        }
+    /// What this destination would send next and what that earns; where it can send nothing, it is laid aside
+    /// until time or an event can change that.
+    fn candidate(&mut self, dest: DestId) -> Option<Choice> {
+        self.refresh(dest);
+        let (list, mut look) = self.usable(dest);
+        let hold = self.dests.get(&dest).map(|d| &d.hold)?;
         // Oldest first until one is late; then those that lose most by waiting, oldest first among equals.
-        let mut hold: Vec<(f64, MsgId)> = self.dests[&dest].hold.iter().map(|(_, id)| (0.0, *id)).collect();
-        let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
-        if hold.iter().any(|(_, id)| late(id)) {
-            for (rank, id) in &mut hold {
-                let now = self.worth(&self.msgs[id], 0.0);
-                *rank = self.worth(&self.msgs[id], YIELD) - (1.0 + WORTH_NOW) * now;
+        let mut order: Vec<(f64, MsgId)> = Vec::new();
+        if !list.is_empty() {
+            order.extend(hold.iter().map(|(_, id)| (0.0, *id)));
+            let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
+            if order.iter().any(|(_, id)| late(id)) {
+                for (rank, id) in &mut order {
+                    let now = self.worth(&self.msgs[id], 0.0);
+                    *rank = self.worth(&self.msgs[id], YIELD) - (1.0 + WORTH_NOW) * now;
+                }
+                order.sort_by(|a, b| a.0.total_cmp(&b.0));
             }
-            hold.sort_by(|a, b| a.0.total_cmp(&b.0));
         }
-        for (_, id) in &hold {
+        for (_, id) in &order {
             let msg = &self.msgs[id];
             let ok = || list.iter().filter(|(e, careful, _)| self.fits(*id, *e, *careful));
             if let Some((e, ..)) = ok().find(|(e, ..)| msg.avoid != Some(*e)).or(ok().next()) {
                 let mean = self.lanes[&self.endpoints[e].lane].latency.mean();
-                return Some((self.worth(msg, mean) / mean, *id, *e));
+                return Some(Choice { rank: self.worth(msg, mean) / mean, id: *id, endpoint: *e });
+            }
+            let rest = msg.key.as_ref().and_then(|k| self.keys.get(k)).map_or(0, |k| k.rest_until);
+            if rest > self.now {
+                look.at = look.at.min(rest);
             }
         }
+        if !look.slot {
+            self.ready.remove(&dest);
+        }
+        let (d, now) = (self.dests.get_mut(&dest)?, self.now);
+        if look.at < Micros::MAX && !d.hold.is_empty() && (d.look <= now || look.at < d.look) {
+            self.agenda.remove(&(d.look, Due::Dest(dest)));
+            d.look = look.at;
+            self.agenda.insert((look.at, Due::Dest(dest)));
+        }
         None
     }
 
     fn dispatch(&mut self, out: &mut Vec<Action>) {
-        let mut open: Vec<DestId> =
-            self.dests.iter().filter(|(_, d)| !d.hold.is_empty()).map(|(id, _)| *id).collect();
-        while self.used < self.set.slots && !open.is_empty() {
-            let mut best: Option<(f64, MsgId, EndpointId)> = None;
-            open.retain(|dest| match self.candidate(*dest) {
-                None => false,
-                Some(c) => {
-                    if best.is_none_or(|b| c.0 > b.0) {
-                        best = Some(c);
-                    }
-                    true
-                }
-            });
-            let Some((_, id, endpoint)) = best else { break };
-            self.send(id, endpoint, out);
+        let mut choices: BTreeMap<DestId, Choice> = BTreeMap::new();
+        for dest in self.ready.clone() {
+            if self.dests.get(&dest).is_none_or(|d| d.hold.is_empty()) {
+                self.ready.remove(&dest);
+                continue;
+            }
+            self.probe(dest, out);
+            if let Some(c) = self.candidate(dest) {
+                choices.insert(dest, c);
+            }
+        }
+        while self.used < self.set.slots {
+            let best = choices.iter().rev().max_by(|a, b| a.1.rank.total_cmp(&b.1.rank));
+            let Some((dest, choice)) = best.map(|(d, c)| (*d, *c)) else { break };
+            // Sends only narrow what others may do, so only the best needs a second look.
+            let still = self.candidate(dest);
+            if still == Some(choice) {
+                self.send(choice.id, choice.endpoint, out);
+            }
+            match if still == Some(choice) { self.candidate(dest) } else { still } {
+                Some(c) => choices.insert(dest, c),
+                None => choices.remove(&dest),
+            };
         }
     }
 
@@ -777,28 +803,15 @@
         let (dest, kind) = (self.endpoints[&endpoint].dest, self.endpoints[&endpoint].kind);
         let trial = self.endpoints[&endpoint].trouble.is_some();
         let most = if trial { 1 } else { self.set.kinds.get(kind).map_or(1, |k| k.batch.max(1)) as usize };
-        let mut batch = vec![id];
-        for (_, other) in &self.dests[&dest].hold {
-            if batch.len() >= most {
-                break;
-            }
-            if *other != id && self.fits(*other, endpoint, false) {
-                batch.push(*other);
-            }
-        }
+        let others = self.dests[&dest].hold.iter().map(|(_, other)| *other);
+        let others = others.filter(|other| *other != id && self.fits(*other, endpoint, false));
+        let batch: Vec<MsgId> = [id].into_iter().chain(others).take(most).collect();
         self.seq += 1;
-        let call = self.seq;
-        self.calls.insert(
-            call,
-            Call { endpoint, sent: now, left: batch.len() as u32, judged: false, trial, cancelled: false },
-        );
+        let (call, left) = (self.seq, batch.len() as u32);
+        self.calls.insert(call, Call { endpoint, sent: now, left, trial, ..Call::default() });
         self.used += 1;
-        let Some(e) = self.endpoints.get_mut(&endpoint) else {
-            return;
-        };
-        let Some(lane) = self.lanes.get_mut(&e.lane) else {
-            return;
-        };
+        let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
+        let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
         if now - e.used >= self.set.idle_close && e.out == 0 {
             e.conns = 0;
         }
@@ -813,11 +826,10 @@
         }
         lane.out += 1;
         lane.tokens -= 1.0;
+        self.agenda.insert((now + lane.latency.silence() as Micros + 1, Due::Call(call)));
         let patience = (TIMEOUT * lane.latency.p99()).max(TIMEOUT_LEAST) as Micros;
         for id in batch {
-            let Some(msg) = self.msgs.get_mut(&id) else {
-                continue;
-            };
+            let Some(msg) = self.msgs.get_mut(&id) else { continue };
             let class = self.set.classes.get(msg.class).cloned().unwrap_or_default();
             let left = msg.deadline - now;
             let timeout = match class.effect {
@@ -839,34 +851,24 @@
     fn make_room(&mut self, out: &mut Vec<Action>) {
         let room = ((self.set.max_open as f64 * ROOM).ceil() as usize).max(1);
         let most = (self.set.max_open as usize).saturating_sub(room);
-        let open = self.msgs.values().filter(|m| !m.closed).count();
-        if open <= most {
+        if self.open <= most {
             return;
         }
-        let mut held: Vec<(f64, MsgId)> = Vec::new();
-        for d in self.dests.values() {
-            for (_, id) in &d.hold {
-                let msg = &self.msgs[id];
-                if self.may_refuse(msg) {
-                    held.push((self.worth(msg, 0.0), *id));
-                }
-            }
-        }
+        let held = self.dests.values().flat_map(|d| &d.hold).map(|(_, id)| (*id, &self.msgs[id]));
+        let held = held.filter(|(_, msg)| self.may_refuse(msg));
+        let mut held: Vec<(f64, MsgId)> = held.map(|(id, msg)| (self.worth(msg, 0.0), id)).collect();
         held.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-        for (_, id) in held.into_iter().take(open - most) {
+        for (_, id) in held.into_iter().take(self.open - most) {
             self.finish(id, out);
         }
     }
 
     fn set_timer(&mut self, out: &mut Vec<Action>) {
-        let open = self.msgs.values().filter(|m| !m.closed).map(|m| m.deadline).min();
-        let Some(deadline) = open else { return };
-        let at = (deadline - self.set.quantum).min(self.now + TICK).max(self.now + 1);
-        if self.wake > self.now && self.wake <= at {
-            return;
+        let Some(at) = self.agenda.first().map(|(at, _)| (*at).max(self.now + 1)) else { return };
+        if self.wake <= self.now || at < self.wake {
+            self.wake = at;
+            out.push(Action::Timer { at, token: 0 });
         }
-        self.wake = at;
-        out.push(Action::Timer { at, token: 0 });
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -42,6 +42,7 @@
     pub(crate) budget: f64,
     pub(crate) tokens: f64,
     pub(crate) filled: Micros,
+    pub(crate) pace: f64,
     pub(crate) cut: Micros,
     pub(crate) accepted: Rate,
 }
@@ -52,6 +53,8 @@
     pub(crate) rate: Rate,
     pub(crate) hold: BTreeSet<(u64, MsgId)>,
     pub(crate) endpoints: BTreeSet<EndpointId>,
+    /// When it is next on the agenda.
+    pub(crate) look: Micros,
 }
 
 /// An endpoint under suspicion, and the trials by which it is asked.
@@ -71,6 +74,7 @@
 pub(crate) struct Warm {
     pub(crate) since: Micros,
     pub(crate) tokens: f64,
+    pub(crate) pace: f64,
     pub(crate) filled: Micros,
 }
 
@@ -116,6 +120,7 @@
 }
 
 /// A call that is out, with the messages that share its fate.
+#[derive(Default)]
 pub(crate) struct Call {
     pub(crate) endpoint: EndpointId,
     pub(crate) sent: Micros,
@@ -140,3 +145,29 @@
     pub(crate) wait: Micros,
     pub(crate) report: Option<Report>,
 }
+
+/// What can fall due.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Due {
+    /// A message's final answer.
+    Msg(MsgId),
+    /// A call's silence.
+    Call(u64),
+    /// A destination that can send again.
+    Dest(DestId),
+}
+
+/// When a destination that can send nothing is looked at again.
+pub(crate) struct Look {
+    pub(crate) at: Micros,
+    /// A slot that becomes free may change it.
+    pub(crate) slot: bool,
+}
+
+/// What a destination would send next.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) struct Choice {
+    pub(crate) rank: f64,
+    pub(crate) id: MsgId,
+    pub(crate) endpoint: EndpointId,
+}
