Many senders: idle connections are let go where a kind refused one, trials and ramps by a sender's own part

Cause: hundreds of senders each kept an idle connection at endpoints that take 7 to 16, so 60 to 86% of attempts got none; and their trials, each two seconds apart, summed past what a cold destination takes (fail-back broken). The cap on calls after a refused connection made no difference any more and is gone.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,91 +10,62 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Safety factor of the sizing rule, as in the source.
-const SAFETY: f64 = 1.5;
-/// A new pool gets this share of the slots: wide enough to learn from, too small to do harm.
-const START_SHARE: f64 = 0.1;
-/// A sized pool never exceeds this share of the slots, the design's fifth; more is only borrowed.
-const SHARE_CAP: f64 = 0.2;
-/// With borrowed slots a destination stays within this share: it may fall silent the moment after.
-const BORROW_CAP: f64 = 0.5;
-/// A sick destination holds at most this share of the slots.
-const SICK_CAP: f64 = 0.5;
-/// All sick destinations together hold at most this share, so that frozen pools cannot fill the slots.
-const ALL_SICK_CAP: f64 = 0.6;
-/// Slots kept free of borrowers, as a share.
-const BORROW_RESERVE: f64 = 0.15;
-/// With fewer free slots than this share, silent calls are given up ...
-const RECLAIM_RESERVE: f64 = 0.2;
-/// ... once they have been out for this multiple of what counts as silence.
-const RECLAIM_AFTER: f64 = 3.0;
-/// Memory of arrival rates: long against clumps, short against a day's swing.
-const RATE_MEMORY: f64 = 8e6;
-/// Weight of a new latency sample once there are many.
-const LATENCY_GAIN: f64 = 0.04;
-/// Assumed p99 before the first sample.
-const P99_UNKNOWN: f64 = 2e6;
-/// Silence beyond this multiple of p99 is a symptom.
-const SILENCE: f64 = 1.5;
-/// Silence shorter than this is never a symptom.
-const SILENCE_LEAST: f64 = 4e5;
-/// Weight of one outcome in an endpoint's share of failures; two in a row cross one half.
-const FAIL_GAIN: f64 = 0.3;
-/// Share of failures at which an endpoint is in trouble.
-const FAIL_LIMIT: f64 = 0.5;
-/// Time between trials: first, and at most.
-const TRIAL_FIRST: Micros = 200_000;
+const SAFETY: f64 = 1.5; // safety factor of the sizing rule, as in the source
+const START_SHARE: f64 = 0.1; // share of the slots for a new pool: enough to learn from, too few to do harm
+const SHARE_CAP: f64 = 0.2; // a sized pool's share at most, the design's fifth; more is only borrowed
+const DEST_CAP: f64 = 0.5; // a destination's share at most, sick or borrowing: it may fall silent any moment
+const ALL_SICK_CAP: f64 = 0.6; // all sick destinations' share, so that frozen pools cannot fill the slots
+const BORROW_RESERVE: f64 = 0.15; // slots kept free of borrowers, as a share
+const RECLAIM_RESERVE: f64 = 0.2; // with fewer free slots than this share, silent calls are given up ...
+const RECLAIM_AFTER: f64 = 3.0; // ... once they have been out for this multiple of what counts as silence
+const RATE_MEMORY: f64 = 8e6; // of arrival rates: long against clumps, short against a day's swing
+const SHARE_MEMORY: f64 = 6e7; // of a sender's part of the traffic: long against gaps between messages
+const LATENCY_GAIN: f64 = 0.04; // weight of a new latency sample once there are many
+const P99_UNKNOWN: f64 = 2e6; // assumed p99 before the first sample
+const SILENCE: f64 = 1.5; // silence beyond this multiple of p99 is a symptom
+const SILENCE_LEAST: f64 = 4e5; // silence shorter than this is never a symptom
+const FAIL_GAIN: f64 = 0.3; // weight of an outcome in the share of failures; two in a row cross one half
+const FAIL_LIMIT: f64 = 0.5; // share of failures at which an endpoint is in trouble
+const TRIAL_FIRST: Micros = 200_000; // first time between trials, and the most to which it grows by itself
 const TRIAL_MOST: Micros = 2_000_000;
-/// Trouble that lasted at least this long may have been an outage: the return is paced.
-const COLD_AFTER: Micros = 1_500_000;
-/// Share of the allowed load that this sender uses on a cold destination.
-const RAMP_SAFETY: f64 = 0.75;
-/// What each further message of a batch weighs on a cold destination, in calls.
-const BATCH_WEIGHT: f64 = 0.25;
-/// Repeatable messages are waited for this multiple of p99, at least `TIMEOUT_LEAST`.
-const TIMEOUT: f64 = 4.0;
+const TRIAL_SHARE: f64 = 2.0; // all senders' trials together, in multiples of what a cold destination takes
+const LIMIT_LEAST: f64 = 2.0; // calls a second that any destination takes, where no limit is told
+const COLD_AFTER: Micros = 1_500_000; // trouble this long may have been an outage: the return is paced
+const RAMP_SAFETY: f64 = 0.75; // share of the allowed load that this sender uses on a cold destination
+const BATCH_WEIGHT: f64 = 0.25; // weight of a batch's further messages on a cold destination, in calls
+const TIMEOUT: f64 = 4.0; // repeatable messages are waited for this multiple of p99, and at least
 const TIMEOUT_LEAST: f64 = 1.2e6;
-/// Part of a keyed window after which an attempt is given up, so that a resend fits in.
-const WINDOW_PART: f64 = 0.45;
+const WINDOW_PART: f64 = 0.45; // an attempt ends after this part of a keyed window, so that a resend fits in
 /// Budget after a refusal as a share of what was accepted; its growth a second and the least of it, as
 /// shares of this sender's own demand, so that senders with more traffic get more.
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
-/// Where no limit is known the cut starts from this multiple of what was accepted.
-const QUEUE_SLACK: f64 = 1.5;
-/// Share of a known limit that is used at most.
-const LIMIT_PART: f64 = 0.95;
-/// A rough weight may be too low by this factor: refusals teach the rest.
-const ROUGH: f64 = 1.5;
-/// Calls a second that stand for no budget at all.
-const UNPACED: f64 = 1e6;
-/// Saved-up calls, in seconds of budget.
-const BURST: f64 = 0.4;
-/// Pause after a refusal that told no wait.
-const REFUSED_PAUSE: Micros = 250_000;
-/// A crowded endpoint is given one more call at a time after each such span.
-const UNCROWD: Micros = 400_000;
-/// Once messages are late, rank goes by the worth lost within this span of waiting ...
-const YIELD: f64 = 1.5e6;
-/// ... plus this share of the worth at hand, which may be lost for good if the backlog stays.
-const WORTH_NOW: f64 = 0.4;
-/// Room kept free below `max_open`, as a share, so that new messages are never turned away unseen.
-const ROOM: f64 = 0.06;
-/// Pools are resized this often.
-const RESIZE: Micros = 500_000;
+const QUEUE_SLACK: f64 = 1.5; // with no limit known the cut starts from this multiple of what was accepted
+const LIMIT_PART: f64 = 0.95; // share of a known limit that is used at most
+const ROUGH: f64 = 1.5; // a rough weight may be too low by this factor: refusals teach the rest
+const UNPACED: f64 = 1e6; // calls a second that stand for no budget at all
+const BURST: f64 = 0.4; // saved-up calls, in seconds of budget
+const REFUSED_PAUSE: Micros = 250_000; // pause after a refusal that told no wait
+const SCARCE: Micros = 20_000_000; // after a refused connection none is kept idle at that kind for so long
+const IDLE_PART: f64 = 0.3; // a connection in use for this part of the time is kept all the same ...
+const TABLE_LEAST: f64 = 6.0; // ... and all are where so few senders could each keep one
+const YIELD: f64 = 1.5e6; // once messages are late, rank goes by the worth lost within this wait ...
+const WORTH_NOW: f64 = 0.4; // ... plus this share of the worth at hand, lost for good if the backlog stays
+const ROOM: f64 = 0.06; // part of `max_open` kept free, so that nothing is turned away unseen
+const RESIZE: Micros = 500_000; // pools are resized this often
 
 impl Rate {
-    fn new(now: Micros) -> Self {
-        Rate { born: now, at: now, value: 0.0 }
+    fn new(now: Micros, memory: f64) -> Self {
+        Rate { born: now, at: now, value: 0.0, memory }
     }
     fn add(&mut self, now: Micros) {
-        self.value = self.value * (-((now - self.at) as f64) / RATE_MEMORY).exp() + 1e6 / RATE_MEMORY;
+        self.value = self.value * (-((now - self.at) as f64) / self.memory).exp() + 1e6 / self.memory;
         self.at = now;
     }
     fn get(&self, now: Micros) -> f64 {
         let age = (now - self.born).max(1_000_000) as f64;
-        self.value * (-((now - self.at) as f64) / RATE_MEMORY).exp() / (1.0 - (-age / RATE_MEMORY).exp())
+        self.value * (-((now - self.at) as f64) / self.memory).exp() / (1.0 - (-age / self.memory).exp())
     }
 }
 
@@ -145,6 +116,9 @@
     /// Destinations with a hold for which something has changed, or that wait for a slot.
     ready: BTreeSet<DestId>,
     plain: ClassSettings,
+    /// When each kind last refused a connection; endpoints whose calls ended in this round.
+    scarce: BTreeMap<usize, Micros>,
+    idle: BTreeSet<EndpointId>,
     open: usize,
     used: u32,
     sweep_at: Micros,
@@ -172,6 +146,7 @@
         self.fall_due(out);
         self.reclaim(out);
         self.dispatch(out);
+        self.let_go(out);
         self.make_room(out);
         self.set_timer(out);
     }
@@ -196,6 +171,7 @@
                 // Clients that come again are no new demand: they must not widen the pool.
                 if !again {
                     d.rate.add(now);
+                    d.share.add(now);
                 }
                 d.hold.insert((msg.seq, *id));
                 self.ready.insert(dest);
@@ -210,7 +186,7 @@
             }
             Event::Left { id } => self.close(*id),
             Event::Probed { endpoint, outcome, report } => {
-                let now = self.now;
+                let (now, gap) = (self.now, self.trial_gap(*endpoint));
                 self.read(*endpoint, *report);
                 let Some(e) = self.endpoints.get_mut(endpoint) else { return };
                 self.ready.insert(e.dest);
@@ -219,7 +195,7 @@
                 if *outcome == Outcome::Done {
                     (t.probed, t.next) = (true, now);
                 } else {
-                    t.again(now, 1.0);
+                    t.again(now, gap);
                 }
             }
             Event::Timer { .. } | Event::Note { .. } => {}
@@ -228,7 +204,8 @@
 
     fn dest(&mut self, id: DestId) -> &mut Dest {
         let now = self.now;
-        self.dests.entry(id).or_insert_with(|| Dest { rate: Rate::new(now), ..Dest::default() })
+        let (rate, share) = (Rate::new(now, RATE_MEMORY), Rate::new(now, SHARE_MEMORY));
+        self.dests.entry(id).or_insert_with(|| Dest { rate, share, ..Dest::default() })
     }
 
     fn members(&mut self, whole: bool, entries: &[EndpointEntry]) {
@@ -250,7 +227,8 @@
             let slack = if self.set.weights == Weights::Rough { ROUGH } else { 1.0 };
             let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0).map(|w| w * slack);
             let limit = weight.filter(|_| self.set.weights != Weights::Silent);
-            let (dest, budget, tokens, accepted) = (entry.dest, f64::INFINITY, UNPACED, Rate::new(now));
+            let (dest, budget, tokens, accepted) =
+                (entry.dest, f64::INFINITY, UNPACED, Rate::new(now, RATE_MEMORY));
             let fresh = || Lane { dest, permits, tokens, filled: now, budget, accepted, ..Lane::default() };
             let l = self.lanes.entry(lane).or_insert_with(fresh);
             l.limit = limit.or(l.limit);
@@ -272,9 +250,7 @@
         let lanes = &self.lanes;
         let waits = |e: &Endpoint| lanes.get(&e.lane).is_some_and(|l| l.wait_until > now);
         self.endpoints.retain(|_, e| e.listed || e.out > 0 || now - e.used <= keep || waits(e));
-        for d in self.dests.values_mut() {
-            d.endpoints.retain(|id| self.endpoints.contains_key(id));
-        }
+        self.dests.values_mut().for_each(|d| d.endpoints.retain(|id| self.endpoints.contains_key(id)));
         self.dests.retain(|_, d| !d.endpoints.is_empty() || !d.hold.is_empty() || now - d.rate.at <= keep);
         self.lanes.retain(|key, lane| match key {
             LaneKey::Route(id) => self.endpoints.contains_key(id),
@@ -310,9 +286,8 @@
             if let Some(c) = self.set.classes.get(msg.class).filter(|c| c.effect == Effect::Guarded) {
                 self.agenda.insert((sent + c.window, Due::Msg(id)));
             }
-            if let Some(key) = msg.key.as_ref().and_then(|k| self.keys.get_mut(k))
-                && outcome != Outcome::Error
-            {
+            let key = msg.key.as_ref().filter(|_| outcome != Outcome::Error);
+            if let Some(key) = key.and_then(|k| self.keys.get_mut(k)) {
                 key.rest_until = now + self.set.order_settle;
             }
         }
@@ -332,7 +307,7 @@
         }
         if first {
             self.read(endpoint, answer.report);
-            self.judge(endpoint, answer, a.sent, trial, out);
+            self.judge(endpoint, answer, a.sent, trial);
         }
         if let Some(e) = self.endpoints.get(&endpoint) {
             self.ready.insert(e.dest);
@@ -348,13 +323,17 @@
     }
 
     /// What one call's end says of its endpoint and lane.
-    fn judge(&mut self, id: EndpointId, answer: Answer, sent: Micros, trial: bool, out: &mut Vec<Action>) {
+    fn judge(&mut self, id: EndpointId, answer: Answer, sent: Micros, trial: bool) {
         let Answer { outcome, took, wait, .. } = answer;
         let now = self.now;
-        let jitter = self.jitter();
+        let gap = self.trial_gap(id);
+        self.idle.insert(id);
         self.refresh(self.endpoints.get(&id).map_or_else(DestId::default, |e| e.dest));
         let Some(e) = self.endpoints.get_mut(&id) else { return };
         let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
+        if outcome == Outcome::ConnectFailed && took < SILENCE_LEAST as Micros {
+            self.scarce.insert(e.kind, now);
+        }
         match outcome {
             Outcome::Done => {
                 lane.latency.learn(took);
@@ -362,9 +341,7 @@
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
                 if let Some(t) = &mut e.trouble {
-                    if trial {
-                        (t.trial, t.next) = (None, now);
-                    }
+                    (t.trial, t.next) = if trial { (None, now) } else { (t.trial, t.next) };
                     if e.fails < FAIL_LIMIT && (trial || sent >= t.since || now - t.since < COLD_AFTER) {
                         if now - t.since >= COLD_AFTER {
                             e.warm = Some(Warm { since: now, tokens: 0.0, pace: 0.0, filled: now });
@@ -397,10 +374,9 @@
                 }
             }
             // Guards against a full table of connections being taken for an endpoint that is down: it
-            // answered while the call was out. Fewer calls for a while; idle connections are let go.
+            // answered while the call was out. Idle ones are let go.
             Outcome::ConnectFailed if e.last_ok > sent => {
-                e.crowded = Some((e.out.max(1), now));
-                out.push(Action::Close { endpoint: id });
+                e.crowded = Some(now);
                 return;
             }
             _ => {}
@@ -411,19 +387,31 @@
             Some(t) => {
                 t.harmless &= harmless;
                 if trial {
-                    t.again(now, jitter);
+                    t.again(now, gap);
                 }
             }
-            None if e.fails > FAIL_LIMIT => e.trouble = Some(Trouble::new(now, harmless)),
+            None if e.fails > FAIL_LIMIT => e.trouble = Some(Trouble::new(now, harmless, gap)),
             None => {}
         }
     }
 
-    fn jitter(&mut self) -> f64 {
+    /// Guards against many senders' trials adding up: they come at random times, by this sender's part of the
+    /// traffic, so that all together stay near what a cold destination takes. Slow to see a return.
+    fn trial_gap(&mut self, id: EndpointId) -> f64 {
         self.random ^= self.random << 13;
         self.random ^= self.random >> 7;
         self.random ^= self.random << 17;
-        0.8 + 0.4 * (self.random >> 11) as f64 / (1u64 << 53) as f64
+        let chance = (self.random >> 11) as f64 / (1u64 << 53) as f64;
+        let own = self.endpoints.get(&id).map_or(0.0, |e| self.part(e));
+        -(1.0 - chance).ln() * 1e6
+            / (TRIAL_SHARE * self.set.cold_from * self.set.fall_multiple * own).max(1e-3)
+    }
+
+    /// What this sender may count as its part of what an endpoint's lane takes, in calls a second.
+    fn part(&self, e: &Endpoint) -> f64 {
+        let limit = self.lanes.get(&e.lane).and_then(|l| l.limit).unwrap_or(LIMIT_LEAST);
+        let own = self.dests.get(&e.dest).map_or(0.0, |d| d.share.get(self.now));
+        own.max(limit / self.set.senders as f64)
     }
 
     /// The message is over for its client. Attempts still out are remembered until they end.
@@ -510,7 +498,8 @@
     /// Silence past p99 is a symptom; so is a trial that stays unanswered.
     fn listen(&mut self, id: u64) {
         let now = self.now;
-        let Some(call) = self.calls.get(&id) else { return };
+        let Some(endpoint) = self.calls.get(&id).map(|c| c.endpoint) else { return };
+        let (gap, call) = (self.trial_gap(endpoint), &self.calls[&id]);
         let Some(e) = self.endpoints.get_mut(&call.endpoint) else { return };
         let Some(lane) = self.lanes.get(&e.lane) else { return };
         let silence = lane.latency.silence();
@@ -521,10 +510,10 @@
         }
         if e.last_ok <= call.sent {
             match &mut e.trouble {
-                None => e.trouble = Some(Trouble::new(now, false)),
+                None => e.trouble = Some(Trouble::new(now, false, gap)),
                 Some(t) if t.trial.is_some_and(|s| s == call.sent) => {
                     t.harmless = false;
-                    t.again(now, 1.0);
+                    t.again(now, gap);
                 }
                 _ => {}
             }
@@ -570,7 +559,7 @@
                 continue;
             }
             let share = from + (1.0 - from) * (now - w.since) as f64 / warm_up.max(1) as f64;
-            let usual = own.max(lane.limit.map_or(0.0, |x| x / self.set.senders as f64));
+            let usual = d.share.get(now).max(lane.limit.map_or(0.0, |x| x / self.set.senders as f64));
             w.pace = RAMP_SAFETY * multiple * share * usual / parts as f64;
             w.tokens = (w.tokens + w.pace * (now - w.filled) as f64 / 1e6).min(1.0_f64.max(w.pace * 0.25));
             w.filled = now;
@@ -629,8 +618,7 @@
         let total: u32 = mine().map(|(_, e)| e.out).sum();
         let doubtful = mine().any(|(_, e)| e.listed && self.doubtful(e));
         let part = |share: f64| ((slots * share) as u32).max(1);
-        let ceiling = if doubtful { part(SICK_CAP) } else { part(BORROW_CAP) };
-        let full = total >= ceiling;
+        let full = total >= part(DEST_CAP);
         let sick = doubtful && self.sick_out() >= part(ALL_SICK_CAP);
         look.slot = sick;
         let free = self.set.slots.saturating_sub(self.used);
@@ -644,9 +632,6 @@
                     from = from.max(now + ((1.0 - tokens) / pace.max(1e-3) * 1e6) as Micros + 1);
                 }
             }
-            if let Some((cap, at)) = e.crowded.filter(|c| e.out >= c.0) {
-                from = from.max(at + UNCROWD * Micros::from(e.out + 1 - cap));
-            }
             let mut careful = false;
             if let Some(t) = &e.trouble {
                 if t.trial.is_some() || t.probing {
@@ -797,6 +782,22 @@
         }
     }
 
+    /// Guards against idle connections keeping others out where an endpoint takes few: once a kind refused
+    /// one at once, none is kept idle for a while. Costs a handshake a call, also after endpoints were down.
+    fn let_go(&mut self, out: &mut Vec<Action>) {
+        for id in std::mem::take(&mut self.idle) {
+            let Some(e) = self.endpoints.get_mut(&id) else { continue };
+            let (Some(d), Some(l)) = (self.dests.get(&e.dest), self.lanes.get(&e.lane)) else { continue };
+            let busy = d.share.get(self.now) * l.latency.mean() / 1e6 / d.endpoints.len() as f64;
+            let rare = e.out == 0 && busy < IDLE_PART * (1.0 - TABLE_LEAST / self.set.senders as f64);
+            let scarce = self.scarce.get(&e.kind).is_some_and(|t| self.now - t <= SCARCE);
+            if e.crowded == Some(self.now) || (rare && scarce) {
+                e.conns = e.out;
+                out.push(Action::Close { endpoint: id });
+            }
+        }
+    }
+
     /// One call: this message, and where the kind batches, others of the hold that may share its fate.
     fn send(&mut self, id: MsgId, endpoint: EndpointId, out: &mut Vec<Action>) {
         let now = self.now;
@@ -873,13 +874,15 @@
 }
 
 impl Trouble {
-    fn new(since: Micros, harmless: bool) -> Self {
-        Trouble { since, next: since + TRIAL_FIRST, backoff: TRIAL_FIRST, harmless, ..Trouble::default() }
+    fn new(since: Micros, harmless: bool, gap: f64) -> Self {
+        let mut t = Trouble { since, backoff: TRIAL_FIRST / 2, harmless, ..Trouble::default() };
+        t.again(since, gap);
+        t
     }
     /// A trial or probe came to nothing: the next one waits longer.
-    fn again(&mut self, now: Micros, jitter: f64) {
+    fn again(&mut self, now: Micros, gap: f64) {
         (self.trial, self.probed) = (None, false);
         self.backoff = (self.backoff * 2).min(TRIAL_MOST);
-        self.next = now + (self.backoff as f64 * jitter) as Micros;
+        self.next = now + self.backoff.max(gap as Micros);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,12 +12,13 @@
     Route(EndpointId),
 }
 
-/// Events a second, fading with `RATE_MEMORY`.
+/// Events a second, fading with its memory.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Rate {
     pub(crate) born: Micros,
     pub(crate) at: Micros,
     pub(crate) value: f64,
+    pub(crate) memory: f64,
 }
 
 /// Latency as a log-normal, which gives a p99 from few samples.
@@ -51,6 +52,8 @@
 #[derive(Default)]
 pub(crate) struct Dest {
     pub(crate) rate: Rate,
+    /// The same over a longer time: this sender's part of the traffic.
+    pub(crate) share: Rate,
     pub(crate) hold: BTreeSet<(u64, MsgId)>,
     pub(crate) endpoints: BTreeSet<EndpointId>,
     /// When it is next on the agenda.
@@ -89,8 +92,8 @@
     pub(crate) out: u32,
     pub(crate) used: Micros,
     pub(crate) conns: u32,
-    /// Calls at a time and since when, after a refused connection.
-    pub(crate) crowded: Option<(u32, Micros)>,
+    /// When a connection was last refused beside a success.
+    pub(crate) crowded: Option<Micros>,
     pub(crate) last_ok: Micros,
     pub(crate) fails: f64,
     pub(crate) trouble: Option<Trouble>,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,6 +82,8 @@
     pub closes: Vec<u32>,
     pub cancels: Vec<(u64, u32)>,
     pub sent_at: Vec<Micros>,
+    pub timers: usize,
+    pub due: std::collections::BTreeSet<Micros>,
 }
 
 impl World {
@@ -98,6 +100,8 @@
             closes: vec![],
             cancels: vec![],
             sent_at: vec![],
+            timers: 0,
+            due: Default::default(),
         };
         w.round(&[Event::Members { whole: true, entries }]);
         w
@@ -121,6 +125,10 @@
                 Action::Probe { endpoint } => self.probes.push(endpoint.0),
                 Action::Cancel { id, attempt } => self.cancels.push((id.0, *attempt)),
                 Action::Close { endpoint } => self.closes.push(endpoint.0),
+                Action::Timer { at, .. } => {
+                    self.timers += 1;
+                    self.due.insert(*at);
+                }
                 _ => {}
             }
         }
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -234,3 +234,69 @@
     assert_eq!(permits_after(200 * MS), 1);
     assert_eq!(permits_after(50 * MS), 2);
 }
+
+/// A sender among many whose calls to one endpoint of a kind were turned away without a connection.
+fn refused_a_connection(senders: u32) -> World {
+    let mut w = World::new(Settings { senders, ..settings() }, vec![entry(1, 1, 0), entry(2, 2, 0)]);
+    let sent = fill(&mut w, 0, 1, FREE, 1);
+    w.now += 20 * MS;
+    w.finish(&sent[0], Outcome::ConnectFailed);
+    w.pass(S);
+    for o in w.out.clone() {
+        w.finish(&o, Outcome::Done);
+    }
+    w.closes.clear();
+    let sent = fill(&mut w, 10, 1, FREE, 2);
+    w.now += 100 * MS;
+    w.finish(&sent[0], Outcome::Done);
+    w
+}
+
+#[test]
+fn idle_connections_are_let_go_where_many_senders_share_few() {
+    // Seen at full size: hundreds of senders each kept one idle, and most calls found the table full.
+    assert!(refused_a_connection(200).closes.contains(&2), "none is kept at a kind that refused one");
+    assert!(refused_a_connection(2).closes.is_empty(), "two senders may keep one each");
+}
+
+/// Calls and probes that a sender makes in ten seconds of an outage, with one message held.
+fn asked_in_an_outage(senders: u32) -> usize {
+    let mut w = World::new(Settings { senders, ..settings() }, vec![entry(1, 1, 0)]);
+    w.pass(60 * S);
+    w.round(&[message(0, FREE, 1)]);
+    let (mut asked, end) = (0, w.now + 10 * S);
+    while w.now < end {
+        for o in w.out.clone() {
+            asked += 1;
+            w.now += MS;
+            w.finish(&o, Outcome::ConnectFailed);
+        }
+        w.pass(10 * MS);
+    }
+    asked
+}
+
+#[test]
+fn the_more_senders_share_a_destination_the_seldomer_each_asks_it_in_an_outage() {
+    // Seen at full size: a hundred senders' trials, each two seconds apart, pushed over what came back cold.
+    let (few, many) = (asked_in_an_outage(2), asked_in_an_outage(200));
+    assert!(few >= 5 && many <= 4, "{few} with two senders, {many} with two hundred");
+}
+
+#[test]
+fn a_quiet_sender_asks_for_few_timers_and_works_no_more_for_a_large_fleet() {
+    for endpoints in [2, 2000] {
+        let entries = (1..=endpoints).map(|d| entry(d, i64::from(d), 0)).collect();
+        let mut w = World::new(settings(), entries);
+        let sent = fill(&mut w, 0, 1, UNSAFE, 1);
+        w.timers = 0;
+        let end = w.now + 18 * S;
+        // Only timers make rounds: no tick.
+        while let Some(at) = w.due.iter().copied().find(|at| *at > w.now && *at < end) {
+            w.now = at;
+            w.round(&[Event::Timer { token: 0 }]);
+        }
+        assert!(w.timers <= 30, "{} timers in 18 quiet seconds", w.timers);
+        w.finish(&sent[0], Outcome::Done);
+    }
+}
