--- a/src/logic.rs
+++ b/src/logic.rs
@@ -366,8 +366,8 @@
                     // Without a limit it was a full queue, which drains by itself: a gentler cut will do.
                     let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
                     let top = lane.limit.unwrap_or(f64::INFINITY);
-                    let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.rate.get(now));
-                    let least = (own * BUDGET_LEAST).min(top * 0.5).max(0.1);
+                    let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
+                    let least = (own * BUDGET_LEAST).min(top * 0.5).max(0.02);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
