--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,6 +41,11 @@
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
+/// Guard against many senders' budgets keeping a limit used up: with a known limit the least and the growth
+/// go by an equal part of it, and further growth by what is accepted.
+const FAIR_LEAST: f64 = 1.0;
+const FAIR_GROWTH: f64 = 0.5;
+const DONE_GROWTH: f64 = 0.07;
 const QUEUE_SLACK: f64 = 1.5; // with no limit known the cut starts from this multiple of what was accepted
 const LIMIT_PART: f64 = 0.95; // share of a known limit that is used at most
 const ROUGH: f64 = 1.5; // a rough weight may be too low by this factor: refusals teach the rest
@@ -338,6 +343,7 @@
             Outcome::Done => {
                 lane.latency.learn(took);
                 lane.accepted.add(now);
+                lane.budget *= 1.0 + DONE_GROWTH;
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
                 if let Some(t) = &mut e.trouble {
@@ -367,7 +373,8 @@
                     let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
-                    let least = (own * BUDGET_LEAST).min(top * 0.5).max(0.02);
+                    let fair = top / self.set.senders as f64;
+                    let least = (own * BUDGET_LEAST).min(fair * FAIR_LEAST).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
@@ -542,7 +549,9 @@
             let cap = lane.limit.map_or(f64::INFINITY, |l| l * LIMIT_PART);
             let dt = (now - lane.filled) as f64 / 1e6;
             if lane.budget.is_finite() {
-                lane.budget = (lane.budget + BUDGET_GROWTH * own.max(0.2) * dt).min(cap.max(0.5));
+                let fair =
+                    lane.limit.map_or(own.max(0.2), |l| own.min(l / self.set.senders as f64 * FAIR_GROWTH));
+                lane.budget = (lane.budget + BUDGET_GROWTH * fair * dt).min(cap.max(0.5));
             }
             lane.pace = lane.budget.min(cap).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
