--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,8 +49,6 @@
 const QUEUE_SLACK: f64 = 1.5; // with no limit known the cut starts from this multiple of what was accepted
 const LIMIT_PART: f64 = 0.95; // share of a known limit that is used at most
 const ROUGH: f64 = 1.5; // a rough weight may be too low by this factor: refusals teach the rest
-const RETRY_PACE: f64 = 2.0;
-const RETRY_MOST: f64 = 5e6;
 const UNPACED: f64 = 1e6; // calls a second that stand for no budget at all
 const BURST: f64 = 0.4; // saved-up calls, in seconds of budget
 const REFUSED_PAUSE: Micros = 250_000; // pause after a refusal that told no wait
@@ -334,8 +332,6 @@
         let Answer { outcome, took, wait, .. } = answer;
         let now = self.now;
         let gap = self.trial_gap(id);
-        let part = self.endpoints.get(&id).map_or(0.0, |e| self.part(e));
-        let chance = self.chance();
         self.idle.insert(id);
         self.refresh(self.endpoints.get(&id).map_or_else(DestId::default, |e| e.dest));
         let Some(e) = self.endpoints.get_mut(&id) else { return };
@@ -348,7 +344,6 @@
                 lane.latency.learn(took);
                 lane.accepted.add(now);
                 lane.budget *= 1.0 + DONE_GROWTH;
-                lane.strikes = lane.strikes.saturating_sub(1);
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
                 if let Some(t) = &mut e.trouble {
@@ -382,10 +377,7 @@
                     let least = (own * BUDGET_LEAST).min(fair * FAIR_LEAST).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
-                    let wait = (1e6 / (RETRY_PACE * part)).clamp(REFUSED_PAUSE as f64, RETRY_MOST) / 1e6;
-                    let wait = wait * 2.0_f64.powi(lane.strikes as i32) * (0.5 + chance);
-                    lane.strikes = (lane.strikes + 1).min(4);
-                    lane.tokens = lane.tokens.min(1.0 - lane.budget * wait);
+                    lane.tokens = lane.tokens.min(0.0);
                 }
             }
             // Guards against a full table of connections being taken for an endpoint that is down: it
@@ -410,17 +402,13 @@
         }
     }
 
-    fn chance(&mut self) -> f64 {
-        self.random ^= self.random << 13;
-        self.random ^= self.random >> 7;
-        self.random ^= self.random << 17;
-        (self.random >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// Guards against many senders' trials adding up: they come at random times, by this sender's part of the
     /// traffic, so that all together stay near what a cold destination takes. Slow to see a return.
     fn trial_gap(&mut self, id: EndpointId) -> f64 {
-        let chance = self.chance();
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        let chance = (self.random >> 11) as f64 / (1u64 << 53) as f64;
         let own = self.endpoints.get(&id).map_or(0.0, |e| self.part(e));
         -(1.0 - chance).ln() * 1e6
             / (TRIAL_SHARE * self.set.cold_from * self.set.fall_multiple * own).max(1e-3)
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,8 +45,6 @@
     pub(crate) filled: Micros,
     pub(crate) pace: f64,
     pub(crate) cut: Micros,
-    /// Refusals since the last success, by which the time to the next call doubles.
-    pub(crate) strikes: u32,
     pub(crate) accepted: Rate,
 }
 
