Idle connections dropped unseen: a rested connection that fails speaks of itself first; state freed, with a test

Now the idle ones are let go, none is kept at that kind for a while, and a second failure in a row is the endpoint's. After a silence the first probe comes at once. Where no limit is told, 4 calls a second are assumed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,3 +48,12 @@
 
 pub use interface::*;
 pub use logic::Dispatcher;
+
+impl Dispatcher {
+    /// How many destinations, lanes, endpoints, messages, calls and keys are remembered, for those who watch
+    /// a sender's memory.
+    pub fn kept(&self) -> usize {
+        let fleet = self.dests.len() + self.lanes.len() + self.endpoints.len();
+        fleet + self.msgs.len() + self.calls.len() + self.keys.len()
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,9 @@
-//! All decisions of heronroute. What goes in and comes out is defined in `src/interface.rs`, the plain data
-//! kept between rounds in `src/state.rs`.
+//! All decisions of heronroute; `src/interface.rs` has what goes in and out, `src/state.rs` plain data.
 //!
 //! The ordinary path is a bulkhead: each destination owns a pool of permits sized rate x p99 x safety, a call
-//! holds a permit until its outcome, and messages wait in the destination's hold, oldest first. Around it
-//! stand a call budget (pace), a judgement of each endpoint's health with single trials, and a paced return.
-//! A *lane* is what has one limit and one pool: a destination, or one route of it where routes are apart.
+//! holds one until its outcome, and messages wait in the hold, oldest first. Around it stand a call budget,
+//! each endpoint's health with single trials, and a paced return. A *lane* has one limit and one pool: it is
+//! a destination, or one route of it where routes are apart.
 
 use crate::interface::*;
 use crate::state::*;
@@ -29,7 +28,7 @@
 const TRIAL_FIRST: Micros = 200_000; // first time between trials, and the most to which it grows by itself
 const TRIAL_MOST: Micros = 2_000_000;
 const TRIAL_SHARE: f64 = 1.0; // all senders' trials together, in multiples of what a cold destination takes
-const LIMIT_LEAST: f64 = 2.0; // calls a second that any destination takes, where no limit is told
+const LIMIT_LEAST: f64 = 4.0; // calls a second that any destination takes, where no limit is told
 const COLD_AFTER: Micros = 1_500_000; // trouble this long may have been an outage: the return is paced
 const RAMP_SAFETY: f64 = 0.75; // share of the allowed load that this sender uses on a cold destination
 const BATCH_WEIGHT: f64 = 0.25; // weight of a batch's further messages on a cold destination, in calls
@@ -108,12 +107,12 @@
     random: u64,
     set: Settings,
     seq: u64,
-    lanes: BTreeMap<LaneKey, Lane>,
-    dests: BTreeMap<DestId, Dest>,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
-    msgs: BTreeMap<MsgId, Msg>,
-    calls: BTreeMap<u64, Call>,
-    keys: BTreeMap<String, Key>,
+    pub(crate) lanes: BTreeMap<LaneKey, Lane>,
+    pub(crate) dests: BTreeMap<DestId, Dest>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) msgs: BTreeMap<MsgId, Msg>,
+    pub(crate) calls: BTreeMap<u64, Call>,
+    pub(crate) keys: BTreeMap<String, Key>,
     /// What falls due when: a round looks at this and at `ready`, never at all that exists.
     agenda: BTreeSet<(Micros, Due)>,
     /// Destinations with a hold for which something has changed, or that wait for a slot.
@@ -201,7 +200,7 @@
                     t.again(now, gap);
                 }
             }
-            Event::Timer { .. } | Event::Note { .. } => {}
+            _ => {}
         }
     }
 
@@ -280,7 +279,7 @@
         let Some(at) = msg.out.iter().position(|a| a.no == attempt) else { return };
         let a = msg.out.remove(at);
         let Some(call) = self.calls.get_mut(&a.call) else { return };
-        let (endpoint, trial, first) = (call.endpoint, call.trial, !call.judged);
+        let (endpoint, trial, first, rested) = (call.endpoint, call.trial, !call.judged, call.rested);
         (call.judged, call.left) = (true, call.left.saturating_sub(1));
         let over = call.left == 0;
         if !outcome.never_ran() && outcome != Outcome::Done {
@@ -310,7 +309,7 @@
         }
         if first {
             self.read(endpoint, answer.report);
-            self.judge(endpoint, answer, a.sent, trial);
+            self.judge(endpoint, answer, a.sent, trial, rested);
         }
         if let Some(e) = self.endpoints.get(&endpoint) {
             self.ready.insert(e.dest);
@@ -326,9 +325,12 @@
     }
 
     /// What one call's end says of its endpoint and lane.
-    fn judge(&mut self, id: EndpointId, answer: Answer, sent: Micros, trial: bool) {
+    fn judge(&mut self, id: EndpointId, answer: Answer, sent: Micros, trial: bool, rested: Micros) {
         let Answer { outcome, took, wait, .. } = answer;
         let now = self.now;
+        if rested > 0 && matches!(outcome, Outcome::Reset | Outcome::TimedOut) && self.reaped(id) {
+            return;
+        }
         let gap = self.trial_gap(id);
         self.idle.insert(id);
         self.refresh(self.endpoints.get(&id).map_or_else(DestId::default, |e| e.dest));
@@ -345,9 +347,7 @@
                 let first = e.first_bad.filter(|f| sent >= *f || now - f < COLD_AFTER);
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
-                if let Some(t) = &mut e.trouble {
-                    (t.trial, t.next) = if trial { (None, now) } else { (t.trial, t.next) };
-                }
+                e.trouble.iter_mut().filter(|_| trial).for_each(|t| (t.trial, t.next) = (None, now));
                 if e.fails < FAIL_LIMIT && (trial || first.is_some()) {
                     if e.first_bad.is_some_and(|f| now - f >= COLD_AFTER) {
                         e.warm = Some(Warm { since: now, tokens: 0.0, pace: 0.0, filled: now });
@@ -360,16 +360,15 @@
                 return e.trouble.iter_mut().filter(|_| trial).for_each(|t| t.trial = None);
             }
             Outcome::Busy => {
-                let pause = if wait == 0 { REFUSED_PAUSE } else { 0 };
-                lane.wait_until = lane.wait_until.max(now + pause);
+                lane.wait_until = lane.wait_until.max(now + if wait == 0 { REFUSED_PAUSE } else { 0 });
                 if now - lane.cut > REFUSED_PAUSE {
                     lane.cut = now;
                     // Without a limit it was a full queue, which drains by itself: a gentler cut will do.
                     let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
-                    let fair = top / self.set.senders as f64;
-                    let least = (own * BUDGET_LEAST).min(fair * FAIR_LEAST).max(0.01);
+                    let fair = top / self.set.senders as f64 * FAIR_LEAST;
+                    let least = (own * BUDGET_LEAST).min(fair).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least);
                     lane.tokens = lane.tokens.min(0.0);
@@ -377,26 +376,35 @@
             }
             // Guards against a full table of connections being taken for an endpoint that is down: it
             // answered while the call was out. Idle ones are let go.
-            Outcome::ConnectFailed if e.last_ok > sent => {
-                e.crowded = Some(now);
-                return;
-            }
+            Outcome::ConnectFailed if e.last_ok > sent => return e.crowded = Some(now),
             _ => {}
         }
         e.fails += FAIL_GAIN * (1.0 - e.fails);
         // A single refusal may be the limit's: it starts no ramp.
         e.first_bad = e.first_bad.or((outcome != Outcome::Busy || e.fails > FAIL_LIMIT).then_some(now));
-        let harmless = outcome.never_ran();
         if let Some(t) = &mut e.trouble {
-            t.harmless &= harmless;
+            t.harmless &= outcome.never_ran();
             if trial {
                 t.again(now, gap);
             }
         } else if e.fails > FAIL_LIMIT {
-            e.trouble = Some(Trouble::new(now, harmless, gap));
+            e.trouble = Some(Trouble::new(now, outcome.never_ran(), gap));
         }
     }
 
+    /// Guards against idle connections that were dropped unseen: where a call on one that had rested fails by
+    /// silence or reset, that speaks of the connection, unless another failed since. For a while none is kept
+    /// idle at that kind; the next call, on a fresh one, tells. Hides one call of an outage.
+    fn reaped(&mut self, id: EndpointId) -> bool {
+        let Some(e) = self.endpoints.get_mut(&id).filter(|e| e.fails < FAIL_GAIN) else { return false };
+        e.fails += FAIL_GAIN;
+        self.scarce.insert(e.kind, self.now);
+        (e.conns, e.crowded) = (0, Some(self.now));
+        self.ready.insert(e.dest);
+        self.idle.insert(id);
+        true
+    }
+
     /// Guards against many senders' trials adding up: they come at random times, by this sender's part of the
     /// traffic, so that all together stay near what a cold destination takes. Slow to see a return.
     fn trial_gap(&mut self, id: EndpointId) -> f64 {
@@ -431,9 +439,8 @@
             d.hold.remove(&entry);
         }
         if msg.out.is_empty() {
-            if let Some(k) = msg.key.take()
-                && let Some(key) = self.keys.get_mut(&k)
-            {
+            let key = msg.key.take();
+            if let Some((k, key)) = key.and_then(|k| self.keys.get_mut(&k).map(|key| (k, key))) {
                 key.queue.remove(&entry);
                 if key.queue.is_empty() && key.rest_until <= self.now {
                     self.keys.remove(&k);
@@ -502,30 +509,31 @@
     /// Silence past p99 is a symptom; so is a trial that stays unanswered.
     fn listen(&mut self, id: u64) {
         let now = self.now;
-        let Some(endpoint) = self.calls.get(&id).map(|c| c.endpoint) else { return };
-        let (gap, call) = (self.trial_gap(endpoint), &self.calls[&id]);
-        let Some(e) = self.endpoints.get_mut(&call.endpoint) else { return };
-        let Some(lane) = self.lanes.get(&e.lane) else { return };
-        let silence = lane.latency.silence();
+        let Some(&Call { endpoint, sent, rested, .. }) = self.calls.get(&id) else { return };
+        let gap = self.trial_gap(endpoint);
+        let silence = self.lane_of(endpoint).map_or(SILENCE_LEAST, |l| l.latency.silence());
+        let Some(e) = self.endpoints.get(&endpoint) else { return };
         let (patience, longest) = (silence as Micros + 1, (silence * RECLAIM_AFTER) as Micros + 1);
-        if now - call.sent < patience {
-            self.agenda.insert((call.sent + patience, Due::Call(id)));
+        let next = if now - sent < patience { patience } else { longest };
+        if now - sent < longest {
+            self.agenda.insert((sent + next, Due::Call(id)));
+        }
+        if now - sent < patience || e.last_ok > sent {
             return;
         }
-        if e.last_ok <= call.sent {
-            e.first_bad = e.first_bad.or(Some(now));
-            match &mut e.trouble {
-                None => e.trouble = Some(Trouble::new(now, false, gap)),
-                Some(t) if t.trial.is_some_and(|s| s == call.sent) => {
-                    t.harmless = false;
-                    t.again(now, gap);
-                }
-                _ => {}
-            }
-            self.ready.insert(e.dest);
+        self.ready.insert(e.dest);
+        if rested > 0 && self.reaped(endpoint) {
+            return;
         }
-        if now - call.sent < longest {
-            self.agenda.insert((call.sent + longest, Due::Call(id)));
+        let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
+        e.first_bad = e.first_bad.or(Some(now));
+        match &mut e.trouble {
+            None => e.trouble = Some(Trouble::new(now, false, 0.0)),
+            Some(t) if t.trial.is_some_and(|s| s == sent) => {
+                t.harmless = false;
+                t.again(now, gap);
+            }
+            _ => {}
         }
     }
 
@@ -634,22 +642,16 @@
                 }
             }
             let careful = e.trouble.as_ref().is_some_and(|t| !t.harmless && !t.probed);
-            if let Some(t) = &e.trouble {
-                if t.trial.is_some() || t.probing {
-                    continue;
-                }
-                from = from.max(t.next);
-                if from <= now && careful && self.set.probes {
-                    continue;
-                }
-            }
-            if from > now {
+            from = from.max(e.trouble.as_ref().map_or(0, |t| t.next));
+            if e.trouble.as_ref().is_some_and(|t| t.trial.is_some() || t.probing) {
+                continue;
+            } else if from > now {
                 look.at = look.at.min(from);
                 continue;
             }
             let tight = lane.out >= lane.permits && !borrow;
             look.slot |= tight;
-            if full || sick || tight {
+            if full || sick || tight || (careful && self.set.probes) {
                 continue;
             }
             let warm = now - e.used < self.set.idle_close && e.out < e.conns * self.set.streams;
@@ -801,21 +803,22 @@
     /// One call: this message, and where the kind batches, others of the hold that may share its fate.
     fn send(&mut self, id: MsgId, endpoint: EndpointId, out: &mut Vec<Action>) {
         let now = self.now;
-        let (dest, kind) = (self.endpoints[&endpoint].dest, self.endpoints[&endpoint].kind);
-        let trial = self.endpoints[&endpoint].trouble.is_some();
+        let e = &self.endpoints[&endpoint];
+        let (dest, kind, trial) = (e.dest, e.kind, e.trouble.is_some());
         let most = if trial { 1 } else { self.set.kinds.get(kind).map_or(1, |k| k.batch.max(1)) as usize };
         let others = self.dests[&dest].hold.iter().map(|(_, other)| *other);
         let others = others.filter(|other| *other != id && self.fits(*other, endpoint, false));
         let batch: Vec<MsgId> = [id].into_iter().chain(others).take(most).collect();
         self.seq += 1;
         let (call, left) = (self.seq, batch.len() as u32);
-        self.calls.insert(call, Call { endpoint, sent: now, left, trial, ..Call::default() });
         self.used += 1;
         let Some(e) = self.endpoints.get_mut(&endpoint) else { return };
         let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
         if now - e.used >= self.set.idle_close && e.out == 0 {
             e.conns = 0;
         }
+        let rested = if !trial && e.out < e.conns { now - e.used } else { 0 };
+        self.calls.insert(call, Call { endpoint, sent: now, left, trial, rested, ..Call::default() });
         e.out += 1;
         e.used = now;
         e.conns = e.conns.max(e.out.div_ceil(self.set.streams.max(1)));
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,6 +132,8 @@
     pub(crate) judged: bool,
     pub(crate) trial: bool,
     pub(crate) cancelled: bool,
+    /// How long the connection had rested.
+    pub(crate) rested: Micros,
 }
 
 /// The order of a key's messages.
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -348,3 +348,37 @@
     let (few, many) = (calls(2), calls(100));
     assert!(many * 2 < few && many <= 8, "{few} calls with two senders, {many} with a hundred");
 }
+
+#[test]
+fn a_rested_connection_that_falls_silent_is_not_taken_for_an_outage() {
+    // Seen on kano-panel-later: connections dropped unseen after a second or two without use.
+    let mut w = World::new(settings(), vec![entry(1, 1, 0)]);
+    w.healthy(1000, 10, FREE, 1, 2 * S);
+    fill(&mut w, 0, 1, UNSAFE, 1);
+    w.pass(S);
+    assert!(w.closes.contains(&1), "the other idle connections are let go");
+    let next = fill(&mut w, 1, 1, UNSAFE, 1);
+    assert_eq!((next.len(), w.probes.len()), (1, 0), "the next call goes at once, on a fresh connection");
+    // That one silent too speaks of the endpoint.
+    w.pass(2 * S);
+    assert!(fill(&mut w, 2, 1, UNSAFE, 1).is_empty(), "a second silence in a row is the endpoint's");
+    assert!(!w.probes.is_empty(), "it is probed");
+}
+
+#[test]
+fn what_is_no_longer_named_is_freed() {
+    let mut w = World::new(settings(), vec![]);
+    for n in 0..300u32 {
+        let entries = vec![entry(n, i64::from(n), (n % 3) as usize)];
+        w.round(&[Event::Members { whole: true, entries }]);
+        let sent = w.round(&[keyed(u64::from(n), i64::from(n), &format!("k{n}"))]);
+        w.now += S;
+        for o in sent {
+            w.finish(&o, Outcome::Done);
+        }
+    }
+    w.round(&[Event::Members { whole: true, entries: vec![] }]);
+    w.pass(60 * S);
+    let kept = w.d.kept();
+    assert!(kept <= 2, "{kept} items are kept of 300 destinations gone for a minute");
+}
