--- a/src/logic.rs
+++ b/src/logic.rs
@@ -413,8 +413,7 @@
         self.random ^= self.random << 17;
         let chance = (self.random >> 11) as f64 / (1u64 << 53) as f64;
         let own = self.endpoints.get(&id).map_or(0.0, |e| self.part(e));
-        -(1.0 - chance).ln() * 1e6
-            / (TRIAL_SHARE * self.set.cold_from * self.set.fall_multiple * own).max(1e-3)
+        2.0 * chance * 1e6 / (TRIAL_SHARE * self.set.cold_from * self.set.fall_multiple * own).max(1e-3)
     }
 
     /// What this sender may count as its part of what an endpoint takes, in calls a second.
