--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,7 +28,7 @@
 const TRIAL_FIRST: Micros = 200_000; // first time between trials, and the most to which it grows by itself
 const TRIAL_MOST: Micros = 2_000_000;
 const TRIAL_SHARE: f64 = 1.0; // all senders' trials together, in multiples of what a cold destination takes
-const LIMIT_LEAST: f64 = 4.0; // calls a second that any destination takes, where no limit is told
+const LIMIT_LEAST: f64 = 3.0; // calls a second that any destination takes, where no limit is told
 const COLD_AFTER: Micros = 1_500_000; // trouble this long may have been an outage: the return is paced
 const RAMP_SAFETY: f64 = 0.75; // share of the allowed load that this sender uses on a cold destination
 const BATCH_WEIGHT: f64 = 0.25; // weight of a batch's further messages on a cold destination, in calls
@@ -336,7 +336,8 @@
         self.refresh(self.endpoints.get(&id).map_or_else(DestId::default, |e| e.dest));
         let Some(e) = self.endpoints.get_mut(&id) else { return };
         let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
-        if outcome == Outcome::ConnectFailed && took < SILENCE_LEAST as Micros {
+        let slow = outcome == Outcome::ConnectFailed && took >= SILENCE_LEAST as Micros;
+        if outcome == Outcome::ConnectFailed && !slow {
             self.scarce.insert(e.kind, now);
         }
         match outcome {
@@ -374,12 +375,12 @@
                     lane.tokens = lane.tokens.min(0.0);
                 }
             }
-            // Guards against a full table of connections being taken for an endpoint that is down: it
-            // answered while the call was out. Idle ones are let go.
+            // A full table of connections is no outage: it answered while the call was out. Idle ones go.
             Outcome::ConnectFailed if e.last_ok > sent => return e.crowded = Some(now),
             _ => {}
         }
-        e.fails += FAIL_GAIN * (1.0 - e.fails);
+        // A connection that timed out, not one refused at once, is silence: it counts for two.
+        e.fails += FAIL_GAIN * if slow { 2.0 } else { 1.0 } * (1.0 - e.fails);
         // A single refusal may be the limit's: it starts no ramp.
         e.first_bad = e.first_bad.or((outcome != Outcome::Busy || e.fails > FAIL_LIMIT).then_some(now));
         if let Some(t) = &mut e.trouble {
--- a/tests/design.rs
+++ b/tests/design.rs
@@ -382,3 +382,17 @@
     let kept = w.d.kept();
     assert!(kept <= 2, "{kept} items are kept of 300 destinations gone for a minute");
 }
+
+#[test]
+fn a_connection_that_timed_out_is_not_tried_again_at_once_by_one_sender_of_many() {
+    // Seen on he85021: each of three hundred senders tried once more at once, and pushed over what came back.
+    let again = |after: Micros| {
+        let mut w = World::new(Settings { senders: 300, ..settings() }, vec![entry(1, 1, 0)]);
+        w.pass(60 * S);
+        let sent = fill(&mut w, 0, 1, FREE, 1);
+        w.now += after;
+        w.finish(&sent[0], Outcome::ConnectFailed).len()
+    };
+    assert_eq!(again(1100 * MS), 0, "a time-out is silence");
+    assert_eq!(again(20 * MS), 1, "a refusal at once may be a full table");
+}
