Kinds of destination learn whether a refusal is worth waiting out: short doubling waits where retries succeed

Agencies are the opposite: each refused call adds to a debt (told waits rise by 1/limit up to a cap), so more retries mean fewer deliveries (dest 157: 50 calls a second, 0.3 delivered). Ruled out: slots (35-50% used), buffer (sheds follow), time-outs (under 1%). Lines: judge's Busy branch, refresh's growth, BUDGET_LEAST. Taken for granted so far: that refused calls always use up the limit. Now each kind's heat learns from calls that follow a refusal. Cool: least budget one call in two mean latencies, doubling with each refusal, and a refusal weighs a third as a failure. Hot: as before, and with weights not exact the least halves on. Would harm where refusals of a cool kind cost; it heats up within some eight of them.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,6 +48,11 @@
 const ROUGH: f64 = 1.5; // a rough weight may be too low by this factor: refusals teach the rest
 const UNPACED: f64 = 1e6; // calls a second that stand for no budget at all
 const BURST: f64 = 0.4; // saved-up calls, in seconds of budget
+const TURN: f64 = 2.0; // at a kind where retries succeed: first wait after a refusal, in mean latencies
+const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal by twice as much ...
+const HOT: f64 = 0.5; // ... and from this share on the kind is hot: refused calls seem to use up its limits
+const HOT_CUTS: f64 = 6.0; // a hot kind's least budget is halved so often at most, where the limit is not exact
+const BUSY_WEIGHT: f64 = 0.33; // weight of a refusal in the share of failures at a kind that is not hot
 const REFUSED_PAUSE: Micros = 250_000; // pause after a refusal that told no wait
 const SCARCE: Micros = 20_000_000; // after a refused connection none is kept idle at that kind for so long
 const IDLE_PART: f64 = 0.3; // a connection in use for this part of the time is kept all the same ...
@@ -98,6 +103,20 @@
     }
 }
 
+impl Lane {
+    /// Guards against a limit that many senders' least budgets hold above for good, refused calls included:
+    /// where it is not known exactly, each refusal that no success made up for halves a hot lane's least.
+    fn down(&self, learn: bool) -> f64 {
+        if learn { 0.5_f64.powf((self.strain - 1.0).clamp(0.0, HOT_CUTS)) } else { 1.0 }
+    }
+    /// The least budget of a lane that refused, at a kind where retries succeed (a full queue drains by itself):
+    /// one call in a time that doubles with each refusal. Guards against senders with little traffic of their
+    /// own staying away for longer than messages live; would harm where refused calls use up the limit.
+    fn turn(&self) -> f64 {
+        1e6 / (TURN * self.latency.mean() * self.strain.min(20.0).exp2())
+    }
+}
+
 /// Decides for one sender. Feed it rounds of events; it answers with actions.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -118,6 +137,8 @@
     plain: ClassSettings,
     /// When each kind last refused a connection; endpoints whose calls ended in this round.
     scarce: BTreeMap<usize, Micros>,
+    /// For each kind, whether calls that follow a refusal come to nothing (1) or succeed (0).
+    heat: BTreeMap<usize, f64>,
     idle: BTreeSet<EndpointId>,
     directory: Directory,
     open: usize,
@@ -363,11 +384,14 @@
         if rested > 0 && matches!(outcome, Outcome::Reset | Outcome::TimedOut) && self.reaped(id) {
             return;
         }
-        let gap = self.trial_gap(id);
+        let (gap, chance) = (self.trial_gap(id), self.chance());
         self.idle.insert(id);
         self.refresh(self.endpoints.get(&id).map_or_else(DestId::default, |e| e.dest));
         let Some(e) = self.endpoints.get_mut(&id) else { return };
         let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
+        let heat = self.heat.entry(e.kind).or_insert(HOT);
+        let hot = *heat >= HOT;
+        let unsure = self.set.weights != Weights::Nominal;
         let slow = outcome == Outcome::ConnectFailed && took >= SILENCE_LEAST as Micros;
         if outcome == Outcome::ConnectFailed && !slow {
             self.scarce.insert(e.kind, now);
@@ -377,6 +401,10 @@
                 lane.latency.learn(took);
                 lane.accepted.add(now);
                 lane.budget *= 1.0 + DONE_GROWTH;
+                if lane.strain > 0.0 {
+                    *heat = (*heat - HEAT).max(0.0);
+                    lane.strain = (lane.strain - 1.0).max(0.0);
+                }
                 let first = e.first_bad.filter(|f| sent >= *f || now - f < COLD_AFTER);
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
@@ -403,8 +431,12 @@
                     let fair = top / self.set.senders as f64 * FAIR_LEAST;
                     let least = (own * BUDGET_LEAST).min(fair).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
-                    lane.budget = (from * BUDGET_CUT).max(least);
-                    lane.tokens = lane.tokens.min(0.0);
+                    if lane.strain > 0.0 {
+                        *heat = (*heat + 2.0 * HEAT).min(1.0);
+                    }
+                    lane.budget = (from * BUDGET_CUT).max(least * lane.down(hot && unsure));
+                    lane.strain += 1.0;
+                    lane.tokens = lane.tokens.min(chance - 0.5);
                 }
             }
             // A full table of connections is no outage: it answered while the call was out. Idle ones go.
@@ -412,7 +444,15 @@
             _ => {}
         }
         // A connection that timed out, not one refused at once, is silence: it counts for two.
-        e.fails += FAIL_GAIN * if slow { 2.0 } else { 1.0 } * (1.0 - e.fails);
+        let mild = outcome == Outcome::Busy && !hot;
+        let weight = if slow {
+            2.0
+        } else if mild {
+            BUSY_WEIGHT
+        } else {
+            1.0
+        };
+        e.fails += FAIL_GAIN * weight * (1.0 - e.fails);
         // A single refusal may be the limit's: no ramp. With a long wait it is shut: all who were told
         // the same end would come at once, so each adds a gap of its own.
         let shut = wait > TRIAL_MOST;
@@ -587,17 +627,22 @@
         let sick = d.endpoints.iter().filter_map(|id| self.endpoints.get(id)).filter(|e| e.listed);
         let ill: BTreeSet<LaneKey> = sick.filter(|e| e.trouble.is_some()).map(|e| e.lane).collect();
         let (from, warm_up) = (self.set.cold_from, self.set.warm_up);
+        let unsure = self.set.weights != Weights::Nominal;
         for id in &d.endpoints {
             let usual = self.endpoints.get(id).map_or(0.0, |e| self.part(e));
             let Some(e) = self.endpoints.get_mut(id) else { continue };
             let Some(lane) = self.lanes.get_mut(&e.lane) else { continue };
             let ill = ill.contains(&e.lane);
+            let heat = self.heat.get(&e.kind).copied().unwrap_or(HOT);
             let cap = lane.limit.map_or(f64::INFINITY, |l| l * LIMIT_PART);
             let dt = (now - lane.filled) as f64 / 1e6;
             if lane.budget.is_finite() {
                 let fair =
                     lane.limit.map_or(own.max(0.2), |l| own.min(l / self.set.senders as f64 * FAIR_GROWTH));
-                lane.budget = (lane.budget + BUDGET_GROWTH * fair * dt).min(cap.max(0.5));
+                let hot = heat >= HOT;
+                let down = lane.down(hot && unsure);
+                let turn = if lane.strain > 0.0 && !hot { lane.turn() } else { 0.0 };
+                lane.budget = (lane.budget + BUDGET_GROWTH * fair * down * dt).max(turn).min(cap.max(0.5));
             }
             lane.pace = lane.budget.min(cap).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,8 @@
     pub(crate) filled: Micros,
     pub(crate) pace: f64,
     pub(crate) cut: Micros,
+    /// Refusals that successes have not made up for.
+    pub(crate) strain: f64,
     pub(crate) accepted: Rate,
 }
 
