Few slots: a healthy destination may hold three quarters; cool kinds trust told waits and win their budget back

Not the limit (7% turned away), nor key order. Now: free slots may be borrowed to three quarters as in the design (a half stays the bound for a doubtful destination), the reserve for others is rounded down; a cool kind's told wait is no cut; its budget grows by half of itself a second. Taken for granted so far: many slots, and refusals that come again.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,6 +13,7 @@
 const START_SHARE: f64 = 0.1; // share of the slots for a new pool: enough to learn from, too few to do harm
 const SHARE_CAP: f64 = 0.2; // a sized pool's share at most, the design's fifth; more is only borrowed
 const DEST_CAP: f64 = 0.5; // a destination's share at most, sick or borrowing: it may fall silent any moment
+const HEALTHY_CAP: f64 = 0.75;
 const ALL_SICK_CAP: f64 = 0.6; // all sick destinations' share, so that frozen pools cannot fill the slots
 const BORROW_RESERVE: f64 = 0.15; // slots kept free of borrowers, as a share
 const RECLAIM_RESERVE: f64 = 0.2; // with fewer free slots than this share, silent calls are given up ...
@@ -52,6 +53,7 @@
 const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal by twice as much ...
 const HOT: f64 = 0.5; // ... and from this share on the kind is hot: refused calls seem to use up its limits
 const HOT_CUTS: f64 = 6.0; // a hot kind's least budget is halved so often at most, where the limit is not exact
+const COOL_GROWTH: f64 = 0.5; // a cool kind's budget grows by this share of itself a second, refusals made up for
 const BUSY_WEIGHT: f64 = 0.33; // weight of a refusal in the share of failures at a kind that is not hot
 const REFUSED_PAUSE: Micros = 250_000; // pause after a refusal that told no wait
 const SCARCE: Micros = 20_000_000; // after a refused connection none is kept idle at that kind for so long
@@ -401,10 +403,8 @@
                 lane.latency.learn(took);
                 lane.accepted.add(now);
                 lane.budget *= 1.0 + DONE_GROWTH;
-                if lane.strain > 0.0 {
-                    *heat = (*heat - HEAT).max(0.0);
-                    lane.strain = (lane.strain - 1.0).max(0.0);
-                }
+                *heat = (*heat - if lane.refused { HEAT } else { 0.0 }).max(0.0);
+                (lane.refused, lane.strain) = (false, (lane.strain - 1.0).max(0.0));
                 let first = e.first_bad.filter(|f| sent >= *f || now - f < COLD_AFTER);
                 e.last_ok = now;
                 e.fails *= 1.0 - FAIL_GAIN;
@@ -422,7 +422,9 @@
             }
             Outcome::Busy => {
                 lane.wait_until = lane.wait_until.max(now + if wait == 0 { REFUSED_PAUSE } else { 0 });
-                if now - lane.cut > REFUSED_PAUSE {
+                *heat = (*heat + if lane.refused { 2.0 * HEAT } else { 0.0 }).min(1.0);
+                lane.refused = true;
+                if now - lane.cut > REFUSED_PAUSE && (hot || wait == 0) {
                     lane.cut = now;
                     // Without a limit it was a full queue, which drains by itself: a gentler cut will do.
                     let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
@@ -431,9 +433,6 @@
                     let fair = top / self.set.senders as f64 * FAIR_LEAST;
                     let least = (own * BUDGET_LEAST).min(fair).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
-                    if lane.strain > 0.0 {
-                        *heat = (*heat + 2.0 * HEAT).min(1.0);
-                    }
                     lane.budget = (from * BUDGET_CUT).max(least * lane.down(hot && unsure));
                     lane.strain += 1.0;
                     lane.tokens = lane.tokens.min(chance - 0.5);
@@ -643,6 +642,9 @@
                 let down = lane.down(hot && unsure);
                 let turn = if lane.strain > 0.0 && !hot { lane.turn() } else { 0.0 };
                 lane.budget = (lane.budget + BUDGET_GROWTH * fair * down * dt).max(turn).min(cap.max(0.5));
+                if !hot && lane.strain < 1.0 {
+                    lane.budget += lane.budget * COOL_GROWTH * dt;
+                }
             }
             lane.pace = lane.budget.min(cap).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
@@ -713,11 +715,11 @@
         let total: u32 = mine().map(|(_, e)| e.out).sum();
         let doubtful = mine().any(|(_, e)| e.listed && self.doubtful(e));
         let part = |share: f64| ((slots * share) as u32).max(1);
-        let full = total >= part(DEST_CAP);
+        let full = total >= part(if doubtful { DEST_CAP } else { HEALTHY_CAP });
         let sick = doubtful && self.sick_out() >= part(ALL_SICK_CAP);
         look.slot = sick;
         let free = self.set.slots.saturating_sub(self.used);
-        let borrow = !doubtful && free > (slots * BORROW_RESERVE).ceil() as u32;
+        let borrow = !doubtful && free > (slots * BORROW_RESERVE) as u32;
         for (id, e) in mine().filter(|(_, e)| e.listed) {
             let Some(lane) = self.lanes.get(&e.lane) else { continue };
             let mut from = lane.wait_until;
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,8 @@
     pub(crate) cut: Micros,
     /// Refusals that successes have not made up for.
     pub(crate) strain: f64,
+    /// The last call was refused.
+    pub(crate) refused: bool,
     pub(crate) accepted: Rate,
 }
 
