--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,7 +13,6 @@
 const START_SHARE: f64 = 0.1; // share of the slots for a new pool: enough to learn from, too few to do harm
 const SHARE_CAP: f64 = 0.2; // a sized pool's share at most, the design's fifth; more is only borrowed
 const DEST_CAP: f64 = 0.5; // a destination's share at most, sick or borrowing: it may fall silent any moment
-const HEALTHY_CAP: f64 = 0.75;
 const ALL_SICK_CAP: f64 = 0.6; // all sick destinations' share, so that frozen pools cannot fill the slots
 const BORROW_RESERVE: f64 = 0.15; // slots kept free of borrowers, as a share
 const RECLAIM_RESERVE: f64 = 0.2; // with fewer free slots than this share, silent calls are given up ...
@@ -715,7 +714,7 @@
         let total: u32 = mine().map(|(_, e)| e.out).sum();
         let doubtful = mine().any(|(_, e)| e.listed && self.doubtful(e));
         let part = |share: f64| ((slots * share) as u32).max(1);
-        let full = total >= part(if doubtful { DEST_CAP } else { HEALTHY_CAP });
+        let full = total >= (slots * DEST_CAP).ceil() as u32;
         let sick = doubtful && self.sick_out() >= part(ALL_SICK_CAP);
         look.slot = sick;
         let free = self.set.slots.saturating_sub(self.used);
