Tried: tenants' traffic beyond their shares ranks last and is shed first; no endpoint left of the group ends a message

A message that may have run and has no listed endpoint left of the group that drops its repeats is now answered in that round, on changes of the list and on outcomes alike: it was kept until its window's end.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -140,6 +140,8 @@
     scarce: BTreeMap<usize, Micros>,
     /// For each kind, whether calls that follow a refusal come to nothing (1) or succeed (0).
     heat: BTreeMap<usize, f64>,
+    /// Arrivals of each tenant, and of all.
+    tenants: BTreeMap<Option<usize>, Rate>,
     idle: BTreeSet<EndpointId>,
     directory: Directory,
     open: usize,
@@ -187,7 +189,7 @@
                 self.members(*whole, entries);
             }
             Event::DirectoryFailed if self.set.discovery == Discovery::Ask => self.unheard(),
-            Event::Message { id, class, key, dest, time_left, again, .. } => {
+            Event::Message { id, class, tenant, key, dest, time_left, again } => {
                 if self.msgs.contains_key(id) {
                     return;
                 }
@@ -196,7 +198,8 @@
                 let (seq, class, dest, deadline) =
                     (self.seq, *class, *dest, now + (*time_left).clamp(0, MAX_SPAN));
                 let key = key.clone().filter(|_| self.set.classes.get(class).is_some_and(|c| c.ordered));
-                let msg = Msg { seq, class, key, dest, deadline, ..Msg::default() };
+                let over = self.over_share(*tenant);
+                let msg = Msg { seq, class, key, dest, deadline, over, ..Msg::default() };
                 if let Some(k) = &msg.key {
                     self.keys.entry(k.clone()).or_default().queue.insert((self.seq, *id));
                 }
@@ -235,6 +238,21 @@
         }
     }
 
+    /// Whether a message is beyond its tenant's share, judged from this sender's part of the quota: an equal
+    /// part, or that of its own traffic in all quotas where that is more. Guards the others against a tenant's
+    /// surge; it only orders and sheds. Harms a tenant whose traffic comes unevenly to the senders.
+    fn over_share(&mut self, tenant: usize) -> bool {
+        let (now, chance) = (self.now, self.chance());
+        let Some(quota) = self.set.tenants.get(tenant).map(|t| t.quota).filter(|q| *q > 0.0) else { return false };
+        let all: f64 = self.set.tenants.iter().map(|t| t.quota).sum();
+        let own = self.tenants.entry(None).or_insert_with(|| Rate::new(now, RATE_MEMORY));
+        own.add(now);
+        let part = (own.get(now) / all).max(1.0 / self.set.senders as f64);
+        let rate = self.tenants.entry(Some(tenant)).or_insert_with(|| Rate::new(now, RATE_MEMORY));
+        rate.add(now);
+        chance * rate.get(now) > quota * part
+    }
+
     /// A directory that failed, or whose subscription broke, is asked again after a growing wait at a random
     /// time, so that hundreds of senders don't keep it down. Until then the last list serves. The longest wait
     /// is half the span after which a sender that doesn't ask counts as told.
@@ -268,6 +286,8 @@
         if whole {
             self.endpoints.values_mut().for_each(|e| e.listed = false);
             self.ready.extend(self.dests.keys());
+            let bound = self.msgs.iter().filter(|(_, m)| m.may_run.is_some());
+            self.agenda.extend(bound.map(|(id, _)| (self.now, Due::Msg(*id))));
         }
         for entry in entries {
             let apart = self.set.kinds.get(entry.kind).is_some_and(|k| k.apart);
@@ -291,6 +311,11 @@
             let (kind, zone) = (entry.kind, entry.zone);
             let fresh = || Endpoint { lane, dest, kind, zone, last_ok: now, ..Endpoint::default() };
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
+            // What may have run may have no endpoint left that drops its repeats: it is looked at in this round.
+            if e.listed && !listed {
+                let held = self.dests.get(&dest).into_iter().flat_map(|d| &d.hold);
+                self.agenda.extend(held.map(|(_, id)| (now, Due::Msg(*id))));
+            }
             e.listed = listed;
         }
     }
@@ -543,11 +568,29 @@
         let class = self.class(msg);
         match (class.effect, msg.may_run) {
             (Effect::Free, _) | (_, None) => true,
-            (Effect::Guarded, Some((first, _))) => self.now < first + class.window,
+            (Effect::Guarded, Some((first, at))) => {
+                self.now < first + class.window
+                    && (class.group == Group::All || self.group_of(msg.dest, class.group, at))
+            }
             (Effect::SingleShot, Some(_)) => false,
         }
     }
 
+    /// Whether an endpoint is left of those that drop repeats of what may have run at one of them.
+    fn group_of(&self, dest: DestId, group: Group, at: EndpointId) -> bool {
+        let mut all = self.dests.get(&dest).into_iter().flat_map(|d| &d.endpoints);
+        all.any(|id| self.endpoints.get(id).is_some_and(|e| e.listed) && self.same_group(group, at, *id))
+    }
+
+    fn same_group(&self, group: Group, at: EndpointId, other: EndpointId) -> bool {
+        let zone = |e: EndpointId| self.endpoints.get(&e).map(|e| e.zone);
+        match group {
+            Group::All => true,
+            Group::Zone => zone(at).is_some() && zone(at) == zone(other),
+            Group::Endpoint => at == other,
+        }
+    }
+
     /// Whether a client may be told that handing it in again does no harm.
     fn may_refuse(&self, msg: &Msg) -> bool {
         let class = self.class(msg);
@@ -777,14 +820,8 @@
         {
             return false;
         }
-        match (class.effect, class.group, msg.may_run) {
-            (Effect::Guarded, Group::Endpoint, Some((_, at))) => at == endpoint,
-            (Effect::Guarded, Group::Zone, Some((_, at))) => {
-                let zone = |e: EndpointId| self.endpoints.get(&e).map(|e| e.zone);
-                zone(at).is_some() && zone(at) == zone(endpoint)
-            }
-            _ => true,
-        }
+        let bound = msg.may_run.filter(|_| class.effect == Effect::Guarded);
+        bound.is_none_or(|(_, at)| self.same_group(class.group, at, endpoint))
     }
 
     /// The worth that a message would earn if delivered `ahead` from now.
@@ -798,7 +835,7 @@
             Late::Line => 1.0 - (1.0 - c.late_share) * (age - aim) / (deadline - aim).max(1.0),
             Late::Halves => 0.5_f64.powf((age - aim) / aim).max(c.late_share),
         };
-        c.worth * share
+        c.worth * share * if msg.over { self.set.over_share_worth } else { 1.0 }
     }
 
     /// What this destination would send next; with nothing to send it is laid aside until that can change.
@@ -809,8 +846,10 @@
         // Oldest first until one is late; then those that lose most by waiting, oldest first among equals.
         let mut order: Vec<(f64, MsgId)> = Vec::new();
         if !list.is_empty() {
-            order.extend(hold.iter().map(|(_, id)| (0.0, *id)));
-            let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
+            order.extend(hold.iter().map(|(_, id)| (f64::from(self.msgs[id].over), *id)));
+            order.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let full = |m: &Msg| m.deadline - self.now >= self.class(m).deadline - self.class(m).aim;
+            let late = |id: &MsgId| !full(&self.msgs[id]);
             if order.iter().any(|(_, id)| late(id)) {
                 for (rank, id) in &mut order {
                     let now = self.worth(&self.msgs[id], 0.0);
