--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,7 +27,6 @@
 const FAIL_LIMIT: f64 = 0.5; // share of failures at which an endpoint is in trouble
 const TRIAL_FIRST: Micros = 200_000; // first time between trials, and the most to which it grows by itself
 const TRIAL_MOST: Micros = 2_000_000;
-const TRIAL_SHARE: f64 = 1.0; // all senders' trials together, in multiples of what a cold destination takes
 const LIMIT_LEAST: f64 = 3.0; // calls a second that any destination takes, where no limit is told
 const COLD_AFTER: Micros = 1_500_000; // trouble this long may have been an outage: the return is paced
 const RAMP_SAFETY: f64 = 0.75; // share of the allowed load that this sender uses on a cold destination
@@ -40,8 +39,7 @@
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
-const FAIR_LEAST: f64 = 1.0; // with a known limit the least stays within this multiple of an equal part ...
-const FAIR_GROWTH: f64 = 0.5; // ... and growth goes by this multiple, so that many budgets leave it room,
+const FAIR_GROWTH: f64 = 0.5; // growth goes by this multiple of an equal part, so that many budgets leave it room,
 const DONE_GROWTH: f64 = 0.07; // and by this share for each call accepted
 const QUEUE_SLACK: f64 = 1.5; // with no limit known the cut starts from this multiple of what was accepted
 const LIMIT_PART: f64 = 0.95; // share of a known limit that is used at most
@@ -140,8 +138,6 @@
     scarce: BTreeMap<usize, Micros>,
     /// For each kind, whether calls that follow a refusal come to nothing (1) or succeed (0).
     heat: BTreeMap<usize, f64>,
-    /// Arrivals of each tenant, and of all.
-    tenants: BTreeMap<Option<usize>, Rate>,
     idle: BTreeSet<EndpointId>,
     directory: Directory,
     open: usize,
@@ -189,7 +185,7 @@
                 self.members(*whole, entries);
             }
             Event::DirectoryFailed if self.set.discovery == Discovery::Ask => self.unheard(),
-            Event::Message { id, class, tenant, key, dest, time_left, again } => {
+            Event::Message { id, class, key, dest, time_left, again, .. } => {
                 if self.msgs.contains_key(id) {
                     return;
                 }
@@ -198,8 +194,7 @@
                 let (seq, class, dest, deadline) =
                     (self.seq, *class, *dest, now + (*time_left).clamp(0, MAX_SPAN));
                 let key = key.clone().filter(|_| self.set.classes.get(class).is_some_and(|c| c.ordered));
-                let over = self.over_share(*tenant);
-                let msg = Msg { seq, class, key, dest, deadline, over, ..Msg::default() };
+                let msg = Msg { seq, class, key, dest, deadline, ..Msg::default() };
                 if let Some(k) = &msg.key {
                     self.keys.entry(k.clone()).or_default().queue.insert((self.seq, *id));
                 }
@@ -238,32 +233,15 @@
         }
     }
 
-    /// Whether a message is beyond its tenant's share, judged from this sender's part of the quota: an equal
-    /// part, or that of its own traffic in all quotas where that is more. Guards the others against a tenant's
-    /// surge; it only orders and sheds. Harms a tenant whose traffic comes unevenly to the senders.
-    fn over_share(&mut self, tenant: usize) -> bool {
-        let (now, chance) = (self.now, self.chance());
-        let Some(quota) = self.set.tenants.get(tenant).map(|t| t.quota).filter(|q| *q > 0.0) else { return false };
-        let all: f64 = self.set.tenants.iter().map(|t| t.quota).sum();
-        let own = self.tenants.entry(None).or_insert_with(|| Rate::new(now, RATE_MEMORY));
-        own.add(now);
-        let part = (own.get(now) / all).max(1.0 / self.set.senders as f64);
-        let rate = self.tenants.entry(Some(tenant)).or_insert_with(|| Rate::new(now, RATE_MEMORY));
-        rate.add(now);
-        chance * rate.get(now) > quota * part
-    }
-
     /// A directory that failed, or whose subscription broke, is asked again after a growing wait at a random
     /// time, so that hundreds of senders don't keep it down. Until then the last list serves. The longest wait
     /// is half the span after which a sender that doesn't ask counts as told.
     fn unheard(&mut self) {
-        let d = &mut self.directory;
         let longest = (self.set.ask_every / 2).max(1);
-        d.backoff = (d.backoff * 2).clamp((longest / 4).max(1), longest);
-        let wait = d.backoff as f64;
-        (self.directory.subscribed, self.directory.asked) = (false, false);
-        self.directory.next = self.now + (wait * (0.5 + 0.5 * self.chance())) as Micros;
-        self.agenda.insert((self.directory.next, Due::Ask));
+        let backoff = (self.directory.backoff * 2).clamp((longest / 4).max(1), longest);
+        let next = self.now + (backoff as f64 * (0.5 + 0.5 * self.chance())) as Micros;
+        self.directory = Directory { next, backoff, ..Directory::default() };
+        self.agenda.insert((next, Due::Ask));
     }
 
     /// Asks a directory that has not answered; one question at a time, repeated where no answer comes at all.
@@ -454,7 +432,7 @@
                     let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
-                    let fair = top / self.set.senders as f64 * FAIR_LEAST;
+                    let fair = top / self.set.senders as f64;
                     let least = (own * BUDGET_LEAST).min(fair).max(0.01);
                     let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
                     lane.budget = (from * BUDGET_CUT).max(least * lane.down(hot && unsure));
@@ -518,7 +496,7 @@
     fn trial_gap(&mut self, id: EndpointId) -> f64 {
         let chance = self.chance();
         let own = self.endpoints.get(&id).map_or(0.0, |e| self.part(e));
-        2.0 * chance * 1e6 / (TRIAL_SHARE * self.set.cold_from * self.set.fall_multiple * own).max(1e-3)
+        2.0 * chance * 1e6 / (self.set.cold_from * self.set.fall_multiple * own).max(1e-3)
     }
 
     /// What this sender may count as its part of what an endpoint takes, in calls a second.
@@ -569,19 +547,18 @@
         match (class.effect, msg.may_run) {
             (Effect::Free, _) | (_, None) => true,
             (Effect::Guarded, Some((first, at))) => {
+                let left = |e: &EndpointId| {
+                    self.endpoints.get(e).is_some_and(|x| x.listed) && self.same_group(class.group, at, *e)
+                };
+                let mine = self.dests.get(&msg.dest).map(|d| &d.endpoints);
                 self.now < first + class.window
-                    && (class.group == Group::All || self.group_of(msg.dest, class.group, at))
+                    && (class.group == Group::All || mine.is_some_and(|m| m.iter().any(left)))
             }
             (Effect::SingleShot, Some(_)) => false,
         }
     }
 
-    /// Whether an endpoint is left of those that drop repeats of what may have run at one of them.
-    fn group_of(&self, dest: DestId, group: Group, at: EndpointId) -> bool {
-        let mut all = self.dests.get(&dest).into_iter().flat_map(|d| &d.endpoints);
-        all.any(|id| self.endpoints.get(id).is_some_and(|e| e.listed) && self.same_group(group, at, *id))
-    }
-
+    /// Whether two endpoints of a destination drop each other's repeats.
     fn same_group(&self, group: Group, at: EndpointId, other: EndpointId) -> bool {
         let zone = |e: EndpointId| self.endpoints.get(&e).map(|e| e.zone);
         match group {
@@ -674,19 +651,16 @@
             let Some(e) = self.endpoints.get_mut(id) else { continue };
             let Some(lane) = self.lanes.get_mut(&e.lane) else { continue };
             let ill = ill.contains(&e.lane);
-            let heat = self.heat.get(&e.kind).copied().unwrap_or(HOT);
+            let hot = self.heat.get(&e.kind).is_none_or(|h| *h >= HOT);
             let cap = lane.limit.map_or(f64::INFINITY, |l| l * LIMIT_PART);
             let dt = (now - lane.filled) as f64 / 1e6;
             if lane.budget.is_finite() {
                 let fair =
                     lane.limit.map_or(own.max(0.2), |l| own.min(l / self.set.senders as f64 * FAIR_GROWTH));
-                let hot = heat >= HOT;
-                let down = lane.down(hot && unsure);
                 let turn = if lane.strain > 0.0 && !hot { lane.turn() } else { 0.0 };
-                lane.budget = (lane.budget + BUDGET_GROWTH * fair * down * dt).max(turn).min(cap.max(0.5));
-                if !hot && lane.strain < 1.0 {
-                    lane.budget += lane.budget * COOL_GROWTH * dt;
-                }
+                let more = if lane.strain < 1.0 && !hot { lane.budget * COOL_GROWTH } else { 0.0 };
+                let growth = BUDGET_GROWTH * fair * lane.down(hot && unsure) + more;
+                lane.budget = (lane.budget + growth * dt).max(turn).min(cap.max(0.5));
             }
             lane.pace = lane.budget.min(cap).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
@@ -835,7 +809,7 @@
             Late::Line => 1.0 - (1.0 - c.late_share) * (age - aim) / (deadline - aim).max(1.0),
             Late::Halves => 0.5_f64.powf((age - aim) / aim).max(c.late_share),
         };
-        c.worth * share * if msg.over { self.set.over_share_worth } else { 1.0 }
+        c.worth * share
     }
 
     /// What this destination would send next; with nothing to send it is laid aside until that can change.
@@ -846,10 +820,8 @@
         // Oldest first until one is late; then those that lose most by waiting, oldest first among equals.
         let mut order: Vec<(f64, MsgId)> = Vec::new();
         if !list.is_empty() {
-            order.extend(hold.iter().map(|(_, id)| (f64::from(self.msgs[id].over), *id)));
-            order.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let full = |m: &Msg| m.deadline - self.now >= self.class(m).deadline - self.class(m).aim;
-            let late = |id: &MsgId| !full(&self.msgs[id]);
+            order.extend(hold.iter().map(|(_, id)| (0.0, *id)));
+            let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
             if order.iter().any(|(_, id)| late(id)) {
                 for (rank, id) in &mut order {
                     let now = self.worth(&self.msgs[id], 0.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,8 +125,6 @@
     pub(crate) may_run: Option<(Micros, EndpointId)>,
     pub(crate) avoid: Option<EndpointId>,
     pub(crate) closed: bool,
-    /// Beyond its tenant's share.
-    pub(crate) over: bool,
 }
 
 /// A call that is out, with the messages that share its fate.
