--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,7 +41,6 @@
 const BUDGET_LEAST: f64 = 0.4;
 const FAIR_GROWTH: f64 = 0.5; // growth goes by this multiple of an equal part, so that many budgets leave it room,
 const DONE_GROWTH: f64 = 0.07; // and by this share for each call accepted
-const QUEUE_SLACK: f64 = 1.5; // with no limit known the cut starts from this multiple of what was accepted
 const LIMIT_PART: f64 = 0.95; // share of a known limit that is used at most
 const ROUGH: f64 = 1.5; // a rough weight may be too low by this factor: refusals teach the rest
 const UNPACED: f64 = 1e6; // calls a second that stand for no budget at all
@@ -49,7 +48,6 @@
 const TURN: f64 = 2.0; // at a kind where retries succeed: first wait after a refusal, in mean latencies
 const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal by twice as much ...
 const HOT: f64 = 0.5; // ... and from this share on the kind is hot: refused calls seem to use up its limits
-const HOT_CUTS: f64 = 6.0; // a hot kind's least budget is halved so often at most, where the limit is not exact
 const COOL_GROWTH: f64 = 0.5; // a cool kind's budget grows by this share of itself a second, refusals made up for
 const BUSY_WEIGHT: f64 = 0.33; // weight of a refusal in the share of failures at a kind that is not hot
 const REFUSED_PAUSE: Micros = 250_000; // pause after a refusal that told no wait
@@ -102,20 +100,6 @@
     }
 }
 
-impl Lane {
-    /// Guards against a limit that many senders' least budgets hold above for good, refused calls included:
-    /// where it is not known exactly, each refusal that no success made up for halves a hot lane's least.
-    fn down(&self, learn: bool) -> f64 {
-        if learn { 0.5_f64.powf((self.strain - 1.0).clamp(0.0, HOT_CUTS)) } else { 1.0 }
-    }
-    /// The least budget of a lane that refused, at a kind where retries succeed (a full queue drains by itself):
-    /// one call in a time that doubles with each refusal. Guards against senders with little traffic of their
-    /// own staying away for longer than messages live; would harm where refused calls use up the limit.
-    fn turn(&self) -> f64 {
-        1e6 / (TURN * self.latency.mean() * self.strain.min(20.0).exp2())
-    }
-}
-
 /// Decides for one sender. Feed it rounds of events; it answers with actions.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -264,14 +248,11 @@
         if whole {
             self.endpoints.values_mut().for_each(|e| e.listed = false);
             self.ready.extend(self.dests.keys());
-            let bound = self.msgs.iter().filter(|(_, m)| m.may_run.is_some());
-            self.agenda.extend(bound.map(|(id, _)| (self.now, Due::Msg(*id))));
         }
         for entry in entries {
             let apart = self.set.kinds.get(entry.kind).is_some_and(|k| k.apart);
             let lane = if apart { LaneKey::Route(entry.endpoint) } else { LaneKey::Whole(entry.dest) };
-            let now = self.now;
-            let listed = entry.status == Status::Up;
+            let (now, listed) = (self.now, entry.status == Status::Up);
             let permits = ((self.set.slots as f64 * START_SHARE) as u32).max(1);
             if !listed && !self.endpoints.contains_key(&entry.endpoint) {
                 continue;
@@ -289,13 +270,11 @@
             let (kind, zone) = (entry.kind, entry.zone);
             let fresh = || Endpoint { lane, dest, kind, zone, last_ok: now, ..Endpoint::default() };
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
-            // What may have run may have no endpoint left that drops its repeats: it is looked at in this round.
-            if e.listed && !listed {
-                let held = self.dests.get(&dest).into_iter().flat_map(|d| &d.hold);
-                self.agenda.extend(held.map(|(_, id)| (now, Due::Msg(*id))));
-            }
             e.listed = listed;
         }
+        // What may have run may have no endpoint left that drops its repeats: it is looked at in this round.
+        let bound = self.msgs.iter().filter(|(_, m)| m.may_run.is_some());
+        self.agenda.extend(bound.map(|(id, _)| (self.now, Due::Msg(*id))));
     }
 
     /// Frees what is no longer named, so that a sender can run for months. What is gone is remembered for a
@@ -395,7 +374,6 @@
         let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
         let heat = self.heat.entry(e.kind).or_insert(HOT);
         let hot = *heat >= HOT;
-        let unsure = self.set.weights != Weights::Nominal;
         let slow = outcome == Outcome::ConnectFailed && took >= SILENCE_LEAST as Micros;
         if outcome == Outcome::ConnectFailed && !slow {
             self.scarce.insert(e.kind, now);
@@ -428,14 +406,11 @@
                 lane.refused = true;
                 if now - lane.cut > REFUSED_PAUSE && (hot || wait == 0) {
                     lane.cut = now;
-                    // Without a limit it was a full queue, which drains by itself: a gentler cut will do.
-                    let slack = if lane.limit.is_some() { 1.0 } else { QUEUE_SLACK };
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
-                    let fair = top / self.set.senders as f64;
-                    let least = (own * BUDGET_LEAST).min(fair).max(0.01);
-                    let from = lane.budget.min(top).min((lane.accepted.get(now) * slack).max(least));
-                    lane.budget = (from * BUDGET_CUT).max(least * lane.down(hot && unsure));
+                    let least = (own * BUDGET_LEAST).min(top / self.set.senders as f64).max(0.01);
+                    let from = lane.budget.min(top).min(lane.accepted.get(now).max(least));
+                    lane.budget = (from * BUDGET_CUT).max(least);
                     lane.strain += 1.0;
                     lane.tokens = lane.tokens.min(chance - 0.5);
                 }
@@ -446,13 +421,7 @@
         }
         // A connection that timed out, not one refused at once, is silence: it counts for two.
         let mild = outcome == Outcome::Busy && !hot;
-        let weight = if slow {
-            2.0
-        } else if mild {
-            BUSY_WEIGHT
-        } else {
-            1.0
-        };
+        let weight = if mild { BUSY_WEIGHT } else { 1.0 + f64::from(slow) };
         e.fails += FAIL_GAIN * weight * (1.0 - e.fails);
         // A single refusal may be the limit's: no ramp. With a long wait it is shut: all who were told
         // the same end would come at once, so each adds a gap of its own.
@@ -644,8 +613,7 @@
         let own = d.rate.get(now);
         let sick = d.endpoints.iter().filter_map(|id| self.endpoints.get(id)).filter(|e| e.listed);
         let ill: BTreeSet<LaneKey> = sick.filter(|e| e.trouble.is_some()).map(|e| e.lane).collect();
-        let (from, warm_up) = (self.set.cold_from, self.set.warm_up);
-        let unsure = self.set.weights != Weights::Nominal;
+        let warm_up = self.set.warm_up;
         for id in &d.endpoints {
             let usual = self.endpoints.get(id).map_or(0.0, |e| self.part(e));
             let Some(e) = self.endpoints.get_mut(id) else { continue };
@@ -657,10 +625,13 @@
             if lane.budget.is_finite() {
                 let fair =
                     lane.limit.map_or(own.max(0.2), |l| own.min(l / self.set.senders as f64 * FAIR_GROWTH));
-                let turn = if lane.strain > 0.0 && !hot { lane.turn() } else { 0.0 };
+                // At a kind where retries succeed a full queue drains by itself: one call in a time that doubles
+                // with each refusal, at least. Guards against senders with little traffic of their own staying
+                // away for longer than messages live; would harm where refused calls use up the limit.
+                let cool = 1e6 / (TURN * lane.latency.mean() * lane.strain.min(20.0).exp2());
+                let turn = if lane.strain > 0.0 && !hot { cool } else { 0.0 };
                 let more = if lane.strain < 1.0 && !hot { lane.budget * COOL_GROWTH } else { 0.0 };
-                let growth = BUDGET_GROWTH * fair * lane.down(hot && unsure) + more;
-                lane.budget = (lane.budget + growth * dt).max(turn).min(cap.max(0.5));
+                lane.budget = (lane.budget + (BUDGET_GROWTH * fair + more) * dt).max(turn).min(cap.max(0.5));
             }
             lane.pace = lane.budget.min(cap).min(UNPACED);
             lane.tokens = (lane.tokens + lane.pace * dt).min((lane.pace * BURST).max(1.0));
@@ -676,7 +647,8 @@
                 e.warm = None;
                 continue;
             }
-            let share = from + (1.0 - from) * (now - w.since) as f64 / warm_up.max(1) as f64;
+            let share = (now - w.since) as f64 / warm_up.max(1) as f64;
+            let share = self.set.cold_from * (1.0 - share) + share;
             w.pace = RAMP_SAFETY * self.set.fall_multiple * share * usual;
             w.tokens = (w.tokens + w.pace * (now - w.filled) as f64 / 1e6).min(1.0_f64.max(w.pace * 0.25));
             w.filled = now;
@@ -870,11 +842,12 @@
             let best = choices.iter().rev().max_by(|a, b| a.1.rank.total_cmp(&b.1.rank));
             let Some((dest, choice)) = best.map(|(d, c)| (*d, *c)) else { break };
             // Sends only narrow what others may do, so only the best needs a second look.
-            let still = self.candidate(dest);
-            if still == Some(choice) {
+            let mut next = self.candidate(dest);
+            if next == Some(choice) {
                 self.send(choice.id, choice.endpoint, out);
+                next = self.candidate(dest);
             }
-            match if still == Some(choice) { self.candidate(dest) } else { still } {
+            match next {
                 Some(c) => choices.insert(dest, c),
                 None => choices.remove(&dest),
             };
