--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,8 +54,6 @@
 const SCARCE: Micros = 20_000_000; // after a refused connection none is kept idle at that kind for so long
 const IDLE_PART: f64 = 0.3; // a connection in use for this part of the time is kept all the same ...
 const TABLE_LEAST: f64 = 6.0; // ... and all are where so few senders could each keep one
-const YIELD: f64 = 1.5e6; // once messages are late, rank goes by the worth lost within this wait ...
-const WORTH_NOW: f64 = 0.4; // ... plus this share of the worth at hand, lost for good if the backlog stays
 const ROOM: f64 = 0.06; // part of `max_open` kept free, so that nothing is turned away unseen
 const RESIZE: Micros = 500_000; // pools are resized this often
 
@@ -795,10 +793,7 @@
             order.extend(hold.iter().map(|(_, id)| (0.0, *id)));
             let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
             if order.iter().any(|(_, id)| late(id)) {
-                for (rank, id) in &mut order {
-                    let now = self.worth(&self.msgs[id], 0.0);
-                    *rank = self.worth(&self.msgs[id], YIELD) - (1.0 + WORTH_NOW) * now;
-                }
+                order.iter_mut().for_each(|(rank, id)| *rank = -self.worth(&self.msgs[id], 0.0));
                 order.sort_by(|a, b| a.0.total_cmp(&b.0));
             }
         }
