A message that cannot go on is answered in that round; clients are told when a try may succeed; unsafe trials without probes

- Zone-bound messages: none of the group's endpoints left -> answered at once, also on a change of the list; the group's memory of a gone endpoint lasts as long as the longest window.
Tests: answered with the outcome, with the list, without attempts left.
- retry_after was always half the maximum.
Now: once the destination can take a call (wait, budget or trial), clamped to the second quarter, and a random while more; 0 where clients are not told.
Harms nobody who does not heed it.
- Where probing is forbidden and only unsafe messages are held, one is the trial; it waited for a probe that cannot come.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -260,12 +260,11 @@
             let slack = if self.set.weights == Weights::Rough { ROUGH } else { 1.0 };
             let weight = entry.weight.filter(|w| w.is_finite() && *w > 0.0).map(|w| w * slack);
             let limit = weight.filter(|_| self.set.weights != Weights::Silent);
-            let (dest, budget, tokens, accepted) =
-                (entry.dest, f64::INFINITY, UNPACED, Rate::new(now, RATE_MEMORY));
+            let (dest, kind, zone) = (entry.dest, entry.kind, entry.zone);
+            let (budget, tokens, accepted) = (f64::INFINITY, UNPACED, Rate::new(now, RATE_MEMORY));
             let fresh = || Lane { dest, permits, tokens, filled: now, budget, accepted, ..Lane::default() };
             let l = self.lanes.entry(lane).or_insert_with(fresh);
             l.limit = limit.or(l.limit);
-            let (kind, zone) = (entry.kind, entry.zone);
             let fresh = || Endpoint { lane, dest, kind, zone, last_ok: now, ..Endpoint::default() };
             let e = self.endpoints.entry(entry.endpoint).or_insert_with(fresh);
             e.listed = listed;
@@ -278,7 +277,8 @@
     /// Frees what is no longer named, so that a sender can run for months. What is gone is remembered for a
     /// warm-up: named again, its wait and its health still hold.
     fn sweep(&mut self) {
-        let (now, keep) = (self.now, self.set.warm_up.max(RESIZE));
+        let windows = self.set.classes.iter().map(|c| c.window);
+        let (now, keep) = (self.now, windows.fold(self.set.warm_up.max(RESIZE), Micros::max));
         if now < self.sweep_at {
             return;
         }
@@ -336,11 +336,8 @@
             self.used -= 1;
         }
         // Each outcome of a batch may tell a wait of its own: all of them bind, not only the first.
-        if wait > 0
-            && let Some(l) = self.lane_of(endpoint)
-        {
-            l.wait_until = l.wait_until.max(now + wait);
-        }
+        let told = if wait > 0 { now + wait } else { 0 };
+        self.lane_of(endpoint).into_iter().for_each(|l| l.wait_until = l.wait_until.max(told));
         if first {
             self.read(endpoint, answer.report);
             self.judge(endpoint, answer, a.sent, trial, rested);
@@ -373,9 +370,7 @@
         let heat = self.heat.entry(e.kind).or_insert(HOT);
         let hot = *heat >= HOT;
         let slow = outcome == Outcome::ConnectFailed && took >= SILENCE_LEAST as Micros;
-        if outcome == Outcome::ConnectFailed && !slow {
-            self.scarce.insert(e.kind, now);
-        }
+        self.scarce.extend((outcome == Outcome::ConnectFailed && !slow).then_some((e.kind, now)));
         match outcome {
             Outcome::Done => {
                 lane.latency.learn(took);
@@ -388,9 +383,8 @@
                 e.fails *= 1.0 - FAIL_GAIN;
                 e.trouble.iter_mut().filter(|_| trial).for_each(|t| (t.trial, t.next) = (None, now));
                 if e.fails < FAIL_LIMIT && (trial || first.is_some()) {
-                    if e.first_bad.is_some_and(|f| now - f >= COLD_AFTER) {
-                        e.warm = Some(Warm { since: now, tokens: 0.0, pace: 0.0, filled: now });
-                    }
+                    let warm = Warm { since: now, tokens: 0.0, pace: 0.0, filled: now };
+                    e.warm = e.first_bad.filter(|f| now - f >= COLD_AFTER).map(|_| warm).or(e.warm.take());
                     (e.trouble, e.first_bad) = (None, None);
                 }
                 return;
@@ -514,23 +508,20 @@
         match (class.effect, msg.may_run) {
             (Effect::Free, _) | (_, None) => true,
             (Effect::Guarded, Some((first, at))) => {
-                let left = |e: &EndpointId| {
-                    self.endpoints.get(e).is_some_and(|x| x.listed) && self.same_group(class.group, at, *e)
-                };
-                let mine = self.dests.get(&msg.dest).map(|d| &d.endpoints);
-                self.now < first + class.window
-                    && (class.group == Group::All || mine.is_some_and(|m| m.iter().any(left)))
+                let left = |d: &Dest| d.endpoints.iter().any(|e| self.same_group(class.group, at, *e));
+                let left = class.group == Group::All || self.dests.get(&msg.dest).is_some_and(left);
+                self.now < first + class.window && left
             }
             (Effect::SingleShot, Some(_)) => false,
         }
     }
 
-    /// Whether two endpoints of a destination drop each other's repeats.
+    /// Whether a listed endpoint drops repeats of what may have run at another of its destination.
     fn same_group(&self, group: Group, at: EndpointId, other: EndpointId) -> bool {
-        let zone = |e: EndpointId| self.endpoints.get(&e).map(|e| e.zone);
+        let Some(e) = self.endpoints.get(&other).filter(|e| e.listed) else { return false };
         match group {
             Group::All => true,
-            Group::Zone => zone(at).is_some() && zone(at) == zone(other),
+            Group::Zone => self.endpoints.get(&at).is_some_and(|a| a.zone == e.zone),
             Group::Endpoint => at == other,
         }
     }
@@ -543,10 +534,18 @@
             || (class.effect == Effect::Guarded && class.group == Group::All)
     }
 
+    /// The final answer. A client that may come again is told when a try may succeed: once the destination can
+    /// take a call, and a random while later, so that those refused together don't come together.
     fn finish(&mut self, id: MsgId, out: &mut Vec<Action>) {
+        let (chance, most) = (self.chance(), self.set.max_retry_after as f64);
         let Some(msg) = self.msgs.get(&id) else { return };
         out.push(if self.may_refuse(msg) {
-            Action::Refuse { id, retry_after: self.set.max_retry_after / 2 }
+            let (list, look) = self.usable(msg.dest);
+            let wait = if list.is_empty() { look.at.saturating_sub(self.now) as f64 } else { 0.0 };
+            Action::Refuse {
+                id,
+                retry_after: (wait.clamp(most / 4.0, most / 2.0) + most * chance / 2.0) as Micros,
+            }
         } else {
             Action::Fail { id }
         });
@@ -646,8 +645,8 @@
                 continue;
             }
             let share = (now - w.since) as f64 / warm_up.max(1) as f64;
-            let share = self.set.cold_from * (1.0 - share) + share;
-            w.pace = RAMP_SAFETY * self.set.fall_multiple * share * usual;
+            w.pace =
+                RAMP_SAFETY * self.set.fall_multiple * (self.set.cold_from * (1.0 - share) + share) * usual;
             w.tokens = (w.tokens + w.pace * (now - w.filled) as f64 / 1e6).min(1.0_f64.max(w.pace * 0.25));
             w.filled = now;
         }
@@ -700,9 +699,13 @@
         let mine = || d.endpoints.iter().filter_map(|id| self.endpoints.get(id).map(|e| (id, e)));
         let total: u32 = mine().map(|(_, e)| e.out).sum();
         let doubtful = mine().any(|(_, e)| e.listed && self.doubtful(e));
+        // Where nothing can be probed and no other message is there, an unsafe one is the trial.
+        let unsafe_only = |(_, id): &(u64, MsgId)| self.class(&self.msgs[id]).effect == Effect::SingleShot;
+        let ask_first = self.set.probes || !d.hold.iter().all(unsafe_only);
         let part = |share: f64| ((slots * share) as u32).max(1);
         let full = total >= (slots * DEST_CAP).ceil() as u32;
-        let sick = doubtful && self.sick_out() >= part(ALL_SICK_CAP);
+        let ill = |c: &&Call| self.endpoints.get(&c.endpoint).is_some_and(|e| self.doubtful(e));
+        let sick = doubtful && self.calls.values().filter(ill).count() as u32 >= part(ALL_SICK_CAP);
         look.slot = sick;
         let free = self.set.slots.saturating_sub(self.used);
         let borrow = !doubtful && free > (slots * BORROW_RESERVE) as u32;
@@ -715,7 +718,7 @@
                     from = from.max(now + ((1.0 - tokens) / pace.max(1e-3) * 1e6) as Micros + 1);
                 }
             }
-            let careful = e.trouble.as_ref().is_some_and(|t| !t.harmless && !t.probed);
+            let careful = ask_first && e.trouble.as_ref().is_some_and(|t| !t.harmless && !t.probed);
             from = from.max(e.trouble.as_ref().map_or(0, |t| t.next));
             if e.trouble.as_ref().is_some_and(|t| t.trial.is_some() || t.probing) {
                 continue;
@@ -747,11 +750,6 @@
         e.trouble.is_some() || self.lanes.get(&e.lane).is_some_and(|l| l.latency.slow())
     }
 
-    fn sick_out(&self) -> u32 {
-        let sick = |c: &&Call| self.endpoints.get(&c.endpoint).is_some_and(|e| self.doubtful(e));
-        self.calls.values().filter(sick).count() as u32
-    }
-
     /// Whether this message may go to this endpoint now.
     fn fits(&self, id: MsgId, endpoint: EndpointId, careful: bool) -> bool {
         let msg = &self.msgs[&id];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -178,3 +178,106 @@
     }
     assert!(w.calls(back + 11 * S, back + 13 * S) > 15, "the ramp ends");
 }
+
+/// One keyed message whose repeats are dropped only in its zone, sent to endpoint 1 of zone 0; endpoint 2 is in
+/// zone 1, and endpoint 3 again in zone 0.
+fn in_one_zone(third: bool) -> (World, Out) {
+    let mut set = settings();
+    set.classes[KEYED].group = Group::Zone;
+    let two = EndpointEntry { zone: 1, ..entry(2, 1, 0) };
+    let mut list = vec![entry(1, 1, 0)];
+    list.extend(third.then(|| entry(3, 1, 0)));
+    let mut w = World::new(set, list.clone());
+    let sent = w.round(&[message(1, KEYED, 1)]);
+    list.push(two);
+    w.now += 50 * MS;
+    w.round(&[Event::Members { whole: true, entries: list }]);
+    (w, sent[0].clone())
+}
+
+#[test]
+fn a_message_bound_to_a_zone_stays_there() {
+    let (mut w, o) = in_one_zone(true);
+    let mut again = w.finish(&o, Outcome::Reset);
+    again.extend(w.pass(3 * S));
+    assert!(!again.is_empty() && again.iter().all(|o| o.endpoint != 2), "{again:?}");
+}
+
+#[test]
+fn without_an_endpoint_left_that_drops_its_repeats_a_message_is_answered_in_that_round() {
+    // The last of its zone drains while the message is out: answered with the outcome.
+    let (mut w, o) = in_one_zone(false);
+    let drain = EndpointEntry { status: Status::Draining, ..entry(1, 1, 0) };
+    w.round(&[Event::Members { whole: false, entries: vec![drain.clone()] }]);
+    w.finish(&o, Outcome::Reset);
+    assert_eq!((w.failed.as_slice(), w.refused.len()), (&[1][..], 0));
+    // It drains while the message is held: answered with the list.
+    let (mut w, o) = in_one_zone(false);
+    let again = w.finish(&o, Outcome::TimedOut);
+    for o in again {
+        w.finish(&o, Outcome::Busy);
+    }
+    assert!(w.failed.is_empty());
+    w.round(&[Event::Members { whole: false, entries: vec![drain] }]);
+    assert_eq!(w.failed, [1]);
+}
+
+#[test]
+fn a_message_without_attempts_left_is_answered_in_that_round() {
+    let mut w = World::new(Settings { max_attempts: 1, ..settings() }, vec![entry(1, 1, 0)]);
+    let sent = w.round(&[message(1, FREE, 1)]);
+    w.finish(&sent[0], Outcome::Error);
+    assert_eq!(w.refused, [1]);
+}
+
+#[test]
+fn a_client_is_told_when_a_try_may_succeed_within_the_maximum() {
+    let told = |most: Micros, wait: Micros| {
+        let set = Settings { max_retry_after: most, max_attempts: 1, ..settings() };
+        let mut w = World::new(set, vec![entry(1, 1, 0)]);
+        (0..40u64)
+            .map(|i| {
+                let sent = w.round(&[message(i, FREE, 1)]);
+                let mut actions = Vec::new();
+                if let Some(o) = sent.first() {
+                    w.now += 20 * MS;
+                    let e = w.end(o, Outcome::Busy, wait);
+                    w.d.round(w.now, &[e], &mut actions);
+                }
+                w.pass(20 * S);
+                actions.iter().find_map(|a| match a {
+                    Action::Refuse { retry_after, .. } => Some(*retry_after),
+                    _ => None,
+                })
+            })
+            .flatten()
+            .collect::<Vec<_>>()
+    };
+    assert!(told(0, 0).iter().all(|t| *t == 0), "0 where clients are not told");
+    let long = told(2 * S, 5 * S);
+    assert!(long.len() > 10 && long.iter().all(|t| (S..=2 * S).contains(t)), "{long:?}");
+    assert!(long.windows(2).any(|w| w[0] != w[1]), "spread over clients");
+}
+
+#[test]
+fn without_probes_an_unsafe_message_is_the_trial_where_no_other_is_there() {
+    let mut w = World::new(Settings { probes: false, ..settings() }, vec![entry(1, 1, 0)]);
+    for i in 0..2u64 {
+        let sent = w.round(&[message(i, UNSAFE, 1)]);
+        w.now += 50 * MS;
+        sent.iter().for_each(|o| _ = w.finish(o, Outcome::Reset));
+    }
+    w.round(&[message(9, UNSAFE, 1)]);
+    w.pass(5 * S);
+    assert!(w.attempts.contains_key(&9), "it gets through without waiting for a probe");
+    // With a repeatable message at hand that one asks, and the unsafe one waits for its success.
+    let mut w = World::new(Settings { probes: false, ..settings() }, vec![entry(1, 1, 0)]);
+    for i in 0..2u64 {
+        let sent = w.round(&[message(i, UNSAFE, 1)]);
+        w.now += 50 * MS;
+        sent.iter().for_each(|o| _ = w.finish(o, Outcome::Reset));
+    }
+    let next = w.round(&[message(9, UNSAFE, 1), message(10, FREE, 1)]);
+    let first = next.into_iter().chain(w.pass(5 * S)).next().expect("a trial");
+    assert_eq!(first.id, 10, "{first:?}");
+}
