--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -236,7 +236,7 @@
         let set = Settings { max_retry_after: most, max_attempts: 1, ..settings() };
         let mut w = World::new(set, vec![entry(1, 1, 0)]);
         (0..40u64)
-            .map(|i| {
+            .filter_map(|i| {
                 let sent = w.round(&[message(i, FREE, 1)]);
                 let mut actions = Vec::new();
                 if let Some(o) = sent.first() {
@@ -250,7 +250,6 @@
                     _ => None,
                 })
             })
-            .flatten()
             .collect::<Vec<_>>()
     };
     assert!(told(0, 0).iter().all(|t| *t == 0), "0 where clients are not told");
