--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,7 +46,7 @@
 const UNPACED: f64 = 1e6; // calls a second that stand for no budget at all
 const BURST: f64 = 0.4; // saved-up calls, in seconds of budget
 const TURN: f64 = 2.0; // at a kind where retries succeed: first wait after a refusal, in mean latencies
-const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal by twice as much ...
+const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal by four times as much ...
 const HOT: f64 = 0.5; // ... and from this share on the kind is hot: refused calls seem to use up its limits
 const COOL_GROWTH: f64 = 0.5; // a cool kind's budget grows by this share of itself a second, refusals made up for
 const BUSY_WEIGHT: f64 = 0.33; // weight of a refusal in the share of failures at a kind that is not hot
@@ -394,9 +394,9 @@
             }
             Outcome::Busy => {
                 lane.wait_until = lane.wait_until.max(now + if wait == 0 { REFUSED_PAUSE } else { 0 });
-                *heat = (*heat + if lane.refused { 2.0 * HEAT } else { 0.0 }).min(1.0);
+                *heat = (*heat + if lane.refused { 4.0 * HEAT } else { 0.0 }).min(1.0);
                 lane.refused = true;
-                if now - lane.cut > REFUSED_PAUSE && (hot || wait == 0) {
+                if now - lane.cut > REFUSED_PAUSE {
                     lane.cut = now;
                     let top = lane.limit.unwrap_or(f64::INFINITY);
                     let own = self.dests.get(&lane.dest).map_or(0.0, |d| d.share.get(now));
