--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,16 +39,16 @@
 const BUDGET_CUT: f64 = 0.75;
 const BUDGET_GROWTH: f64 = 0.2;
 const BUDGET_LEAST: f64 = 0.4;
-const FAIR_GROWTH: f64 = 0.5; // growth goes by this multiple of an equal part, so that many budgets leave it room,
+const FAIR_GROWTH: f64 = 0.5; // growth goes by this multiple of an equal part: many budgets leave it room,
 const DONE_GROWTH: f64 = 0.07; // and by this share for each call accepted
 const LIMIT_PART: f64 = 0.95; // share of a known limit that is used at most
 const ROUGH: f64 = 1.5; // a rough weight may be too low by this factor: refusals teach the rest
 const UNPACED: f64 = 1e6; // calls a second that stand for no budget at all
 const BURST: f64 = 0.4; // saved-up calls, in seconds of budget
 const TURN: f64 = 2.0; // at a kind where retries succeed: first wait after a refusal, in mean latencies
-const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal by four times as much ...
+const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal four times it ...
 const HOT: f64 = 0.5; // ... and from this share on the kind is hot: refused calls seem to use up its limits
-const COOL_GROWTH: f64 = 0.5; // a cool kind's budget grows by this share of itself a second, refusals made up for
+const COOL_GROWTH: f64 = 0.5; // growth a second of a cool kind's budget, as a share of it, without strain
 const BUSY_WEIGHT: f64 = 0.33; // weight of a refusal in the share of failures at a kind that is not hot
 const REFUSED_PAUSE: Micros = 250_000; // pause after a refusal that told no wait
 const SCARCE: Micros = 20_000_000; // after a refused connection none is kept idle at that kind for so long
@@ -216,8 +216,8 @@
     }
 
     /// A directory that failed, or whose subscription broke, is asked again after a growing wait at a random
-    /// time, so that hundreds of senders don't keep it down. Until then the last list serves. The longest wait
-    /// is half the span after which a sender that doesn't ask counts as told.
+    /// time: hundreds of senders must not keep it down. Until then the last list serves. The longest
+    /// wait is half the span after which a sender that doesn't ask counts as told.
     fn unheard(&mut self) {
         let longest = (self.set.ask_every / 2).max(1);
         let backoff = (self.directory.backoff * 2).clamp((longest / 4).max(1), longest);
@@ -534,8 +534,8 @@
             || (class.effect == Effect::Guarded && class.group == Group::All)
     }
 
-    /// The final answer. A client that may come again is told when a try may succeed: once the destination can
-    /// take a call, and a random while later, so that those refused together don't come together.
+    /// The final answer. A client that may come again is told when a try may succeed: once the destination
+    /// can take a call, and a random while later, so that those refused together don't come together.
     fn finish(&mut self, id: MsgId, out: &mut Vec<Action>) {
         let (chance, most) = (self.chance(), self.set.max_retry_after as f64);
         let Some(msg) = self.msgs.get(&id) else { return };
@@ -622,9 +622,9 @@
             if lane.budget.is_finite() {
                 let fair =
                     lane.limit.map_or(own.max(0.2), |l| own.min(l / self.set.senders as f64 * FAIR_GROWTH));
-                // At a kind where retries succeed a full queue drains by itself: one call in a time that doubles
-                // with each refusal, at least. Guards against senders with little traffic of their own staying
-                // away for longer than messages live; would harm where refused calls use up the limit.
+                // Where retries succeed a full queue drains by itself: one call in a time that doubles with
+                // each refusal, at least. Guards against senders with little traffic staying away for longer
+                // than messages live; would harm where refused calls use up the limit.
                 let cool = 1e6 / (TURN * lane.latency.mean() * lane.strain.min(20.0).exp2());
                 let turn = if lane.strain > 0.0 && !hot { cool } else { 0.0 };
                 let more = if lane.strain < 1.0 && !hot { lane.budget * COOL_GROWTH } else { 0.0 };
