--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,11 +49,12 @@
 const HEAT: f64 = 0.03; // a retry's success counts by this for its kind, its refusal four times it ...
 const HOT: f64 = 0.5; // ... and from this share on the kind is hot: refused calls seem to use up its limits
 const COOL_GROWTH: f64 = 0.5; // growth a second of a cool kind's budget, as a share of it, without strain
-const BUSY_WEIGHT: f64 = 0.33; // weight of a refusal in the share of failures at a kind that is not hot
 const REFUSED_PAUSE: Micros = 250_000; // pause after a refusal that told no wait
 const SCARCE: Micros = 20_000_000; // after a refused connection none is kept idle at that kind for so long
 const IDLE_PART: f64 = 0.3; // a connection in use for this part of the time is kept all the same ...
 const TABLE_LEAST: f64 = 6.0; // ... and all are where so few senders could each keep one
+const YIELD: f64 = 1.5e6; // once messages are late, rank goes by the worth lost within this wait ...
+const WORTH_NOW: f64 = 0.4; // ... plus this share of the worth at hand, lost for good if the backlog stays
 const ROOM: f64 = 0.06; // part of `max_open` kept free, so that nothing is turned away unseen
 const RESIZE: Micros = 500_000; // pools are resized this often
 
@@ -368,7 +369,6 @@
         let Some(e) = self.endpoints.get_mut(&id) else { return };
         let Some(lane) = self.lanes.get_mut(&e.lane) else { return };
         let heat = self.heat.entry(e.kind).or_insert(HOT);
-        let hot = *heat >= HOT;
         let slow = outcome == Outcome::ConnectFailed && took >= SILENCE_LEAST as Micros;
         self.scarce.extend((outcome == Outcome::ConnectFailed && !slow).then_some((e.kind, now)));
         match outcome {
@@ -412,9 +412,7 @@
             _ => {}
         }
         // A connection that timed out, not one refused at once, is silence: it counts for two.
-        let mild = outcome == Outcome::Busy && !hot;
-        let weight = if mild { BUSY_WEIGHT } else { 1.0 + f64::from(slow) };
-        e.fails += FAIL_GAIN * weight * (1.0 - e.fails);
+        e.fails += FAIL_GAIN * (1.0 + f64::from(slow)) * (1.0 - e.fails);
         // A single refusal may be the limit's: no ramp. With a long wait it is shut: all who were told
         // the same end would come at once, so each adds a gap of its own.
         let shut = wait > TRIAL_MOST;
@@ -789,9 +787,11 @@
         let mut order: Vec<(f64, MsgId)> = Vec::new();
         if !list.is_empty() {
             order.extend(hold.iter().map(|(_, id)| (0.0, *id)));
-            let late = |id: &MsgId| self.worth(&self.msgs[id], 0.0) < self.class(&self.msgs[id]).worth;
+            let worth = |id: &MsgId, ahead: f64| self.worth(&self.msgs[id], ahead);
+            let late = |id: &MsgId| worth(id, 0.0) < self.class(&self.msgs[id]).worth;
             if order.iter().any(|(_, id)| late(id)) {
-                order.iter_mut().for_each(|(rank, id)| *rank = -self.worth(&self.msgs[id], 0.0));
+                let lost = |id: &MsgId| worth(id, YIELD) - (1.0 + WORTH_NOW) * worth(id, 0.0);
+                order.iter_mut().for_each(|(rank, id)| *rank = lost(id));
                 order.sort_by(|a, b| a.0.total_cmp(&b.0));
             }
         }
