Settings, SMPP and HTTP packages as state machines; wirehost moves to crates/

The running sender needs its settings, its client protocol and its receivers' protocols before it can have a core. Three packages free of I/O: config (protobuf text format against a schema, compiled by protox; every fault with file, line, column and what is allowed), smpp (framing, sessions of both sides, receipts, forms of time; PDUs by rusmpp-core), http (HTTP/1.1 of both sides; heads by httparse). The text format's library forgets places once a text is well formed, so a small skimmer finds them again for faults of meaning.

The adapter only moved; deploy/balancer.toml builds it alone.

--- /dev/null
+++ b/crates/config/src/units.rs
@@ -0,0 +1,50 @@
+//! Spans of time with their units.
+
+use heronroute::Micros;
+
+const UNITS: [(&str, f64); 5] = [("us", 1.0), ("ms", 1e3), ("s", 1e6), ("m", 6e7), ("h", 3.6e9)];
+
+/// Reads a span such as `250ms` or `1.5s`.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn parse_span(text: &str) -> Result<Micros, String> {
+    let allowed = || format!("\"{text}\" is no span of time: a number and us, ms, s, m or h, as \"250ms\"");
+    let text = text.trim();
+    let digits = text.find(|c: char| !(c.is_ascii_digit() || c == '.')).ok_or_else(allowed)?;
+    let (number, unit) = text.split_at(digits);
+    let number: f64 = number.parse().map_err(|_| allowed())?;
+    let unit = unit.trim();
+    let (_, scale) = UNITS.iter().find(|(name, _)| *name == unit).ok_or_else(allowed)?;
+    let micros = number * scale;
+    if !micros.is_finite() || micros > 3e13 {
+        return Err(format!("\"{text}\" is over a year"));
+    }
+    Ok(micros.round() as Micros)
+}
+
+/// Writes a span in the largest unit that keeps it short.
+pub fn show_span(span: Micros) -> String {
+    let (name, scale) = UNITS.iter().rev().find(|(_, s)| span as f64 >= *s).unwrap_or(&UNITS[0]);
+    let mut number = format!("{:.3}", span as f64 / scale);
+    while number.ends_with('0') {
+        number.pop();
+    }
+    format!("{}{name}", number.trim_end_matches('.'))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn spans_are_read_and_written() {
+        for (text, micros) in [("250ms", 250_000), ("1.5s", 1_500_000), ("10m", 600_000_000), ("7us", 7)] {
+            assert_eq!(parse_span(text), Ok(micros));
+            assert_eq!(parse_span(&show_span(micros)), Ok(micros));
+        }
+        for text in ["", "5", "s", "5 days", "1.2.3s", "-1s", "99999999h", "ms5"] {
+            assert!(parse_span(text).is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/read.rs
@@ -0,0 +1,266 @@
+//! From octets to requests or responses.
+
+use crate::MOST_HEAD;
+use bytes::{Buf, BytesMut};
+
+/// Which side of a connection is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// Requests come in.
+    Requests,
+    /// Responses come in.
+    Responses,
+}
+
+/// The first line of a message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// Of a request.
+    Request {
+        /// The method.
+        method: String,
+        /// The target, as written.
+        target: String,
+    },
+    /// Of a response.
+    Response {
+        /// The status.
+        status: u16,
+    },
+}
+
+/// A whole message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// Its first line.
+    pub start: Start,
+    /// Fields in order, names in lower case.
+    pub fields: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The connection ends after it.
+    pub last: bool,
+}
+
+impl Message {
+    /// The first field of a name (in lower case).
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// The status of a response, 0 for requests.
+    pub fn status(&self) -> u16 {
+        if let Start::Response { status } = self.start { status } else { 0 }
+    }
+}
+
+/// The stream can't be read on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unreadable(pub &'static str);
+
+#[derive(Clone, Debug)]
+enum State {
+    Head,
+    Sized { head: Message, left: usize },
+    ChunkSize { head: Message },
+    Chunk { head: Message, left: usize },
+    Trailer { head: Message },
+    ToEnd { head: Message },
+}
+
+/// Cuts a stream into messages.
+#[derive(Debug)]
+pub struct Reader {
+    side: Side,
+    most_body: usize,
+    buffer: BytesMut,
+    state: State,
+    closed: bool,
+}
+
+impl Reader {
+    /// A reader that takes bodies of up to `most_body` octets.
+    pub fn new(side: Side, most_body: usize) -> Self {
+        Reader { side, most_body, buffer: BytesMut::new(), state: State::Head, closed: false }
+    }
+
+    /// Takes octets from the stream.
+    pub fn push(&mut self, octets: &[u8]) {
+        self.buffer.extend_from_slice(octets);
+    }
+
+    /// The stream has ended.
+    pub fn end(&mut self) {
+        self.closed = true;
+    }
+
+    /// Whether something has come of a message that isn't whole.
+    pub fn begun(&self) -> bool {
+        !self.buffer.is_empty() || !matches!(self.state, State::Head)
+    }
+
+    /// The next message, if it is whole.
+    ///
+    /// # Errors
+    /// Where nothing after it can be read.
+    pub fn next(&mut self) -> Result<Option<Message>, Unreadable> {
+        loop {
+            match std::mem::replace(&mut self.state, State::Head) {
+                State::Head => match self.head()? {
+                    Some(state) => self.state = state,
+                    None => return Ok(None),
+                },
+                State::Sized { mut head, left } => {
+                    let n = left.min(self.buffer.len());
+                    head.body.extend_from_slice(&self.buffer[..n]);
+                    self.buffer.advance(n);
+                    if n == left {
+                        return Ok(Some(head));
+                    }
+                    self.state = State::Sized { head, left: left - n };
+                    return Ok(None);
+                }
+                State::ChunkSize { head } => {
+                    let Some(line) = self.line()? else {
+                        self.state = State::ChunkSize { head };
+                        return Ok(None);
+                    };
+                    let size = line.split(';').next().unwrap_or_default().trim();
+                    let size = usize::from_str_radix(size, 16).map_err(|_| Unreadable("bad chunk size"))?;
+                    if size > self.most_body.saturating_sub(head.body.len()) {
+                        return Err(Unreadable("body too large"));
+                    }
+                    self.state = if size == 0 {
+                        State::Trailer { head }
+                    } else {
+                        State::Chunk { head, left: size + 2 }
+                    };
+                }
+                State::Chunk { mut head, left } => {
+                    // The two octets of the line's end travel with the chunk and are cut off.
+                    if self.buffer.len() < left {
+                        self.state = State::Chunk { head, left };
+                        return Ok(None);
+                    }
+                    if &self.buffer[left - 2..left] != b"\r\n" {
+                        return Err(Unreadable("a chunk without its end"));
+                    }
+                    head.body.extend_from_slice(&self.buffer[..left - 2]);
+                    self.buffer.advance(left);
+                    self.state = State::ChunkSize { head };
+                }
+                State::Trailer { head } => match self.line()? {
+                    Some(line) if line.is_empty() => return Ok(Some(head)),
+                    Some(_) => self.state = State::Trailer { head },
+                    None => {
+                        self.state = State::Trailer { head };
+                        return Ok(None);
+                    }
+                },
+                State::ToEnd { mut head } => {
+                    if head.body.len() + self.buffer.len() > self.most_body {
+                        return Err(Unreadable("body too large"));
+                    }
+                    head.body.extend_from_slice(&self.buffer);
+                    self.buffer.clear();
+                    if self.closed {
+                        return Ok(Some(head));
+                    }
+                    self.state = State::ToEnd { head };
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    fn line(&mut self) -> Result<Option<String>, Unreadable> {
+        let Some(at) = self.buffer.iter().position(|b| *b == b'\n') else {
+            return if self.buffer.len() > MOST_HEAD { Err(Unreadable("a line too long")) } else { Ok(None) };
+        };
+        let line = String::from_utf8_lossy(&self.buffer[..at]).trim_end_matches('\r').to_string();
+        self.buffer.advance(at + 1);
+        Ok(Some(line))
+    }
+
+    fn head(&mut self) -> Result<Option<State>, Unreadable> {
+        if self.buffer.is_empty() {
+            return Ok(None);
+        }
+        let mut fields = [httparse::EMPTY_HEADER; 64];
+        let (length, start, minor, fields) = match self.side {
+            Side::Requests => {
+                let mut request = httparse::Request::new(&mut fields);
+                match request.parse(&self.buffer) {
+                    Ok(httparse::Status::Complete(n)) => {
+                        let method = request.method.unwrap_or_default().to_string();
+                        let target = request.path.unwrap_or_default().to_string();
+                        (n, Start::Request { method, target }, request.version, own(request.headers))
+                    }
+                    Ok(httparse::Status::Partial) => return self.partial(),
+                    Err(_) => return Err(Unreadable("no HTTP request")),
+                }
+            }
+            Side::Responses => {
+                let mut response = httparse::Response::new(&mut fields);
+                match response.parse(&self.buffer) {
+                    Ok(httparse::Status::Complete(n)) => {
+                        let status = response.code.unwrap_or(0);
+                        (n, Start::Response { status }, response.version, own(response.headers))
+                    }
+                    Ok(httparse::Status::Partial) => return self.partial(),
+                    Err(_) => return Err(Unreadable("no HTTP response")),
+                }
+            }
+        };
+        self.buffer.advance(length);
+        let mut head = Message { start, fields, body: Vec::new(), last: false };
+        let connection = head.field("connection").unwrap_or_default().to_ascii_lowercase();
+        head.last = connection.split(',').any(|w| w.trim() == "close")
+            || (minor == Some(0) && !connection.contains("keep-alive"));
+        self.framing(head).map(Some)
+    }
+
+    /// How the body's end is found, by RFC 9112, section 6.3.
+    fn framing(&self, mut head: Message) -> Result<State, Unreadable> {
+        let status = head.status();
+        if (100..200).contains(&status) || status == 204 || status == 304 {
+            return Ok(State::Sized { head, left: 0 });
+        }
+        let lengths: Vec<&str> =
+            head.fields.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v.as_str()).collect();
+        if let Some(coding) = head.field("transfer-encoding") {
+            // Both at once is how requests are smuggled: refused.
+            if !coding.eq_ignore_ascii_case("chunked") || !lengths.is_empty() {
+                return Err(Unreadable("a transfer coding that is not served"));
+            }
+            return Ok(State::ChunkSize { head });
+        }
+        match lengths.as_slice() {
+            [] if self.side == Side::Responses => {
+                head.last = true;
+                Ok(State::ToEnd { head })
+            }
+            [] => Ok(State::Sized { head, left: 0 }),
+            [first, rest @ ..] => {
+                let digits = !first.is_empty() && first.bytes().all(|b| b.is_ascii_digit());
+                let left = first.parse::<usize>().ok().filter(|_| digits && rest.iter().all(|r| r == first));
+                let left = left.ok_or(Unreadable("bad Content-Length"))?;
+                if left > self.most_body {
+                    return Err(Unreadable("body too large"));
+                }
+                Ok(State::Sized { head, left })
+            }
+        }
+    }
+
+    fn partial(&self) -> Result<Option<State>, Unreadable> {
+        if self.buffer.len() > MOST_HEAD { Err(Unreadable("head too large")) } else { Ok(None) }
+    }
+}
+
+fn own(fields: &[httparse::Header<'_>]) -> Vec<(String, String)> {
+    let plain = |h: &httparse::Header<'_>| {
+        (h.name.to_ascii_lowercase(), String::from_utf8_lossy(h.value).trim().to_string())
+    };
+    fields.iter().map(plain).collect()
+}
