--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -50,8 +50,10 @@
 /// One arrival of a message at a receiver.
 #[derive(Clone, Debug)]
 pub struct Arrival {
-    /// When it arrived whole.
+    /// When it was read whole.
     pub at: Micros,
+    /// It may have lain unread since then: a receiver that did not read, and read again.
+    pub earliest: Micros,
     /// The endpoint and its destination.
     pub endpoint: String,
     /// See `endpoint`.
@@ -66,6 +68,8 @@
     pub ran: bool,
     /// When the answer left.
     pub answered: Option<Micros>,
+    /// When the connection that it came on ended, if before the answer.
+    pub broken: Option<Micros>,
 }
 
 /// An answer that a client got.
@@ -146,6 +150,8 @@
     pub fell: Vec<Fell>,
     /// Destinations whose endpoints are separate routes.
     pub apart: Vec<i64>,
+    /// Submissions whose response was lost with their session: their clients know no identity for them.
+    pub unheard: usize,
     /// Answers to messages that nobody handed in.
     pub strays: Vec<(Micros, String)>,
 }
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,87 @@
+//! The program. Does: reads the command line and files, sets up logging and signals, starts what is asked for.
+//! Decides: nothing but exit codes (0 all well, 1 a rule was broken or the work failed, 2 wrong input). Never:
+//! touches a socket itself.
+
+#![forbid(unsafe_code)]
+
+mod client;
+mod days;
+mod serve;
+mod standin;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A delivery service: takes messages over SMPP, carries each to its receiver, answers each exactly once.
+#[derive(Parser)]
+#[command(version, max_term_width = 110)]
+struct Args {
+    /// What is logged, as JSON lines on standard error: error, warn, info, debug or trace.
+    #[arg(long, global = true, default_value = "warn")]
+    log: tracing_subscriber::filter::LevelFilter,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the service. SIGTERM: answer what is held, then unbind and end. SIGHUP: read the settings again.
+    Serve {
+        /// The settings, in protobuf text format.
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Check a settings file; every fault with its line, column and what is allowed.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Show the service at work on embedded stand-ins, with a table of its answers.
+    Demo {
+        /// Seed of the day.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Run a day of troubles through the real sender and audit it. Exit code 1 where a rule was broken.
+    BadDay {
+        /// Seed of the day.
+        #[arg(long)]
+        seed: u64,
+        /// Where to write the report; standard output without it.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
+    /// Play what lies outside the service.
+    Standin {
+        #[command(subcommand)]
+        what: standin::Standin,
+    },
+    /// Hand in messages over SMPP and print their final answers.
+    Client(client::ClientArgs),
+}
+
+fn main() -> ExitCode {
+    let args = match Args::try_parse() {
+        Ok(args) => args,
+        Err(e) => {
+            _ = e.print();
+            return ExitCode::from(if e.use_stderr() { 2 } else { 0 });
+        }
+    };
+    tracing_subscriber::fmt().json().with_max_level(args.log).with_writer(std::io::stderr).init();
+    match args.command {
+        Command::Serve { config } => serve::serve(&config),
+        Command::Check { file } => serve::check(&file),
+        Command::Demo { seed } => days::demo(seed),
+        Command::BadDay { seed, report } => days::bad(seed, report.as_deref()),
+        Command::Standin { what } => standin::run(&what),
+        Command::Client(args) => client::run(&args),
+    }
+}
+
+/// Says what is wrong and gives the exit code for it.
+fn fail(code: u8, what: impl std::fmt::Display) -> ExitCode {
+    eprintln!("heronroute: {what}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,80 @@
+//! `serve` and `check`.
+
+use crate::fail;
+use heronroute_config::{Config, parse};
+use heronroute_net::Service;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+fn read(path: &Path) -> Result<Config, String> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    parse(&name, &text).map_err(|e| e.to_string())
+}
+
+pub fn check(path: &Path) -> ExitCode {
+    match read(path) {
+        Ok(cfg) => {
+            println!(
+                "{}: well: {} senders, {} clients, {} classes, {} kinds, {} routes, {} endpoints",
+                path.display(),
+                cfg.service.senders,
+                cfg.clients.len(),
+                cfg.class_names.len(),
+                cfg.kinds.len(),
+                cfg.routes.len(),
+                cfg.endpoints.len()
+            );
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(2, e),
+    }
+}
+
+pub fn serve(path: &Path) -> ExitCode {
+    let cfg = match read(path) {
+        Ok(cfg) => Arc::new(cfg),
+        Err(e) => return fail(2, e),
+    };
+    // Signals are taken before anything starts, so that none ends the program halfway.
+    let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
+        Ok(signals) => signals,
+        Err(e) => return fail(1, format_args!("signals: {e}")),
+    };
+    let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_nanos() as u64);
+    let service = match Service::start(cfg, seed ^ u64::from(std::process::id())) {
+        Ok(service) => service,
+        Err(e) => return fail(1, e),
+    };
+    println!("listening at {}", service.address());
+    tracing::info!(address = %service.address(), "serving");
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            tracing::info!(signal, "going out of service");
+            break;
+        }
+        match read(path) {
+            Err(e) => tracing::error!(error = e, "the settings are wrong; the old ones hold"),
+            Ok(cfg) => {
+                let fixed = service.reload(&Arc::new(cfg));
+                if fixed.is_empty() {
+                    tracing::info!("new settings taken over");
+                } else {
+                    tracing::error!(fields = fixed.join(", "), "these need a restart; the old settings hold");
+                }
+            }
+        }
+    }
+    service.leave();
+    match service.join() {
+        Ok(stats) => {
+            tracing::info!(?stats, "out of service");
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(1, e),
+    }
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -470,8 +470,16 @@
     let mut c = Check::default();
     let mut seen = BTreeSet::new();
     let rows = raw.endpoint.iter().enumerate();
-    let endpoints =
-        rows.filter_map(|(i, e)| endpoint(&mut c, &format!("endpoint[{i}]"), e, &mut seen)).collect();
+    let endpoints = rows
+        .filter_map(|(i, e)| {
+            // Guards against losing a list after a gap: changes may name an endpoint several times, in their
+            // order (draining, then removed). Only a whole list names each once.
+            if !raw.whole {
+                seen.clear();
+            }
+            endpoint(&mut c, &format!("endpoint[{i}]"), e, &mut seen)
+        })
+        .collect();
     if c.wrong.is_empty() {
         Ok(Listing { version: raw.version, whole: raw.whole, endpoints })
     } else {
--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -66,4 +66,9 @@
     let read = parse_listing("x", &text).unwrap();
     assert_eq!((read.version, read.whole, read.endpoints[0].name.as_str()), (3, true, "a"));
     assert!(parse_listing("x", "version: 1 endpoint { name: \"a\" address: \"nowhere\" }").is_err());
+    // Changes come in order, several for one endpoint; a whole list names each once.
+    let twice = "endpoint { name: \"a\" address: \"127.0.0.1:1\" status: \"draining\" } \
+                 endpoint { name: \"a\" address: \"127.0.0.1:1\" status: \"removed\" }";
+    assert_eq!(parse_listing("x", twice).unwrap().endpoints.len(), 2);
+    assert!(parse_listing("x", &format!("whole: true {twice}")).is_err());
 }
--- a/crates/standins/src/farm.rs
+++ b/crates/standins/src/farm.rs
@@ -61,6 +61,10 @@
     endpoint: usize,
     speech: Speech,
     deaf: bool,
+    /// Since when something may lie unread.
+    unread: Option<Micros>,
+    /// Arrivals on it that have no answer.
+    open: BTreeSet<usize>,
     /// Octets that trickle out, and when the next goes.
     drip: VecDeque<u8>,
 }
@@ -131,6 +135,15 @@
         self.models.iter().flat_map(each).collect()
     }
 
+    /// A connection is over; whether it was known.
+    fn forget(&mut self, now: Micros, conn: Conn) -> bool {
+        let Some(peer) = self.peers.remove(&conn) else { return false };
+        for a in peer.open {
+            self.arrivals[a].broken = Some(now);
+        }
+        true
+    }
+
     fn later(&mut self, at: Micros, due: Due) {
         self.next += 1;
         self.due.insert((at, self.next, due));
@@ -141,7 +154,10 @@
         self.models.get_mut(&destination).map_or(Fate::Done(now), |m| m.call(now))
     }
 
-    fn arrive(&mut self, now: Micros, endpoint: usize, sender: &str, message: &str, fate: Fate) -> usize {
+    fn arrive(&mut self, now: Micros, conn: Conn, sender: &str, message: &str, fate: Fate) -> usize {
+        let Some(peer) = self.peers.get_mut(&conn) else { return 0 };
+        let (endpoint, earliest) = (peer.endpoint, peer.unread.unwrap_or(now));
+        peer.open.insert(self.arrivals.len());
         let (verdict, ran) = match fate {
             Fate::Done(_) => (Verdict::Done, true),
             Fate::Error(_, ran) => (Verdict::Error, ran),
@@ -152,6 +168,7 @@
         let e = &self.endpoints[endpoint];
         self.arrivals.push(Arrival {
             at: now,
+            earliest,
             endpoint: e.name.clone(),
             destination: e.destination,
             sender: sender.to_string(),
@@ -159,6 +176,7 @@
             verdict,
             ran,
             answered: None,
+            broken: None,
         });
         self.arrivals.len() - 1
     }
@@ -173,6 +191,9 @@
             if idle {
                 self.later(now + (1e6 / rate) as Micros, Due::Drip(conn));
             }
+        } else if !peer.drip.is_empty() {
+            // What trickles goes first.
+            peer.drip.extend(octets);
         } else {
             self.asks.push(Ask::Write(conn, octets));
         }
@@ -220,7 +241,7 @@
                         None => self.fate(now, endpoint),
                     };
                     shared = Some(fate);
-                    let arrival = self.arrive(now, endpoint, &sender, &identity(&submission), fate);
+                    let arrival = self.arrive(now, conn, &sender, &identity(&submission), fate);
                     match fate {
                         Fate::Done(at) | Fate::Error(at, _) | Fate::Busy(at, _) => {
                             self.later(at, Due::Smpp(conn, sequence, arrival));
@@ -238,7 +259,7 @@
                         self.asks.push(Ask::Write(conn, out.to_vec()));
                     }
                     self.asks.push(Ask::Close(conn));
-                    self.peers.remove(&conn);
+                    self.forget(now, conn);
                     return;
                 }
             }
@@ -277,6 +298,7 @@
                 session.error(sequence, CommandStatus::EsmeRsyserr, &mut out);
             }
         }
+        peer.open.remove(&arrival);
         self.arrivals[arrival].answered = Some(now);
         self.say(now, conn, out.to_vec());
     }
@@ -293,7 +315,7 @@
                 Ok(None) => return,
                 Err(_) => {
                     self.asks.push(Ask::Drop(conn));
-                    self.peers.remove(&conn);
+                    self.forget(now, conn);
                     return;
                 }
             }
@@ -329,7 +351,7 @@
         let fate = self.fate(now, endpoint);
         let from = self.arrivals.len();
         for id in &ids {
-            self.arrive(now, endpoint, &sender, id, fate);
+            self.arrive(now, conn, &sender, id, fate);
         }
         match fate {
             Fate::Done(at) | Fate::Error(at, _) | Fate::Busy(at, _) => {
@@ -376,9 +398,12 @@
                 }
                 // A response waits for those before it; the record says when it was ready, which is no later.
                 self.arrivals[from..from + n].iter_mut().for_each(|a| a.answered = Some(now));
+                if let Some(peer) = self.peers.get_mut(&conn) {
+                    (from..from + n).for_each(|a| _ = peer.open.remove(&a));
+                }
             }
             Due::Break(conn) => {
-                if self.peers.remove(&conn).is_some() {
+                if self.forget(now, conn) {
                     self.asks.push(Ask::Drop(conn));
                 }
             }
@@ -407,7 +432,7 @@
             for conn in mine {
                 let Some(peer) = self.peers.get_mut(&conn) else { continue };
                 if !listens && !left {
-                    self.peers.remove(&conn);
+                    self.forget(now, conn);
                     self.asks.push(Ask::Drop(conn));
                     continue;
                 }
@@ -416,12 +441,13 @@
                     session.unbind(now, &mut out);
                     self.asks.push(Ask::Write(conn, out.to_vec()));
                 } else if left {
-                    self.peers.remove(&conn);
+                    self.forget(now, conn);
                     self.asks.push(Ask::Close(conn));
                     continue;
                 }
                 if peer.deaf == reads {
                     peer.deaf = !reads;
+                    peer.unread = peer.unread.or(Some(now));
                     self.asks.push(Ask::Deaf(conn, !reads));
                 }
             }
@@ -441,7 +467,17 @@
         };
         let destination = self.endpoints[listener].destination;
         let deaf = self.models.get(&destination).is_some_and(|m| !m.reads(now));
-        self.peers.insert(conn, Peer { endpoint: listener, speech, deaf, drip: VecDeque::new() });
+        self.peers.insert(
+            conn,
+            Peer {
+                endpoint: listener,
+                speech,
+                deaf,
+                unread: deaf.then_some(now),
+                open: BTreeSet::new(),
+                drip: VecDeque::new(),
+            },
+        );
         if deaf {
             self.asks.push(Ask::Deaf(conn, true));
         }
@@ -453,10 +489,16 @@
             Some(Speech::Http(..)) => self.http(now, conn, octets),
             None => {}
         }
+        // The runner reads until nothing is left; what comes in a later turn was not there before.
+        if let Some(peer) = self.peers.get_mut(&conn)
+            && peer.unread.is_some_and(|_| !peer.deaf && octets.len() < crate::run::TURN)
+        {
+            peer.unread = None;
+        }
     }
 
-    fn closed(&mut self, _: Micros, conn: Conn) {
-        self.peers.remove(&conn);
+    fn closed(&mut self, now: Micros, conn: Conn) {
+        self.forget(now, conn);
     }
 
     fn tick(&mut self, now: Micros) {
