--- a/crates/smpp/src/codec.rs
+++ b/crates/smpp/src/codec.rs
@@ -81,8 +81,9 @@
         let (id, status, sequence) = (word(&whole, 4), word(&whole, 8), word(&whole, 12));
         whole.advance(4);
         let body = whole.len();
-        // A response that reports an error may come without a body, by the specification.
-        if body == HEADER - 4 && id & 0x8000_0000 != 0 && status != 0 {
+        // A response that reports an error may come without a body, by the specification; some peers leave out
+        // the empty body of a deliver_sm_resp too.
+        if body == HEADER - 4 && id & 0x8000_0000 != 0 {
             return Ok(Some(Frame::Command(Box::new(bare(id, status, sequence)))));
         }
         Ok(Some(match Command::decode(&mut whole, body) {
--- a/crates/smpp/src/server.rs
+++ b/crates/smpp/src/server.rs
@@ -230,6 +230,9 @@
         };
         let (id, sequence) = (command.id(), command.sequence_number());
         let Some(pdu) = command.pdu().cloned() else {
+            if let CommandId::Other(_) = id {
+                return encode_nack(CommandStatus::EsmeRinvcmdid, sequence, out);
+            }
             return encode_error(id.into(), CommandStatus::EsmeRinvcmdlen, sequence, out);
         };
         match pdu {
