--- a/crates/audit/tests/planted.rs
+++ b/crates/audit/tests/planted.rs
@@ -65,6 +65,12 @@
     let mut away = record(done(), vec![one(&[(9_000_000, Told::Delivered)])]);
     away.away.push(Away { client: "c".into(), from: 1_000, to: 8_999_000 });
     assert_eq!(rules(&away), [], "a client that was away hears later");
+    away.submissions[0].answers = vec![(1_000, Told::Unknown), (9_000_000, Told::Unknown)];
+    away.arrivals.clear();
+    assert_eq!(rules(&away), [], "told again, as its taking was not heard");
+    away.submissions[0].answers[1].1 = Told::NotRun;
+    assert_eq!(rules(&away), [1], "but not otherwise");
+    away.submissions[0].answers.pop();
     away.strays.push((0, "x".into()));
     assert_eq!(rules(&away), [1], "an answer to nothing");
 }
--- /dev/null
+++ b/crates/cli/tests/program.rs
@@ -0,0 +1,138 @@
+//! The program as an operator runs it: exit codes, messages, signals.
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_heronroute");
+
+fn run(args: &[&str]) -> Output {
+    Command::new(PROGRAM).args(args).output().unwrap()
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// Starts a part of it and gives the address that it listens at.
+fn start(args: &[&str]) -> (Child, String, BufReader<std::process::ChildStdout>) {
+    let mut child = Command::new(PROGRAM)
+        .args(args)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap());
+    let mut line = String::new();
+    lines.read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("listening at ").unwrap().to_string();
+    (child, address, lines)
+}
+
+fn settings(receiver: &str, more: &str) -> String {
+    format!(
+        "service {{ slots: 32 room: 500 }}\n\
+         smpp {{ listen: \"127.0.0.1:0\" }}\n\
+         client {{ system_id: \"oduya\" password: \"secret\" }}\n\
+         class {{ name: \"PAY\" effect: \"single_shot\" deadline: \"5s\" }}\n\
+         kind {{ name: \"k\" protocol: \"smpp\" }}\n\
+         route {{ prefix: \"234\" destination: 1 }}\n\
+         endpoint {{ name: \"a\" address: \"{receiver}\" destination: 1 kind: \"k\" }}\n{more}"
+    )
+}
+
+fn signal(child: &Child, name: &str) {
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+}
+
+#[test]
+fn check_tells_what_is_wrong_and_where() {
+    let good = file("good.txt", &settings("127.0.0.1:9", ""));
+    let out = run(&["check", good.to_str().unwrap()]);
+    assert_eq!(out.status.code(), Some(0));
+    let bad = file("bad.txt", &settings("127.0.0.1:9", "").replace("\"5s\"", "\"5 sec\""));
+    let out = run(&["check", bad.to_str().unwrap()]);
+    let told = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(out.status.code(), Some(2));
+    assert!(told.contains("bad.txt:4:43: class[0].deadline"), "{told}");
+    assert_eq!(run(&["check", "no such file"]).status.code(), Some(2));
+    assert_eq!(run(&["serve"]).status.code(), Some(2));
+    assert_eq!(
+        run(&["client", "--system-id", "a-name-that-is-too-long", "--password", "x", "--to", "1"])
+            .status
+            .code(),
+        Some(2)
+    );
+}
+
+#[test]
+fn serve_reloads_and_leaves_in_good_order() {
+    let (mut receiver, at, _lines) = start(&["standin", "receiver", "--pace", "300ms"]);
+    let path = file("serve.txt", &settings(&at, ""));
+    let (mut service, address, _out) = start(&["serve", "--config", path.to_str().unwrap()]);
+    let client = |id: &str, to: &str| {
+        run(&[
+            "client",
+            "--connect",
+            &address,
+            "--system-id",
+            id,
+            "--password",
+            "secret",
+            "--class",
+            "PAY",
+            "--to",
+            to,
+            "--count",
+            "3",
+            "--wait",
+            "3",
+        ])
+    };
+    let out = client("oduya", "2348012");
+    assert_eq!(out.status.code(), Some(0), "{out:?}");
+    assert_eq!(String::from_utf8_lossy(&out.stdout).matches("Delivered").count(), 3);
+    assert_eq!(client("oduya", "99").status.code(), Some(1), "no route leads there");
+
+    // A wrong file changes nothing; a right one adds a route.
+    file("serve.txt", "service {");
+    signal(&service, "-HUP");
+    assert_eq!(client("oduya", "2348012").status.code(), Some(0));
+    file("serve.txt", &settings(&at, "route { prefix: \"99\" destination: 1 }\n"));
+    signal(&service, "-HUP");
+    let mut tries = 0;
+    while client("oduya", "99").status.code() != Some(0) {
+        tries += 1;
+        assert!(tries < 10, "the new route is used");
+    }
+
+    // A message in flight at the signal is still answered.
+    let child = Command::new(PROGRAM)
+        .args([
+            "client",
+            "--connect",
+            &address,
+            "--system-id",
+            "oduya",
+            "--password",
+            "secret",
+            "--class",
+            "PAY",
+        ])
+        .args(["--to", "2345", "--wait", "4"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(150));
+    signal(&service, "-TERM");
+    let out = child.wait_with_output().unwrap();
+    assert!(String::from_utf8_lossy(&out.stdout).contains("Delivered"), "{out:?}");
+    assert_eq!(service.wait().unwrap().code(), Some(0));
+    drop(receiver.stdin.take());
+    assert_eq!(receiver.wait().unwrap().code(), Some(0));
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -241,8 +241,10 @@
     }
     let mut zones: Vec<String> = Vec::new();
     let own = raw.service.map(|s| s.zone).unwrap_or_default();
+    let named = endpoints.iter().any(|e| !e.zone.is_empty());
     for zone in std::iter::once(&own).chain(endpoints.iter().map(|e| &e.zone)) {
-        if !zones.contains(zone) && !(zone.is_empty() && endpoints.iter().any(|e| !e.zone.is_empty())) {
+        let unnamed = zone.is_empty() && named;
+        if !unnamed && !zones.contains(zone) {
             zones.push(zone.clone());
         }
     }
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -17,7 +17,7 @@
     let unit = unit.trim();
     let (_, scale) = UNITS.iter().find(|(name, _)| *name == unit).ok_or_else(allowed)?;
     let micros = number * scale;
-    if !micros.is_finite() || micros > 3e13 {
+    if !micros.is_finite() || micros > 3.16e13 {
         return Err(format!("\"{text}\" is over a year"));
     }
     Ok(micros.round() as Micros)
--- /dev/null
+++ b/crates/engine/benches/node.rs
@@ -0,0 +1,217 @@
+//! What one message costs a node, without sockets: whole path from submit_sm to acknowledged receipt, with the
+//! octets of both sides, on a virtual clock. By destinations, sessions and connections; memory by session and by
+//! held message. Figures are for one core of the machine at hand; compare them within one run.
+//!
+//! `cargo bench -p heronroute-engine --bench node`
+
+use bytes::BytesMut;
+use heronroute_config::parse;
+use heronroute_engine::{Gone, Node, Output, Start};
+use heronroute_smpp::client;
+use heronroute_smpp::server::{Event, Limits, Mode, Session};
+use heronroute_smpp::submission::{Submission, Wanted};
+use rusmpp_core::CommandStatus;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Instant;
+
+const LIMITS: Limits = Limits {
+    session_init: 1 << 50,
+    enquire_every: 1 << 50,
+    inactivity: 1 << 50,
+    response: 1 << 50,
+    window: 100_000,
+    max_pdu: 70_000,
+};
+
+/// A node with receivers that answer at once and clients in memory.
+struct Rig {
+    node: Node,
+    now: i64,
+    receivers: BTreeMap<u64, Session>,
+    clients: BTreeMap<u64, client::Session>,
+    answered: usize,
+    answers: bool,
+}
+
+fn settings(destinations: usize, slots: usize, room: usize) -> String {
+    let mut t = format!(
+        "service {{ slots: {slots} room: {room} owed_room: {room} quantum: \"0s\" }} \
+         smpp {{ sessions: 1000000 window: 60000 enquire_every: \"8000h\" inactivity: \"8000h\" \
+         response: \"8000h\" }} \
+         client {{ system_id: \"c\" password: \"p\" }} \
+         class {{ name: \"RESP\" effect: \"guarded\" window: \"60s\" deadline: \"1h\" aim: \"30m\" }} \
+         kind {{ name: \"k\" protocol: \"smpp\" window: 32 }}\n"
+    );
+    for d in 1..=destinations {
+        _ = writeln!(t, "route {{ prefix: \"{d:06}\" destination: {d} }}");
+        _ = writeln!(
+            t,
+            "endpoint {{ name: \"e{d}\" address: \"127.0.0.1:{}\" destination: {d} kind: \"k\" }}",
+            1_000 + d
+        );
+    }
+    t
+}
+
+impl Rig {
+    fn new(destinations: usize, slots: usize, room: usize) -> Self {
+        let cfg = Arc::new(parse("bench", &settings(destinations, slots, room)).expect("settings"));
+        let start = Start { index: 0, seed: 1, now: 0, wall: 1 << 50, kept: None };
+        let node = Node::new(cfg, start).expect("node");
+        let (receivers, clients) = (BTreeMap::new(), BTreeMap::new());
+        let mut rig = Rig { node, now: 0, receivers, clients, answered: 0, answers: true };
+        rig.settle();
+        rig
+    }
+
+    fn connect(&mut self, n: usize) -> Vec<u64> {
+        let mut conns = Vec::new();
+        for _ in 0..n {
+            let mut out = BytesMut::new();
+            let session = client::Session::bind(0, LIMITS, Mode::Transceiver, "c", "p", &mut out);
+            let conn = self.node.accepted(self.now, &out).expect("room");
+            self.clients.insert(conn, session);
+            conns.push(conn);
+        }
+        self.settle();
+        conns
+    }
+
+    fn submit(&mut self, conn: u64, destination: usize, n: usize) {
+        let s = Submission {
+            service: "RESP".into(),
+            source: "a".into(),
+            destination: format!("{destination:06}{n:06}"),
+            wanted: Wanted::Always,
+            body: b"a response of ordinary length, as they are: 0123456789".to_vec(),
+            ..Submission::default()
+        };
+        let mut out = BytesMut::new();
+        if let Some(session) = self.clients.get_mut(&conn) {
+            session.request(self.now, s.submit(None), &mut out);
+        }
+        self.node.received(self.now, conn, &out);
+    }
+
+    /// Carries octets to and fro until nothing moves.
+    fn settle(&mut self) {
+        loop {
+            self.now += 100;
+            self.node.settle(self.now);
+            let outputs = self.node.outputs();
+            if outputs.is_empty() {
+                return;
+            }
+            for output in outputs {
+                match output {
+                    Output::Connect { conn, .. } => {
+                        self.receivers.insert(conn, Session::new(0, LIMITS));
+                        self.node.connected(self.now, conn);
+                    }
+                    Output::Write(conn) => self.carry(conn),
+                    Output::Finish(conn) | Output::Drop(conn) => {
+                        self.receivers.remove(&conn);
+                        self.clients.remove(&conn);
+                        self.node.closed(self.now, conn, Gone::Ended);
+                    }
+                    Output::Keep(_) => {}
+                }
+            }
+        }
+    }
+
+    fn carry(&mut self, conn: u64) {
+        let octets = self.node.pending(conn).to_vec();
+        self.node.wrote(conn, octets.len());
+        let mut back = BytesMut::new();
+        if let Some(session) = self.clients.get_mut(&conn) {
+            let mut events = Vec::new();
+            session.receive(self.now, &octets, &mut back, &mut events);
+            self.answered += events.iter().filter(|e| matches!(e, client::Event::Delivered(_))).count();
+        } else if let Some(session) = self.receivers.get_mut(&conn) {
+            let mut events = Vec::new();
+            session.receive(self.now, 0, &octets, &mut back, &mut events);
+            for event in events {
+                match event {
+                    Event::Bind { sequence, .. } => session.accept(0, sequence, "r", &mut back),
+                    Event::Submit { sequence, .. } if self.answers => {
+                        session.submitted(sequence, "1", CommandStatus::EsmeRok, vec![], &mut back);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        if !back.is_empty() {
+            self.node.received(self.now, conn, &back);
+        }
+    }
+}
+
+/// Resident octets of this process.
+fn resident() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split(' ').nth(1).and_then(|p| p.parse::<f64>().ok()).unwrap_or(0.0) * 4096.0
+}
+
+/// Microseconds a message, and how many a round trip carries at once.
+fn cost(destinations: usize, sessions: usize, messages: usize) -> f64 {
+    let mut rig = Rig::new(destinations, 256, 20_000);
+    let conns = rig.connect(sessions);
+    let mut n = 0;
+    let mut go = |rig: &mut Rig, count: usize| {
+        let until = n + count;
+        while n < until {
+            for _ in 0..16 {
+                n += 1;
+                rig.submit(conns[n % sessions], 1 + n * 7 % destinations, n % 1_000_000);
+            }
+            rig.settle();
+        }
+    };
+    go(&mut rig, messages / 4);
+    let before = rig.answered;
+    let start = Instant::now();
+    go(&mut rig, messages);
+    let spent = start.elapsed().as_secs_f64();
+    spent * 1e6 / (rig.answered - before).max(1) as f64
+}
+
+fn main() {
+    // A number as argument: so many messages, once, and nothing else; for profilers.
+    if let Some(n) = std::env::args().find_map(|a| a.parse().ok()) {
+        return println!("{:.1}", cost(200, 100, n));
+    }
+    // Memory first: what others have freed would be used again unseen.
+    let mut rig = Rig::new(20, 256, 200_000);
+    rig.connect(1_000);
+    let before = resident();
+    rig.connect(20_000);
+    println!(
+        "memory of one idle session: {:.0} octets (our in-memory client included)",
+        (resident() - before) / 2e4
+    );
+    drop(rig);
+    let mut rig = Rig::new(20, 16, 400_000);
+    rig.answers = false;
+    let conns = rig.connect(10);
+    let before = resident();
+    let n = 100_000;
+    let start = Instant::now();
+    for i in 0..n {
+        rig.submit(conns[i % 10], 1 + i % 20, i);
+    }
+    let took = start.elapsed().as_secs_f64() * 1e6 / n as f64;
+    println!(
+        "memory of one held message: {:.0} octets, {took:.1} us to take it on (before any decision)",
+        (resident() - before) / n as f64
+    );
+    println!("cost of one message in microseconds, whole path in memory:");
+    for destinations in [20, 200, 2_000] {
+        println!("  {destinations:>5} destinations, 100 sessions: {:>7.1}", cost(destinations, 100, 40_000));
+    }
+    for sessions in [10, 100, 1_000, 10_000] {
+        println!("  {sessions:>5} sessions, 200 destinations:  {:>7.1}", cost(200, sessions, 40_000));
+    }
+}
--- a/crates/engine/src/front.rs
+++ b/crates/engine/src/front.rs
@@ -245,7 +245,7 @@
     /// The response that is the final answer, in forward mode. False where its session is gone.
     pub(crate) fn respond(&mut self, conn: ConnId, sequence: u32, id: MsgId, answer: Answer) -> bool {
         let Some((session, out)) = self.session(conn) else { return false };
-        if session.over() {
+        if session.mode().is_none() {
             return false;
         }
         let mut tlvs = Vec::new();
--- a/crates/net/src/door.rs
+++ b/crates/net/src/door.rs
@@ -127,7 +127,7 @@
     fn hear(&mut self, n: usize) {
         let Some(u) = self.unknown.get_mut(&n) else { return };
         let mut buffer = [0; FIRST_READ];
-        let gone = match read_some(&mut u.stream, &mut buffer) {
+        let gone = match read_some(&mut u.stream, &mut buffer, true) {
             Progress::Blocked(m) | Progress::More(m) => {
                 u.octets.extend_from_slice(&buffer[..m]);
                 false
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -34,6 +34,8 @@
     stream: TcpStream,
     connecting: bool,
     readable: bool,
+    /// The peer has closed its side: read on until the end.
+    ending: bool,
     /// Only to be written out and closed.
     finishing: bool,
 }
@@ -96,8 +98,8 @@
             for event in &events {
                 if event.token() != WAKE {
                     let conn = event.token().0 as ConnId;
-                    let readable = event.is_readable() || event.is_read_closed() || event.is_error();
-                    self.stirred(conn, readable, event.is_writable());
+                    let ending = event.is_read_closed() || event.is_error();
+                    self.stirred(conn, event.is_readable() || ending, ending, event.is_writable());
                 }
             }
             self.listen();
@@ -149,10 +151,11 @@
             return self.node.closed(self.clock.now(), conn, Gone::Broken);
         }
         _ = stream.set_nodelay(true);
-        self.sockets.insert(conn, Socket { stream, connecting, readable: false, finishing: false });
+        self.sockets
+            .insert(conn, Socket { stream, connecting, readable: false, ending: false, finishing: false });
     }
 
-    fn stirred(&mut self, conn: ConnId, readable: bool, writable: bool) {
+    fn stirred(&mut self, conn: ConnId, readable: bool, ending: bool, writable: bool) {
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
         if socket.connecting && (writable || readable) {
             let error = socket.stream.take_error().ok().flatten();
@@ -174,6 +177,7 @@
         }
         if readable && let Some(socket) = self.sockets.get_mut(&conn) {
             socket.readable = true;
+            socket.ending |= ending;
             self.ready.insert(conn);
         }
         if writable {
@@ -190,11 +194,11 @@
         if socket.finishing || !self.node.wants_read(conn) {
             return;
         }
-        let progress = read_some(&mut socket.stream, &mut self.buffer);
+        let progress = read_some(&mut socket.stream, &mut self.buffer, socket.ending);
         let now = self.clock.now();
         let (n, gone) = match progress {
             Progress::Blocked(n) => {
-                socket.readable = false;
+                (socket.readable, socket.ending) = (false, false);
                 (n, None)
             }
             Progress::More(n) => {
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -15,13 +15,20 @@
     Broken,
 }
 
-/// Reads into a buffer until it is full, or the socket has no more.
-pub fn read_some(socket: &mut impl Read, buffer: &mut [u8]) -> Progress {
+/// Reads into a buffer until it is full, or the socket has no more. A read that gives less than there was room for
+/// has emptied the socket (epoll(7)), which saves the call that would say so; with `to_end`, the peer having closed
+/// its side, it is read on until the end shows.
+pub fn read_some(socket: &mut impl Read, buffer: &mut [u8], to_end: bool) -> Progress {
     let mut n = 0;
     while n < buffer.len() {
         match socket.read(&mut buffer[n..]) {
             Ok(0) => return Progress::Ended(n),
-            Ok(m) => n += m,
+            Ok(m) => {
+                n += m;
+                if n < buffer.len() && !to_end {
+                    return Progress::Blocked(n);
+                }
+            }
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Progress::Blocked(n),
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             // What came before the break is still to be heard; the break shows again at the next read.
--- a/crates/smpp/src/server.rs
+++ b/crates/smpp/src/server.rs
@@ -16,6 +16,9 @@
 use rusmpp_core::{CommandId, CommandStatus};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How long acknowledgements are heard after the peer has unbound.
+const PARTING: Micros = 1_000_000;
+
 /// Figures of a session.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -119,6 +122,8 @@
     Binding,
     Bound(Mode),
     Unbinding,
+    /// The peer has unbound; acknowledgements of receipts that crossed its unbind are still heard.
+    Parting(Micros),
     Over,
 }
 
@@ -252,6 +257,11 @@
                     return encode_error(id.into(), CommandStatus::EsmeRinvbndsts, sequence, out);
                 }
                 encode(CommandStatus::EsmeRok, sequence, Pdu::UnbindResp, out);
+                // Guards against telling an answer twice that was taken while the peer's unbind was on its way.
+                if self.delivering > 0 {
+                    self.state = State::Parting(now);
+                    return;
+                }
                 self.state = State::Over;
                 events.push(Event::Unbound);
             }
@@ -409,6 +419,10 @@
             let told = matches!(command.status(), EsmeRok | EsmeRxPAppn | EsmeRxRAppn);
             let taken = told && command.id() != CommandId::GenericNack;
             events.push(Event::Acknowledged { sequence, taken });
+            if matches!(self.state, State::Parting(_)) && self.delivering == 0 {
+                self.state = State::Over;
+                events.push(Event::Unbound);
+            }
         }
     }
 
@@ -551,6 +565,7 @@
             State::Over => return Micros::MAX,
             State::Open | State::Binding => self.began + self.limits.session_init,
             State::Unbinding => Micros::MAX,
+            State::Parting(since) => return since + PARTING,
             State::Bound(_) => {
                 let enquire =
                     if self.enquiring { Micros::MAX } else { self.heard + self.limits.enquire_every };
@@ -565,6 +580,10 @@
         if self.state == State::Over || now < self.wake() {
             return;
         }
+        if let State::Parting(_) = self.state {
+            self.state = State::Over;
+            return events.push(Event::Unbound);
+        }
         if matches!(self.state, State::Open | State::Binding) {
             return self.end("no bind in time", events);
         }
--- a/crates/smpp/tests/session.rs
+++ b/crates/smpp/tests/session.rs
@@ -160,6 +160,17 @@
     assert_eq!(go(&mut s, 8).1.len(), 1, "there is room again");
 }
 
+#[test]
+fn an_acknowledgement_that_crosses_an_unbind_is_heard() {
+    let mut s = bound(Mode::Transceiver);
+    let (source, destination) = ("a".to_string(), "b".to_string());
+    let r = Receipt { id: "1".into(), answer: Answer::Delivered, taken: 0, done: 0, source, destination };
+    let sequence = s.deliver(0, &r, &mut BytesMut::new());
+    assert_eq!(hear(&mut s, &pdu(2, Pdu::Unbind)).1, [], "not over yet");
+    let (_, e) = hear(&mut s, &pdu(sequence, rusmpp_core::pdus::owned::DeliverSmResp::default()));
+    assert_eq!(e, [Event::Acknowledged { sequence, taken: true }, Event::Unbound]);
+}
+
 #[test]
 fn timers() {
     let tick = |s: &mut Session, now| {
--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -173,7 +173,7 @@
         let Some(p) = peers.get_mut(&conn).filter(|p| p.tag.is_none() && !p.deaf && !p.closing) else {
             return;
         };
-        let (n, more, gone) = match read_some(&mut p.stream, buffer) {
+        let (n, more, gone) = match read_some(&mut p.stream, buffer, true) {
             Progress::Blocked(n) => (n, false, false),
             Progress::More(n) => (n, true, false),
             Progress::Ended(n) => (n, false, true),
