--- a/crates/cli/src/days.rs
+++ b/crates/cli/src/days.rs
@@ -1,7 +1,8 @@
 //! `demo` and `bad-day`.
 
 use crate::fail;
-use heronroute_drill::{BadDay, Drill, Outcome, bad_day, demo as demo_day, report};
+use heronroute_config::{fault, parse_day, write_day};
+use heronroute_drill::{BadDay, Drill, Outcome, bad_day, demo as demo_day, mixed, report, stage};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -29,20 +30,41 @@
     }
 }
 
-pub fn bad(seed: u64, path: Option<&Path>) -> ExitCode {
-    let day = bad_day(seed);
+/// The script of a day: from a file, or mixed from a seed.
+fn script(seed: Option<u64>, path: Option<&Path>) -> Result<(String, BadDay), String> {
+    let Some(path) = path else {
+        let seed = seed.unwrap_or(1);
+        return Ok((format!("bad day, seed {seed}"), bad_day(seed)));
+    };
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    let mut day = parse_day(&name, &text).map_err(|e| e.to_string())?;
+    day.seed = seed.unwrap_or(day.seed);
+    let staged = stage(&day).map_err(|(at, what)| fault(&name, &text, &at, &what).to_string())?;
+    Ok((format!("{name}, seed {}", day.seed.max(1)), staged))
+}
+
+pub fn bad(seed: Option<u64>, path: Option<&Path>, show: bool, report_to: Option<&Path>) -> ExitCode {
+    if show {
+        println!("{}", write_day(&mixed(seed.unwrap_or(1))));
+        return ExitCode::SUCCESS;
+    }
+    let (title, day) = match script(seed, path) {
+        Ok(day) => day,
+        Err(e) => return fail(2, e),
+    };
     let outcome = match pass(&day) {
         Ok(outcome) => outcome,
         Err(e) => return fail(1, e),
     };
-    let text = report(&format!("bad day, seed {seed}"), &day.troubles, &outcome, &day.classes);
-    match path {
+    let text = report(&title, &day.troubles, &outcome, &day.classes);
+    match report_to {
         Some(path) => {
             if let Err(e) = std::fs::write(path, text) {
                 return fail(1, format_args!("{}: {e}", path.display()));
             }
             let n = outcome.breaches.len();
-            println!("seed {seed}: {} messages, {n} breaches", outcome.record.submissions.len());
+            println!("{title}: {} messages, {n} breaches", outcome.record.submissions.len());
         }
         None => print!("{text}"),
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -45,9 +45,15 @@
     },
     /// Run a day of troubles through the real sender and audit it. Exit code 1 where a rule was broken.
     BadDay {
-        /// Seed of the day.
+        /// Seed of the day; the script's own without it.
         #[arg(long)]
-        seed: u64,
+        seed: Option<u64>,
+        /// A script of troubles (docs/days.md); without it they are mixed from the seed.
+        #[arg(long)]
+        script: Option<PathBuf>,
+        /// Print the script that the seed stands for, and run nothing.
+        #[arg(long)]
+        show: bool,
         /// Where to write the report; standard output without it.
         #[arg(long)]
         report: Option<PathBuf>,
@@ -74,7 +80,9 @@
         Command::Serve { config } => serve::serve(&config),
         Command::Check { file } => serve::check(&file),
         Command::Demo { seed } => days::demo(seed),
-        Command::BadDay { seed, report } => days::bad(seed, report.as_deref()),
+        Command::BadDay { seed, script, show, report } => {
+            days::bad(seed, script.as_deref(), show, report.as_deref())
+        }
         Command::Standin { what } => standin::run(&what),
         Command::Client(args) => client::run(&args),
     }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -70,6 +70,26 @@
     );
 }
 
+#[test]
+fn a_scripted_day_is_run_and_its_faults_are_told() {
+    let day = "length: \"2s\" receivers: 3 rate: 50\n\
+               trouble { kind: \"hang\" from: \"1s\" to: \"1.5s\" share: 0.4 }\n\
+               trouble { kind: \"reset\" from: \"0.8s\" to: \"1.8s\" figure: 0.3 }\n";
+    let good = file("day.txt", day);
+    let out = run(&["bad-day", "--script", good.to_str().unwrap()]);
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert_eq!(out.status.code(), Some(0), "{text}");
+    assert!(text.contains("hang: receivers") && text.contains("rule 6 (order): kept"), "{text}");
+    let bad = file("bad-day.txt", &day.replace("reset", "resett"));
+    let out = run(&["bad-day", "--script", bad.to_str().unwrap()]);
+    let told = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(out.status.code(), Some(2));
+    assert!(told.contains("bad-day.txt:3:11: trouble[1].kind: \"resett\" is no kind"), "{told}");
+    let out = run(&["bad-day", "--seed", "3", "--show"]);
+    file("shown.txt", &String::from_utf8_lossy(&out.stdout));
+    assert!(out.stdout.len() > 300);
+}
+
 #[test]
 fn serve_reloads_and_leaves_in_good_order() {
     let (mut receiver, at, _lines) = start(&["standin", "receiver", "--pace", "300ms"]);
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -74,13 +74,34 @@
     check::listing(&raw).map_err(|wrong| place(file, text, wrong))
 }
 
+/// Reads the script of a day. What it says is checked by whoever plays it.
+///
+/// # Errors
+/// As [`parse`].
+pub fn parse_day(file: &str, text: &str) -> Result<raw::Day, Faults> {
+    read(file, text, "heronroute.settings.Day")
+}
+
+/// The fault of a field that was found wrong after reading, by its path, as `trouble[1].kind`.
+pub fn fault(file: &str, text: &str, path: &str, what: &str) -> Faults {
+    place(file, text, vec![check::Wrong { path: path.to_string(), what: what.to_string() }])
+}
+
+/// Writes the script of a day as [`parse_day`] reads it.
+pub fn write_day(day: &raw::Day) -> String {
+    write("heronroute.settings.Day", day)
+}
+
 /// Writes a listing as [`parse_listing`] reads it.
 pub fn write_listing(listing: &raw::Listing) -> String {
-    let mut message = DynamicMessage::new(
-        pool().get_message_by_name("heronroute.settings.Listing").expect("the schema has this message"),
-    );
-    match message.transcode_from(listing) {
-        Ok(()) => message.to_text_format(),
+    write("heronroute.settings.Listing", listing)
+}
+
+fn write(name: &str, message: &impl prost::Message) -> String {
+    let descriptor = pool().get_message_by_name(name).expect("the schema has this message");
+    let mut dynamic = DynamicMessage::new(descriptor);
+    match dynamic.transcode_from(message) {
+        Ok(()) => dynamic.to_text_format(),
         Err(_) => String::new(),
     }
 }
--- a/crates/drill/src/bad_day.rs
+++ b/crates/drill/src/bad_day.rs
@@ -2,6 +2,7 @@
 
 use crate::setup::{ClassSpec, ClientSpec, Day, Destination, Listed, Rules};
 use heronroute_audit::Effect;
+use heronroute_config::{parse_span, raw};
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::{Submission, Wanted};
 use heronroute_standins::Micros;
@@ -180,132 +181,185 @@
     BadDay { day, troubles, classes }
 }
 
-/// A day on which all kinds of trouble meet.
-pub fn bad_day(seed: u64) -> BadDay {
-    let length = 12 * S;
-    let (mut day, mut dice) = plain(seed, 10, 220.0, length);
-    let mut troubles = Vec::new();
-    let kinds = [
-        "hang",
-        "slow",
-        "fast_errors",
-        "refuse",
-        "vanish",
-        "shut",
-        "deploy",
-        "burst",
-        "hot_sender",
-        "answer_lost",
-        "reset",
-        "trickle",
-        "discovery_stale",
-        "pause",
-        "unbind",
-        "cut",
-        "strays",
-    ];
-    // Each day brings most kinds, each at a time and place of its own; two may meet.
-    for kind in kinds {
+const RECEIVERS: [&str; 10] =
+    ["hang", "slow", "fast_errors", "refuse", "vanish", "shut", "answer_lost", "reset", "trickle", "strays"];
+const OTHERS: [&str; 7] = ["deploy", "discovery_stale", "burst", "hot_sender", "pause", "unbind", "cut"];
+
+/// The script of a day on which most kinds of trouble meet, each at a time and place of its own.
+pub fn mixed(seed: u64) -> raw::Day {
+    let mut dice = Dice(ChaCha8Rng::seed_from_u64(seed ^ 0xBAD_DA1));
+    let mut trouble = Vec::new();
+    for kind in RECEIVERS.iter().chain(&OTHERS) {
         if dice.part() < 0.25 {
             continue;
         }
-        let from = (dice.between(1.5, 7.0) * 1e6) as Micros;
-        let to = from + (dice.between(1.0, 4.0) * 1e6) as Micros;
-        let at = dice.below(day.destinations.len());
-        let number = day.destinations[at].number;
-        let span = format!("from {:.1} to {:.1} s", from as f64 / 1e6, to as f64 / 1e6);
-        let share = dice.between(0.3, 0.95);
+        let from = dice.between(1.5, 7.0);
+        let length = if *kind == "pause" { dice.between(0.2, 0.7) } else { dice.between(1.0, 4.0) };
+        trouble.push(raw::Trouble {
+            kind: kind.to_string(),
+            from: format!("{from:.3}s"),
+            to: format!("{:.3}s", from + length),
+            share: if *kind == "deploy" { 0.6 } else { 0.1 },
+            figure: match *kind {
+                "slow" => dice.between(5.0, 20.0),
+                "fast_errors" | "answer_lost" | "reset" => dice.between(0.3, 0.95),
+                "trickle" => dice.between(5.0, 40.0),
+                "burst" | "hot_sender" => 400.0,
+                _ => 0.0,
+            },
+        });
+    }
+    raw::Day { seed, trouble, ..raw::Day::default() }
+}
+
+/// Puts a script on the stage.
+///
+/// # Errors
+/// The path of the first field that is wrong, and what is allowed.
+pub fn stage(script: &raw::Day) -> Result<BadDay, (String, String)> {
+    let wrong = |path: &str, what: &str| (path.to_string(), what.to_string());
+    let receivers = if script.receivers == 0 { 10 } else { script.receivers as usize };
+    if receivers > 1_000 {
+        return Err(wrong("receivers", "at most 1,000"));
+    }
+    let rate = if script.rate == 0.0 { 220.0 } else { script.rate };
+    if !(rate > 0.0 && rate <= 20_000.0) {
+        return Err(wrong("rate", "above 0, at most 20,000"));
+    }
+    let length = if script.length.is_empty() { "12s" } else { &script.length };
+    let length = parse_span(length).map_err(|e| ("length".to_string(), e))?;
+    if length > 600 * S {
+        return Err(wrong("length", "at most 10 minutes"));
+    }
+    let seed = script.seed.max(1);
+    let (mut day, mut dice) = plain(seed, receivers, rate, length);
+    if script.senders > 0 {
+        day.senders = script.senders.min(64) as usize;
+    }
+    let mut troubles = Vec::new();
+    for (i, t) in script.trouble.iter().enumerate() {
+        let path = |field: &str| format!("trouble[{i}].{field}");
+        let span = |field: &str, text: &str| parse_span(text).map_err(|e| (path(field), e));
+        let (from, to) = (span("from", &t.from)?, span("to", &t.to)?);
+        if to <= from {
+            return Err((path("to"), "must lie after from".into()));
+        }
+        let share = if t.share == 0.0 { 0.1 } else { t.share };
+        if !(0.0..=1.0).contains(&share) || t.figure < 0.0 {
+            return Err((path("share"), "0 to 1, and no negative figure".into()));
+        }
+        let words = strike(&mut day, &mut dice, t, (from, to), share, length);
+        troubles.push(words.ok_or_else(|| {
+            let all = RECEIVERS.iter().chain(&OTHERS).copied().collect::<Vec<_>>().join(", ");
+            (path("kind"), format!("\"{}\" is no kind of trouble: {all}", t.kind))
+        })?);
+    }
+    for p in &mut day.plans {
+        p.steps.sort_by_key(|s| s.0);
+    }
+    let classes = names(&day);
+    Ok(BadDay { day, troubles, classes })
+}
+
+/// A day on which all kinds of trouble meet.
+pub fn bad_day(seed: u64) -> BadDay {
+    stage(&mixed(seed)).unwrap_or_else(|(path, what)| unreachable!("{path}: {what}"))
+}
+
+/// Has one trouble strike; gives it in words, or nothing for an unknown kind.
+fn strike(
+    day: &mut Day,
+    dice: &mut Dice,
+    t: &raw::Trouble,
+    (from, to): (Micros, Micros),
+    share: f64,
+    length: Micros,
+) -> Option<String> {
+    let kind = t.kind.as_str();
+    let span = format!("from {:.1} to {:.1} s", from as f64 / 1e6, to as f64 / 1e6);
+    let or = |other: f64| if t.figure == 0.0 { other } else { t.figure };
+    if RECEIVERS.contains(&kind) {
         let trouble = match kind {
-            "hang" => Some(Trouble::Hang),
-            "slow" => Some(Trouble::Slow(dice.between(5.0, 20.0))),
-            "fast_errors" => Some(Trouble::FastErrors(share)),
-            "refuse" => Some(Trouble::Refuse),
-            "vanish" => Some(Trouble::Vanish),
-            "shut" => Some(Trouble::Shut),
-            "answer_lost" => Some(Trouble::AnswerLost(share)),
-            "reset" => Some(Trouble::Reset(share)),
-            "trickle" => Some(Trouble::Trickle(dice.between(5.0, 40.0))),
-            _ => None,
+            "hang" => Trouble::Hang,
+            "slow" => Trouble::Slow(or(8.0)),
+            "fast_errors" => Trouble::FastErrors(or(0.8)),
+            "refuse" => Trouble::Refuse,
+            "vanish" => Trouble::Vanish,
+            "shut" => Trouble::Shut,
+            "answer_lost" => Trouble::AnswerLost(or(0.5)),
+            "reset" => Trouble::Reset(or(0.5)),
+            _ => Trouble::Trickle(or(20.0)),
         };
-        if let Some(trouble) = trouble {
-            day.destinations[at].strikes.push(Strike { from, to, trouble });
-            troubles.push(format!("{kind}: receiver {number}, {span}: {trouble:?}"));
-            continue;
-        }
-        match kind {
-            "deploy" => {
-                let lag = (dice.between(0.0, 2.0) * 1e6) as Micros;
-                let mut n = 0;
-                for d in &mut day.destinations {
-                    if dice.part() < 0.6 {
-                        let start = from + (dice.between(0.0, 2.0) * 1e6) as Micros;
-                        for l in &mut d.endpoints {
-                            l.drains = Some(start);
-                            l.lag = lag;
-                        }
-                        d.endpoints.push(Listed { from: start - S / 2, drains: None, lag });
-                        n += 1;
-                    }
-                }
-                troubles.push(format!(
-                    "deploy: {n} receivers replaced from {:.1} s on, told {lag} us late",
-                    from as f64 / 1e6
-                ));
+        let mut struck = Vec::new();
+        let n = ((day.destinations.len() as f64 * share).round() as usize).clamp(1, day.destinations.len());
+        while struck.len() < n {
+            let at = dice.below(day.destinations.len());
+            let number = day.destinations[at].number;
+            if struck.contains(&number) {
+                continue;
             }
-            "discovery_stale" => {
-                day.directory_errors.push((from, to));
-                troubles.push(format!("discovery_stale: the directory fails, {span}"));
+            struck.push(number);
+            if kind == "strays" {
+                day.destinations[at].strays = true;
+            } else {
+                day.destinations[at].strikes.push(Strike { from, to, trouble });
             }
-            "burst" | "hot_sender" => {
-                let rate = 400.0;
-                let hot = dice.below(day.plans.len() / 2) * 2;
-                let mut t = from;
-                let mut n = 500_000;
-                while t < (from + 2 * S).min(length) {
-                    t += dice.gap(rate);
+        }
+        let what = if kind == "strays" { "answers what nobody asked".into() } else { format!("{trouble:?}") };
+        return Some(format!("{kind}: receivers {struck:?}, {span}: {what}"));
+    }
+    Some(match kind {
+        "deploy" => {
+            let lag = (dice.between(0.0, 2.0) * 1e6) as Micros;
+            let mut n = 0;
+            for d in &mut day.destinations {
+                if dice.part() < share {
+                    let start = from + (dice.part() * (to - from) as f64) as Micros;
+                    for l in &mut d.endpoints {
+                        (l.drains, l.lag) = (Some(start), lag);
+                    }
+                    d.endpoints.push(Listed { from: (start - S / 2).max(1), drains: None, lag });
                     n += 1;
-                    let class = 1 + dice.below(2);
-                    let destination =
-                        if kind == "burst" { number } else { 1 + dice.below(day.destinations.len()) as i64 };
-                    let plan = if kind == "burst" { dice.below(day.plans.len()) } else { hot };
-                    let s = submission(&day.classes[class], destination, n, None);
-                    day.plans[plan].steps.push((t, Step::Submit(Box::new(s), class)));
                 }
-                troubles.push(format!(
-                    "{kind}: {rate} further messages a second for 2 s from {:.1} s",
-                    from as f64 / 1e6
-                ));
-            }
-            "pause" => {
-                let sender = dice.below(day.senders);
-                let span = (dice.between(0.2, 0.7) * 1e6) as Micros;
-                day.stalls.push((from, sender, span));
-                troubles.push(format!(
-                    "pause: sender {sender} stands still for {} ms at {:.1} s",
-                    span / 1_000,
-                    from as f64 / 1e6
-                ));
             }
-            "unbind" | "cut" => {
-                // The transceiver of a client goes and comes back.
-                let plan = dice.below(day.plans.len() / 2) * 2;
-                let back = (from + 3 * S / 2).min(length);
-                day.plans[plan].steps.retain(|s| s.0 < from || s.0 > back + S / 10);
-                let step = if kind == "unbind" { Step::Unbind } else { Step::Cut };
-                day.plans[plan].steps.push((from, step));
-                day.plans[plan].steps.push((back, Step::Bind(Mode::Transceiver)));
-                troubles.push(format!("{kind}: {} is away {span}", day.plans[plan].system_id));
-            }
-            "strays" => {
-                day.destinations[at].strays = true;
-                troubles.push(format!("strays: receiver {number} answers requests that nobody made"));
+            format!("deploy: {n} receivers replaced {span}, told {} ms late", lag / 1_000)
+        }
+        "discovery_stale" => {
+            day.directory_errors.push((from, to));
+            format!("discovery_stale: the directory fails, {span}")
+        }
+        "burst" | "hot_sender" => {
+            let rate = or(400.0);
+            let hot = dice.below(day.plans.len() / 2) * 2;
+            let number = 1 + dice.below(day.destinations.len()) as i64;
+            let (mut at, mut n) = (from, 500_000);
+            while at < to.min(length) {
+                at += dice.gap(rate);
+                n += 1;
+                let class = 1 + dice.below(2);
+                let burst = kind == "burst";
+                let destination = if burst { number } else { 1 + dice.below(day.destinations.len()) as i64 };
+                let plan = if burst { dice.below(day.plans.len()) } else { hot };
+                let s = submission(&day.classes[class], destination, n, None);
+                day.plans[plan].steps.push((at, Step::Submit(Box::new(s), class)));
             }
-            _ => {}
+            format!("{kind}: {rate} further messages a second, {span}")
         }
-    }
-    for p in &mut day.plans {
-        p.steps.sort_by_key(|s| s.0);
-    }
-    let classes = names(&day);
-    BadDay { day, troubles, classes }
+        "pause" => {
+            let sender = dice.below(day.senders);
+            day.stalls.push((from, sender, to - from));
+            format!("pause: sender {sender} stands still, {span}")
+        }
+        "unbind" | "cut" => {
+            // The transceiver of a client goes and comes back.
+            let plan = dice.below(day.plans.len() / 2) * 2;
+            let back = to.min(length);
+            let p = &mut day.plans[plan];
+            p.steps.retain(|s| s.0 < from || s.0 > back + S / 10);
+            p.steps.push((from, if kind == "unbind" { Step::Unbind } else { Step::Cut }));
+            p.steps.push((back, Step::Bind(Mode::Transceiver)));
+            format!("{kind}: {} is away, {span}", p.system_id)
+        }
+        _ => return None,
+    })
 }
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -10,6 +10,6 @@
 mod report;
 mod setup;
 
-pub use bad_day::{BadDay, bad_day, demo};
+pub use bad_day::{BadDay, bad_day, demo, mixed, stage};
 pub use report::{answers_table, report};
 pub use setup::{ClassSpec, ClientSpec, Day, Destination, Drill, DrillError, Listed, Outcome, Rules};
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -482,11 +482,12 @@
     /// Acts on all that happened and fell due. To be called after a turn of inputs, and at [`Node::wake`].
     pub fn settle(&mut self, now: Micros) {
         self.now = now.max(self.now);
-        while let Some(key) = self.timers.due(self.now) {
-            self.fell_due(key);
-        }
-        // Each round may bring outcomes at once (calls that could not be made); they are heard in the next.
+        // Each round may bring outcomes at once (calls that could not be made) and timers that are due; they are
+        // heard in the next.
         for _ in 0..64 {
+            while let Some(key) = self.timers.due(self.now) {
+                self.fell_due(key);
+            }
             if self.events.is_empty() {
                 break;
             }
--- /dev/null
+++ b/crates/engine/tests/node.rs
@@ -0,0 +1,151 @@
+//! A node by hand, without sockets: what leaves it, and what it says when the wire does not keep up.
+
+use bytes::BytesMut;
+use heronroute_config::parse;
+use heronroute_engine::{ConnId, Gone, Node, Output, Start};
+use heronroute_http::write_response;
+use heronroute_smpp::client::{Event, Session};
+use heronroute_smpp::receipt::{Answer, Receipt};
+use heronroute_smpp::server::{Limits, Mode};
+use heronroute_smpp::submission::{Submission, Wanted};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const LIMITS: Limits = Limits {
+    session_init: 1 << 40,
+    enquire_every: 1 << 40,
+    inactivity: 1 << 40,
+    response: 1 << 40,
+    window: 100,
+    max_pdu: 70_000,
+};
+const LIST: &str = "endpoint { name: \"a\" address: \"127.0.0.1:9001\" destination: 1 kind: \"k\" }";
+
+fn node(more: &str, kept: Option<String>) -> Node {
+    let text = format!(
+        "service {{ quantum: \"0s\" }} client {{ system_id: \"c\" password: \"p\" }} \
+         class {{ name: \"PAY\" effect: \"single_shot\" deadline: \"2s\" }} \
+         kind {{ name: \"k\" protocol: \"http\" }} route {{ destination: 1 }} {more}"
+    );
+    let start = Start { index: 0, seed: 3, now: 0, wall: 1 << 50, kept };
+    Node::new(Arc::new(parse("test", &text).unwrap()), start).unwrap()
+}
+
+/// Binds and hands in one message; gives the client's side.
+fn hand_in(node: &mut Node) -> (ConnId, Session) {
+    let mut out = BytesMut::new();
+    let mut session = Session::bind(0, LIMITS, Mode::Transceiver, "c", "p", &mut out);
+    let conn = node.accepted(0, &out).unwrap();
+    out.clear();
+    let s = Submission {
+        service: "PAY".into(),
+        destination: "234".into(),
+        wanted: Wanted::Always,
+        body: b"pay".to_vec(),
+        ..Submission::default()
+    };
+    session.request(0, s.submit(None), &mut out);
+    node.received(0, conn, &out);
+    node.settle(0);
+    (conn, session)
+}
+
+fn connects(outputs: &[Output]) -> Vec<(ConnId, SocketAddr)> {
+    let each =
+        |o: &Output| if let Output::Connect { conn, address } = o { Some((*conn, *address)) } else { None };
+    outputs.iter().filter_map(each).collect()
+}
+
+/// What the client hears, of all that is written to it.
+fn heard(node: &mut Node, conn: ConnId, session: &mut Session) -> Vec<Answer> {
+    let octets = node.pending(conn).to_vec();
+    node.wrote(conn, octets.len());
+    let (mut out, mut events) = (BytesMut::new(), Vec::new());
+    session.receive(0, &octets, &mut out, &mut events);
+    let each = |e: Event| if let Event::Delivered(sm) = e { Receipt::read(&sm).map(|r| r.1) } else { None };
+    events.into_iter().filter_map(each).collect()
+}
+
+/// Runs the clock on, doing nothing else.
+fn pass(node: &mut Node, to: i64) {
+    while let Some(at) = node.wake().filter(|at| *at <= to) {
+        node.settle(at);
+        node.outputs();
+    }
+}
+
+#[test]
+fn a_kept_list_serves_while_the_directory_fails() {
+    let directory = "directory { address: \"127.0.0.1:9000\" }";
+    let mut n = node(directory, Some(LIST.to_string()));
+    let (conn, _) = connects(&n.outputs())[0];
+    n.closed(1_000, conn, Gone::Broken);
+    hand_in(&mut n);
+    let to: Vec<String> = connects(&n.outputs()).iter().map(|c| c.1.to_string()).collect();
+    assert_eq!(to, ["127.0.0.1:9001"], "the message goes out by the kept list");
+    // A list that can't be read is passed over, not fatal.
+    node(directory, Some("endpoint {".to_string()));
+}
+
+#[test]
+fn a_directory_that_must_be_asked_is_asked_again_after_a_failure() {
+    let mut n = node("directory { address: \"127.0.0.1:9000\" mode: \"ask\" poll: \"1s\" }", None);
+    let (conn, at) = connects(&n.outputs())[0];
+    assert_eq!(at.to_string(), "127.0.0.1:9000", "the library subscribes at its start");
+    n.closed(0, conn, Gone::Broken);
+    n.settle(0);
+    assert!(connects(&n.outputs()).is_empty(), "not at once");
+    let mut again = Vec::new();
+    while let Some(at) = n.wake().filter(|at| *at < 10_000_000 && again.is_empty()) {
+        n.settle(at);
+        again = connects(&n.outputs());
+    }
+    let conn = again[0].0;
+    n.connected(6_000_000, conn);
+    assert!(n.pending(conn).starts_with(b"GET /endpoints?since=0&wait=1000 "));
+    let mut answer = BytesMut::new();
+    write_response(200, &[], format!("version: 5 whole: true {LIST}").as_bytes(), &mut answer);
+    n.wrote(conn, n.pending(conn).len());
+    n.received(6_000_000, conn, &answer);
+    n.settle(6_000_000);
+    assert!(n.pending(conn).starts_with(b"GET /endpoints?since=5&"), "the next poll is out");
+    assert!(n.outputs().iter().any(|o| matches!(o, Output::Keep(text) if text.contains("9001"))));
+}
+
+#[test]
+fn what_never_left_is_taken_back_and_called_unsent() {
+    let mut n = node(LIST, None);
+    let (client, mut session) = hand_in(&mut n);
+    let (conn, _) = connects(&n.outputs())[0];
+    n.connected(1_000, conn);
+    n.settle(1_000);
+    assert!(n.pending(conn).starts_with(b"POST / "), "written for the system to take");
+    pass(&mut n, 2_000_000);
+    assert_eq!(heard(&mut n, client, &mut session), [Answer::Expired]);
+    assert_eq!(n.pending(conn), b"", "and never sent after the answer");
+}
+
+#[test]
+fn what_has_begun_to_leave_may_have_run() {
+    let mut n = node(LIST, None);
+    let (client, mut session) = hand_in(&mut n);
+    let (conn, _) = connects(&n.outputs())[0];
+    n.connected(1_000, conn);
+    n.wrote(conn, 1);
+    pass(&mut n, 2_000_000);
+    assert_eq!(heard(&mut n, client, &mut session), [Answer::Unknown { retry_after: None }]);
+}
+
+#[test]
+fn what_is_told_as_unsent_does_not_leave_with_a_closing_connection() {
+    let mut n = node(LIST, None);
+    hand_in(&mut n);
+    let (conn, _) = connects(&n.outputs())[0];
+    n.connected(1_000, conn);
+    // The receiver answers what nobody asked: the connection can't be read on.
+    n.received(2_000, conn, b"nonsense\r\n\r\n");
+    n.settle(2_000);
+    let outputs = n.outputs();
+    assert_eq!(n.pending(conn), b"", "nothing of the message is left to be written");
+    assert!(outputs.iter().any(|o| matches!(o, Output::Drop(c) | Output::Finish(c) if *c == conn)));
+}
