--- /dev/null
+++ b/crates/journal/src/dir.rs
@@ -0,0 +1,86 @@
+//! A real directory as storage. One process at a time: the second refuses.
+
+use crate::Storage;
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// A directory that is locked while this lives.
+#[derive(Debug)]
+pub struct Dir {
+    path: PathBuf,
+    files: BTreeMap<String, File>,
+    _lock: File,
+}
+
+impl Dir {
+    /// Opens a directory, making it if need be.
+    ///
+    /// # Errors
+    /// Where it can't be had, or another process has it.
+    pub fn open(path: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(path)?;
+        let lock = OpenOptions::new().create(true).truncate(false).write(true).open(path.join("lock"))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => {
+                let what = format!("{}: another process has this journal", path.display());
+                return Err(io::Error::new(io::ErrorKind::ResourceBusy, what));
+            }
+            Err(TryLockError::Error(e)) => return Err(e),
+        }
+        Ok(Dir { path: path.to_path_buf(), files: BTreeMap::new(), _lock: lock })
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        if !self.files.contains_key(name) {
+            let file = OpenOptions::new().append(true).open(self.path.join(name))?;
+            self.files.insert(name.to_string(), file);
+        }
+        self.files.get_mut(name).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Storage for Dir {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in std::fs::read_dir(&self.path)? {
+            names.push(entry?.file_name().to_string_lossy().into_owned());
+        }
+        names.sort();
+        Ok(names)
+    }
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        std::fs::read(self.path.join(name))
+    }
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.files.remove(name);
+        let path = self.path.join(name);
+        File::create(&path)?;
+        let file = OpenOptions::new().append(true).open(path)?;
+        self.files.insert(name.to_string(), file);
+        Ok(())
+    }
+    fn append(&mut self, name: &str, octets: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(octets)
+    }
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
+    }
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+    fn sync_names(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.files.remove(from);
+        self.files.remove(to);
+        std::fs::rename(self.path.join(from), self.path.join(to))
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.files.remove(name);
+        std::fs::remove_file(self.path.join(name))
+    }
+}
--- /dev/null
+++ b/crates/journal/src/entry.rs
@@ -0,0 +1,137 @@
+//! The entries, as protobuf: fields may be added, none is given another meaning.
+
+/// One entry.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Entry {
+    /// What it tells.
+    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6")]
+    pub what: Option<What>,
+}
+
+/// What an entry tells.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum What {
+    /// A message was accepted. Durable before the client is told.
+    #[prost(message, tag = "1")]
+    Accepted(Accepted),
+    /// An attempt is about to leave. Durable before its octets leave.
+    #[prost(message, tag = "2")]
+    Intent(Intent),
+    /// An attempt ended.
+    #[prost(message, tag = "3")]
+    Outcome(Outcome),
+    /// The final answer. Durable before it is told.
+    #[prost(message, tag = "4")]
+    Answer(Answer),
+    /// The client took the answer, or is owed none.
+    #[prost(message, tag = "5")]
+    Taken(Taken),
+    /// What was learnt of an endpoint, as far as the rules need it after a restart.
+    #[prost(message, tag = "6")]
+    Place(Place),
+}
+
+impl From<What> for Entry {
+    fn from(what: What) -> Self {
+        Entry { what: Some(what) }
+    }
+}
+
+/// A message, as its client handed it in. Times are microseconds since 1970 UTC.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Accepted {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The client, by system_id.
+    #[prost(string, tag = "2")]
+    pub client: String,
+    /// The class, by name.
+    #[prost(string, tag = "3")]
+    pub class: String,
+    #[prost(string, tag = "4")]
+    pub source: String,
+    #[prost(string, tag = "5")]
+    pub destination: String,
+    /// The destination that the address led to.
+    #[prost(sint64, tag = "6")]
+    pub dest: i64,
+    #[prost(string, tag = "7")]
+    pub key: String,
+    #[prost(bytes = "vec", tag = "8")]
+    pub body: Vec<u8>,
+    #[prost(int64, tag = "9")]
+    pub taken: i64,
+    /// It is given up then.
+    #[prost(int64, tag = "10")]
+    pub deadline: i64,
+    /// Forward mode: the response was to be the answer.
+    #[prost(bool, tag = "11")]
+    pub forward: bool,
+    /// Which receipts are wanted: 0 never, 1 always, 2 of failure, 3 of success.
+    #[prost(uint32, tag = "12")]
+    pub wanted: u32,
+    #[prost(bool, tag = "13")]
+    pub again: bool,
+    #[prost(uint32, tag = "14")]
+    pub coding: u32,
+    #[prost(uint32, tag = "15")]
+    pub esm: u32,
+}
+
+/// An attempt that may leave from now on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Intent {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The endpoint, by name.
+    #[prost(string, tag = "2")]
+    pub endpoint: String,
+    #[prost(int64, tag = "3")]
+    pub at: i64,
+}
+
+/// How the last attempt ended.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Outcome {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// It is proved that it had no effect.
+    #[prost(bool, tag = "2")]
+    pub never_ran: bool,
+}
+
+/// The final answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Answer {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Its word, as in receipts.
+    #[prost(string, tag = "2")]
+    pub word: String,
+    /// The wait told beside it, in microseconds; none below 0.
+    #[prost(sint64, tag = "3")]
+    pub retry_after: i64,
+    #[prost(int64, tag = "4")]
+    pub at: i64,
+}
+
+/// The answer was taken: the message is over.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Taken {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+}
+
+/// What was learnt of an endpoint. The last word on an endpoint holds.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Place {
+    /// The endpoint, by name.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// It told to wait until then.
+    #[prost(int64, tag = "2")]
+    pub wait_until: i64,
+    /// Calls there have failed since then; 0 where the last one succeeded.
+    #[prost(int64, tag = "3")]
+    pub bad_since: i64,
+}
--- /dev/null
+++ b/crates/journal/src/log.rs
@@ -0,0 +1,363 @@
+//! The log: frames in segments, snapshots, recovery.
+//!
+//! Files: `log-N` holds frames from entry N on, `snap-N` the book before entry N, `new` a snapshot being written.
+//! A snapshot is whole when its last frame (of no entries, naming N) is; it is renamed to its name only then, with
+//! everything synced, and the log before it is removed only after that.
+
+use crate::Storage;
+use crate::book::Book;
+use crate::entry::Entry;
+use crate::frame::{self, Bad};
+use std::io;
+
+/// Figures of a journal.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A segment is closed at this size, in octets.
+    pub segment: u64,
+    /// A snapshot is due once the log since the last one is this many times as large as that snapshot ...
+    pub growth: u64,
+    /// ... and at least so many octets.
+    pub least: u64,
+    /// Octets on disk at most; beyond them a commit is refused and the log is as it was.
+    pub most: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { segment: 64 << 20, growth: 4, least: 16 << 20, most: 4 << 30 }
+    }
+}
+
+/// What a journal takes up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Octets on disk.
+    pub octets: u64,
+    /// Entries written since it was opened, commits, and snapshots.
+    pub entries: u64,
+    pub commits: u64,
+    pub snapshots: u64,
+}
+
+/// Why a journal can't go on.
+#[derive(Debug, thiserror::Error)]
+pub enum JournalError {
+    /// A place that was durable is broken.
+    #[error(
+        "{file}: broken at octet {offset}, though entries up to {durable} were durable; a copy of the folder is needed before anything is tried"
+    )]
+    Broken {
+        /// The file.
+        file: String,
+        /// Where in it.
+        offset: u64,
+        /// What must have been there.
+        durable: u64,
+    },
+    /// A file of another version.
+    #[error(
+        "{file}: written in version {version} of the format; this program reads version {}",
+        frame::VERSION
+    )]
+    Version {
+        /// The file.
+        file: String,
+        /// Its version.
+        version: u32,
+    },
+    /// No room on disk; nothing was written.
+    #[error("the journal is full")]
+    Full,
+    /// The storage failed. What was durable before still is; nothing more is written.
+    #[error("the journal's storage failed: {0}")]
+    Storage(#[from] io::Error),
+    /// It failed before.
+    #[error("the journal has failed before and takes nothing more")]
+    Failed,
+}
+
+/// A journal on its storage.
+#[derive(Debug)]
+pub struct Journal<S> {
+    storage: S,
+    limits: Limits,
+    book: Book,
+    /// Number of the next entry; all below are durable.
+    next: u64,
+    segment: String,
+    segment_size: u64,
+    /// Octets in older segments since the last snapshot, and of that snapshot.
+    log_size: u64,
+    snap_size: u64,
+    usage: Usage,
+    failed: bool,
+    out: Vec<u8>,
+}
+
+fn number(name: &str, prefix: &str) -> Option<u64> {
+    u64::from_str_radix(name.strip_prefix(prefix)?, 16).ok().filter(|_| name.len() == prefix.len() + 16)
+}
+
+impl<S: Storage> Journal<S> {
+    /// Opens a journal, or makes a new one: reads the newest snapshot and the log behind it.
+    ///
+    /// # Errors
+    /// Where a durable place is broken or of another version, or the storage fails.
+    pub fn open(mut storage: S, limits: Limits) -> Result<Self, JournalError> {
+        let names = storage.list()?;
+        // A snapshot that was not finished is none.
+        if names.iter().any(|n| n == "new") {
+            storage.remove("new")?;
+        }
+        let mut snaps: Vec<u64> = names.iter().filter_map(|n| number(n, "snap-")).collect();
+        snaps.sort_unstable();
+        let (mut book, mut next, mut snap_size) = (Book::default(), 0, 0);
+        if let Some(at) = snaps.last() {
+            let name = format!("snap-{at:016x}");
+            let octets = storage.read(&name)?;
+            book = snapshot(&name, &octets, *at)?;
+            (next, snap_size) = (*at, octets.len() as u64);
+        }
+        let mut logs: Vec<u64> = names.iter().filter_map(|n| number(n, "log-")).collect();
+        logs.sort_unstable();
+        let mut log_size = 0;
+        let mut cut = false;
+        for (i, first) in logs.iter().enumerate() {
+            let name = format!("log-{first:016x}");
+            let octets = storage.read(&name)?;
+            // Segments wholly before the snapshot were only not removed yet.
+            if logs.get(i + 1).is_some_and(|n| *n <= next && *first < next) {
+                storage.remove(&name)?;
+                continue;
+            }
+            if cut {
+                // Behind a cut nothing was durable (checked when the cut was made).
+                storage.remove(&name)?;
+                continue;
+            }
+            let mut at = 0;
+            loop {
+                let bad = match frame::read(&octets[at..]) {
+                    Ok(f) if f.first <= next || f.entries.is_empty() => {
+                        for (n, e) in f.entries.iter().enumerate() {
+                            if f.first + n as u64 == next {
+                                book.apply(e);
+                                next += 1;
+                            }
+                        }
+                        at += f.length;
+                        continue;
+                    }
+                    // A gap: a frame before it was lost.
+                    Ok(_) => Bad::Torn,
+                    Err(bad) => bad,
+                };
+                match bad {
+                    Bad::End => break,
+                    Bad::Version(version) => return Err(JournalError::Version { file: name, version }),
+                    Bad::Torn => {
+                        let mut durable = frame::durable_behind(&octets[at..]);
+                        for later in &logs[i + 1..] {
+                            let octets = storage.read(&format!("log-{later:016x}"))?;
+                            durable = durable.max(frame::durable_behind(&octets));
+                        }
+                        if durable > next {
+                            return Err(JournalError::Broken { file: name, offset: at as u64, durable });
+                        }
+                        storage.truncate(&name, at as u64)?;
+                        storage.sync(&name)?;
+                        cut = true;
+                        break;
+                    }
+                }
+            }
+            log_size += at as u64;
+        }
+        for old in snaps.iter().rev().skip(1) {
+            storage.remove(&format!("snap-{old:016x}"))?;
+        }
+        let usage = Usage { octets: log_size + snap_size, ..Usage::default() };
+        let mut journal = Journal {
+            storage,
+            limits,
+            book,
+            next,
+            segment: String::new(),
+            segment_size: 0,
+            log_size,
+            snap_size,
+            usage,
+            failed: false,
+            out: Vec::new(),
+        };
+        journal.rotate()?;
+        Ok(journal)
+    }
+
+    /// The book: all that is open.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// Number of the next entry; all below are durable.
+    pub fn durable(&self) -> u64 {
+        self.next
+    }
+
+    /// What it takes up.
+    pub fn usage(&self) -> Usage {
+        self.usage
+    }
+
+    /// Gives back the storage.
+    pub fn into_storage(self) -> S {
+        self.storage
+    }
+
+    /// A new segment, whose name is durable before anything in it is called so.
+    fn rotate(&mut self) -> Result<(), JournalError> {
+        let name = format!("log-{:016x}", self.next);
+        if name != self.segment {
+            self.storage.create(&name)?;
+            self.storage.sync(&name)?;
+            self.storage.sync_names()?;
+        }
+        self.log_size += self.segment_size;
+        (self.segment, self.segment_size) = (name, 0);
+        Ok(())
+    }
+
+    /// Makes entries durable: one write and one sync for all of them.
+    ///
+    /// # Errors
+    /// [`JournalError::Full`] where there is no room: nothing has changed, and less may be tried. Anything else is
+    /// final: a sync that failed says nothing of what reached the disk, so it is not tried again.
+    pub fn commit(&mut self, entries: &[Entry]) -> Result<u64, JournalError> {
+        if self.failed {
+            return Err(JournalError::Failed);
+        }
+        if entries.is_empty() {
+            return Ok(self.next);
+        }
+        self.out.clear();
+        frame::write(self.next, self.next, entries, &mut self.out);
+        if self.usage.octets + self.out.len() as u64 > self.limits.most {
+            return Err(JournalError::Full);
+        }
+        if let Err(e) = self.storage.append(&self.segment, &self.out) {
+            // A part may have been written. Where it can be cut off again, the log is as it was.
+            let full = e.kind() == io::ErrorKind::StorageFull;
+            if full && self.storage.truncate(&self.segment, self.segment_size).is_ok() {
+                return Err(JournalError::Full);
+            }
+            self.failed = true;
+            return Err(e.into());
+        }
+        if let Err(e) = self.storage.sync(&self.segment) {
+            self.failed = true;
+            return Err(e.into());
+        }
+        for e in entries {
+            self.book.apply(e);
+        }
+        self.next += entries.len() as u64;
+        self.segment_size += self.out.len() as u64;
+        self.usage.octets += self.out.len() as u64;
+        self.usage.entries += entries.len() as u64;
+        self.usage.commits += 1;
+        let since = self.log_size + self.segment_size;
+        let grown = since >= self.limits.least.max(self.snap_size * self.limits.growth);
+        let done = if grown {
+            self.snapshot()
+        } else if self.segment_size >= self.limits.segment {
+            self.rotate()
+        } else {
+            Ok(())
+        };
+        match done {
+            // No room for a snapshot: the log goes on, and sheds, until there is.
+            Err(JournalError::Storage(e)) if e.kind() == io::ErrorKind::StorageFull => {
+                _ = self.storage.remove("new");
+            }
+            Err(e) => {
+                self.failed = true;
+                return Err(e);
+            }
+            Ok(()) => {}
+        }
+        Ok(self.next)
+    }
+
+    /// Writes the book down and drops the log before it.
+    pub fn snapshot(&mut self) -> Result<(), JournalError> {
+        self.storage.create("new")?;
+        let (mut first, mut size) = (0, 0);
+        let mut part: Vec<Entry> = Vec::new();
+        let entries: Vec<Entry> = self.book.entries().collect();
+        for e in entries {
+            part.push(e);
+            if part.len() >= 1_024 {
+                size += self.write_part(first, &part)?;
+                first += part.len() as u64;
+                part.clear();
+            }
+        }
+        size += self.write_part(first, &part)?;
+        // The end: no entries, and the number that the snapshot stands for. Without it, it is not whole.
+        self.out.clear();
+        frame::write(self.next, first + part.len() as u64, &[], &mut self.out);
+        self.storage.append("new", &self.out)?;
+        size += self.out.len() as u64;
+        self.storage.sync("new")?;
+        let name = format!("snap-{:016x}", self.next);
+        self.storage.rename("new", &name)?;
+        self.storage.sync_names()?;
+        self.rotate()?;
+        let keep = self.next;
+        for name in self.storage.list()? {
+            let old = number(&name, "snap-").or(number(&name, "log-")).is_some_and(|n| n < keep);
+            if old {
+                self.storage.remove(&name)?;
+            }
+        }
+        self.storage.sync_names()?;
+        (self.snap_size, self.log_size) = (size, 0);
+        self.usage.octets = size + self.segment_size;
+        self.usage.snapshots += 1;
+        Ok(())
+    }
+
+    fn write_part(&mut self, first: u64, part: &[Entry]) -> Result<u64, JournalError> {
+        if part.is_empty() {
+            return Ok(0);
+        }
+        self.out.clear();
+        frame::write(first, 0, part, &mut self.out);
+        self.storage.append("new", &self.out)?;
+        Ok(self.out.len() as u64)
+    }
+}
+
+/// Reads a snapshot: it was synced whole before it got its name, so that any fault in it is a broken place.
+fn snapshot(name: &str, octets: &[u8], stands_for: u64) -> Result<Book, JournalError> {
+    let mut book = Book::default();
+    let (mut at, mut count) = (0, 0);
+    loop {
+        match frame::read(&octets[at..]) {
+            Ok(f) if f.entries.is_empty() && f.first == stands_for && f.durable == count => return Ok(book),
+            Ok(f) if f.first == count && !f.entries.is_empty() => {
+                count += f.entries.len() as u64;
+                f.entries.iter().for_each(|e| book.apply(e));
+                at += f.length;
+            }
+            Err(Bad::Version(version)) => {
+                return Err(JournalError::Version { file: name.to_string(), version });
+            }
+            _ => {
+                let (file, offset) = (name.to_string(), at as u64);
+                return Err(JournalError::Broken { file, offset, durable: stands_for });
+            }
+        }
+    }
+}
