--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -68,7 +68,8 @@
         };
         steps.push(((n as f64 / args.rate * 1e6) as i64, Step::Submit(Box::new(submission), 0)));
     }
-    let plan = Plan { system_id: args.system_id.clone(), password: args.password.clone(), steps };
+    let plan =
+        Plan { system_id: args.system_id.clone(), password: args.password.clone(), returns: false, steps };
     let until = ((args.count as f64 / args.rate + args.wait) * 1e6) as i64;
     let clock = Clock::start();
     let address = args.connect;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -46,7 +46,9 @@
         Err(e) => return fail(1, format_args!("signals: {e}")),
     };
     let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |d| d.as_nanos() as u64);
-    let service = match Service::start(cfg, seed ^ u64::from(std::process::id())) {
+    // A sender without its journal must not go on; the process ends, and a restart finds what was durable.
+    let failed = Arc::new(|| _ = signal_hook::low_level::raise(SIGTERM));
+    let service = match Service::start_with(cfg, seed ^ u64::from(std::process::id()), failed) {
         Ok(service) => service,
         Err(e) => return fail(1, e),
     };
--- /dev/null
+++ b/crates/cli/tests/kill.rs
@@ -0,0 +1,184 @@
+//! The real process is killed (SIGKILL) at random moments under load and started again, over and over; every
+//! message is checked against the receivers' and the clients' own records.
+//!
+//! `KILLS=300 cargo test --release -p heronroute-cli --test kill` for a long run.
+
+use heronroute_audit::{Class, Effect, Record, Slack, Told, check};
+use heronroute_net::Clock;
+use heronroute_smpp::server::Mode;
+use heronroute_smpp::submission::{Submission, Wanted};
+use heronroute_standins::clients::{Herd, Plan, Step};
+use heronroute_standins::farm::{Destination, Endpoint, Farm, Speaks};
+use heronroute_standins::model::{Shape, Strike, Trouble};
+use heronroute_standins::run::Running;
+use std::fmt::Write as _;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+const MS: i64 = 1_000;
+const S: i64 = 1_000_000;
+const NAMES: [&str; 4] = ["PAY", "RESP", "STAT", "QUOTA"];
+const DEADLINES: [i64; 4] = [8 * S, 8 * S, 6 * S, 8 * S];
+
+fn settings(listen: SocketAddr, receivers: &[SocketAddr], folder: &Path) -> String {
+    let mut t = format!(
+        "service {{ senders: 2 slots: 64 room: 4000 max_attempts: 8 connect_timeout: \"500ms\" }}\n\
+         smpp {{ listen: \"{listen}\" window: 1000 }}\n\
+         journal {{ folder: \"{}\" most_disk: \"64MiB\" segment: \"256KiB\" }}\n\
+         rules {{ order_settle: \"300ms\" warm_up: \"3s\" }}\n\
+         client {{ system_id: \"oduya\" password: \"secret\" }} client {{ system_id: \"askwell\" password: \"secret\" }}\n\
+         class {{ name: \"PAY\" effect: \"single_shot\" deadline: \"8s\" aim: \"1s\" worth: 5 }}\n\
+         class {{ name: \"RESP\" effect: \"guarded\" window: \"4s\" deadline: \"8s\" aim: \"1s\" }}\n\
+         class {{ name: \"STAT\" effect: \"free\" deadline: \"6s\" aim: \"1s\" }}\n\
+         class {{ name: \"QUOTA\" effect: \"free\" deadline: \"8s\" aim: \"1s\" ordered: true }}\n\
+         kind {{ name: \"s\" protocol: \"smpp\" }} kind {{ name: \"h\" protocol: \"http\" }}\n",
+        folder.display()
+    );
+    for (i, at) in receivers.iter().enumerate() {
+        let (d, kind) = (i / 2 + 1, if i / 2 % 2 == 0 { "s" } else { "h" });
+        _ = writeln!(t, "endpoint {{ name: \"e{i}\" address: \"{at}\" destination: {d} kind: \"{kind}\" }}");
+        if i % 2 == 0 {
+            _ = writeln!(t, "route {{ prefix: \"{d:06}\" destination: {d} }}");
+        }
+    }
+    t
+}
+
+fn start(config: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_heronroute"))
+        .args(["--log", "error", "serve", "--config", config.to_str().unwrap()])
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+/// Numbers that are the same in each run.
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) % n
+    }
+}
+
+fn plans(dice: &mut Dice, length: i64) -> Vec<Plan> {
+    let plan = |id: &str| Plan {
+        system_id: id.into(),
+        password: "secret".into(),
+        returns: true,
+        steps: vec![(100 * MS, Step::Bind(Mode::Transceiver))],
+    };
+    let mut plans = vec![plan("oduya"), plan("askwell")];
+    let (mut at, mut n) = (400 * MS, 0);
+    while at < length {
+        at += 1 + dice.below(8_000) as i64;
+        n += 1;
+        let class = [0, 0, 1, 2, 3][dice.below(5) as usize];
+        let submission = Submission {
+            service: NAMES[class].into(),
+            source: "survey".into(),
+            destination: format!("{:06}{n:06}", 1 + dice.below(4)),
+            wanted: Wanted::Always,
+            key: (class == 3).then(|| format!("k{}", dice.below(5))),
+            body: format!("message {n}").into_bytes(),
+            ..Submission::default()
+        };
+        plans[dice.below(2) as usize].steps.push((at, Step::Submit(Box::new(submission), class)));
+    }
+    plans
+}
+
+fn siege(seed: u64, kills: u64) {
+    let mut dice = Dice(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
+    let clock = Clock::start();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let length = S + kills as i64 * 900 * MS;
+    let endpoint = |i: usize| Endpoint {
+        name: format!("e{i}"),
+        destination: i as i64 / 2 + 1,
+        speaks: if i / 2 % 2 == 0 { Speaks::Smpp } else { Speaks::Http },
+        batches: false,
+        leaves: None,
+        strays: false,
+    };
+    let lost = Strike { from: 0, to: i64::MAX, trouble: Trouble::AnswerLost(0.02) };
+    let destination = |destination: i64| Destination {
+        destination,
+        shape: Shape { pace: (5 + 30 * (destination % 3)) * MS, width: 24, ..Shape::default() },
+        strikes: if destination == 3 { vec![lost] } else { vec![] },
+    };
+    let farm = Running::start(&[any; 8], clock, |_| {
+        Farm::new((0..8).map(endpoint).collect(), (1..=4).map(destination).collect(), seed)
+    })
+    .unwrap();
+    let listen = TcpListener::bind(any).unwrap().local_addr().unwrap();
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("kill-{seed}"));
+    _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let config = folder.join("settings.txt");
+    std::fs::write(&config, settings(listen, &farm.addresses, &folder.join("journal"))).unwrap();
+    let plans = plans(&mut dice, length);
+    let mut service = start(&config);
+    let herd =
+        Running::start(&[], clock, move |_| Herd::new(listen, plans, DEADLINES.to_vec(), length + 25 * S))
+            .unwrap();
+    for _ in 0..kills {
+        std::thread::sleep(Duration::from_millis(400 + dice.below(800)));
+        service.kill().unwrap();
+        service.wait().unwrap();
+        std::thread::sleep(Duration::from_millis(dice.below(100)));
+        service = start(&config);
+    }
+    let mut herd = herd.join().unwrap();
+    assert!(service.try_wait().unwrap().is_none(), "the service runs to the end");
+    service.kill().unwrap();
+    service.wait().unwrap();
+    let farm = farm.stop().unwrap();
+    herd.close();
+    let record = Record {
+        fell: farm.fallen(),
+        arrivals: farm.arrivals,
+        submissions: herd.accepted,
+        away: herd.away,
+        unheard: herd.unheard,
+        strays: herd.strays,
+        ..Record::default()
+    };
+    let class = |effect, ordered| Class { effect, ordered };
+    let classes = [
+        class(Effect::SingleShot, false),
+        class(Effect::Guarded(4 * S), false),
+        class(Effect::Free, false),
+        class(Effect::Free, true),
+    ];
+    let slack = Slack { wire: 400 * MS, drain_grace: S, order_settle: 300 * MS, least_timeout: 100 * MS };
+    let breaches = check(&record, &classes, slack);
+    let told =
+        |t: Told| record.submissions.iter().filter(|s| s.answers.first().is_some_and(|a| a.1 == t)).count();
+    println!(
+        "seed {seed}: {kills} kills, {} messages accepted, {} without a response; delivered {}, not run {}, unknown {}",
+        record.submissions.len(),
+        record.unheard,
+        told(Told::Delivered),
+        told(Told::NotRun),
+        told(Told::Unknown)
+    );
+    assert!(breaches.is_empty(), "{:#?}", &breaches[..breaches.len().min(8)]);
+    assert!(record.submissions.len() > 100 * kills as usize, "{}", record.submissions.len());
+    assert!(told(Told::Delivered) * 10 > record.submissions.len() * 8);
+}
+
+#[test]
+fn killed_at_any_moment_nothing_accepted_is_lost_and_no_payout_repeats() {
+    let kills = std::env::var("KILLS").ok().and_then(|k| k.parse().ok()).unwrap_or(24);
+    // Several sieges at once: most of a siege is waiting.
+    let sieges: Vec<_> = (1..=4).map(|seed| std::thread::spawn(move || siege(seed, kills / 4))).collect();
+    for s in sieges {
+        s.join().unwrap();
+    }
+}
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,7 +1,7 @@
 //! From the raw file to checked settings: what is allowed, and what stands where nothing is said.
 
 use crate::raw;
-use crate::units::parse_span;
+use crate::units::{parse_size, parse_span};
 use heronroute::{
     ClassSettings, Discovery, Effect, Group, KindSettings, Micros, Settings, Status, TenantSettings, Weights,
 };
@@ -23,6 +23,8 @@
     pub smpp: SmppConfig,
     /// The directory.
     pub directory: DirectoryConfig,
+    /// The journal.
+    pub journal: JournalConfig,
     /// Clients, which are the tenants; a client's index is its tenant.
     pub clients: Vec<ClientConfig>,
     /// Names of the classes, in the order of `settings.classes`.
@@ -69,6 +71,14 @@
     pub keep: Option<String>,
 }
 
+/// Where and how large the journal is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JournalConfig {
+    pub folder: Option<String>,
+    pub limits: heronroute_journal::Limits,
+    pub most_lag: Micros,
+}
+
 /// One client.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClientConfig {
@@ -221,6 +231,7 @@
     let poll = c.span("directory.poll", &directory.poll, 20_000_000, 1_000);
     settings.ask_every = settings.ask_every.max(poll);
     let keep = Some(directory.keep).filter(|k| !k.is_empty());
+    let journal = journal(&mut c, raw.journal.unwrap_or_default());
     let clients = clients(&mut c, &raw.client, &mut settings);
     let class_names = classes(&mut c, &raw.class, &mut settings);
     let kinds = kinds(&mut c, &raw.kind, &mut settings);
@@ -259,7 +270,48 @@
         return Err(c.wrong);
     }
     let directory = DirectoryConfig { address, poll, keep };
-    Ok(Config { service, smpp, directory, clients, class_names, kinds, zones, routes, endpoints, settings })
+    Ok(Config {
+        service,
+        smpp,
+        directory,
+        journal,
+        clients,
+        class_names,
+        kinds,
+        zones,
+        routes,
+        endpoints,
+        settings,
+    })
+}
+
+fn journal(c: &mut Check, j: raw::Journal) -> JournalConfig {
+    let usual = heronroute_journal::Limits::default();
+    let mut size = |path: &str, text: &str, other: u64, least: u64| {
+        if text.is_empty() {
+            return other;
+        }
+        match parse_size(text) {
+            Ok(size) if size >= least => size,
+            Ok(_) => {
+                c.say(path, format!("\"{text}\" is too small: at least {least} octets"));
+                other
+            }
+            Err(e) => {
+                c.say(path, e);
+                other
+            }
+        }
+    };
+    let most = size("journal.most_disk", &j.most_disk, usual.most, 1 << 16);
+    let segment = size("journal.segment", &j.segment, usual.segment, 1 << 12);
+    // Snapshots begin early enough for two of them to fit.
+    let least = usual.least.min(most / 8);
+    JournalConfig {
+        folder: Some(j.folder).filter(|f| !f.is_empty()),
+        limits: heronroute_journal::Limits { segment, least, most, ..usual },
+        most_lag: c.span("journal.most_lag", &j.most_lag, 1_000_000, 1_000),
+    }
 }
 
 fn service(c: &mut Check, s: raw::Service, settings: &mut Settings) -> ServiceConfig {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,11 +13,11 @@
 mod units;
 
 pub use check::{
-    ClientConfig, Config, DirectoryConfig, EndpointConfig, KindConfig, Listing, Protocol, RouteConfig,
-    ServiceConfig, SmppConfig,
+    ClientConfig, Config, DirectoryConfig, EndpointConfig, JournalConfig, KindConfig, Listing, Protocol,
+    RouteConfig, ServiceConfig, SmppConfig,
 };
 pub use heronroute::SettingsError;
-pub use units::{parse_span, show_span};
+pub use units::{parse_size, parse_span, show_span};
 
 use miette::Diagnostic;
 use prost_reflect::{DescriptorPool, DynamicMessage};
--- a/crates/config/src/units.rs
+++ b/crates/config/src/units.rs
@@ -33,6 +33,25 @@
     format!("{}{name}", number.trim_end_matches('.'))
 }
 
+/// Reads a size such as `64KiB` or `4GiB`.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn parse_size(text: &str) -> Result<u64, String> {
+    let allowed = || format!("\"{text}\" is no size: a whole number and B, KiB, MiB or GiB, as \"64MiB\"");
+    let text = text.trim();
+    let digits = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(allowed)?;
+    let (number, unit) = text.split_at(digits);
+    let scale = match unit.trim() {
+        "B" => 1,
+        "KiB" => 1 << 10,
+        "MiB" => 1 << 20,
+        "GiB" => 1u64 << 30,
+        _ => return Err(allowed()),
+    };
+    number.parse::<u64>().ok().and_then(|n| n.checked_mul(scale)).ok_or_else(allowed)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -47,4 +66,12 @@
             assert!(parse_span(text).is_err(), "{text}");
         }
     }
+
+    #[test]
+    fn sizes_are_read() {
+        assert_eq!(parse_size("64MiB"), Ok(64 << 20));
+        for text in ["", "5", "MiB", "1.5GiB", "-1B", "5MB", "99999999999999999999B", "99999999999GiB"] {
+            assert!(parse_size(text).is_err(), "{text}");
+        }
+    }
 }
--- a/crates/drill/src/bad_day.rs
+++ b/crates/drill/src/bad_day.rs
@@ -120,6 +120,7 @@
             plans.push(Plan {
                 system_id: c.system_id.clone(),
                 password: "secret".into(),
+                returns: false,
                 steps: vec![(S / 5, Step::Bind(mode))],
             });
         }
--- a/crates/drill/tests/hard_cases.rs
+++ b/crates/drill/tests/hard_cases.rs
@@ -70,7 +70,7 @@
 
 fn plan(mut steps: Vec<(i64, Step)>) -> Plan {
     steps.sort_by_key(|s| s.0);
-    Plan { system_id: "oduya".into(), password: "secret".into(), steps }
+    Plan { system_id: "oduya".into(), password: "secret".into(), returns: false, steps }
 }
 
 /// A bind, and messages of a class at even gaps.
--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -3,8 +3,9 @@
 use crate::answers::End;
 use crate::calls::{End as CallEnd, proves};
 use crate::link::{self, Cargo, LinkEvent, Reply};
-use crate::node::{ConnId, Gone, Key, LinkEvents, Node, Output, Use, show_id};
+use crate::node::{ConnId, Effect as Durably, Gone, Key, LinkEvents, Node, Output, Use, show_id};
 use heronroute::{Action, Effect, EndpointId, Event, MsgId, Outcome};
+use heronroute_journal::entry::{self, What};
 use std::collections::BTreeMap;
 
 impl Node {
@@ -50,12 +51,24 @@
                 Action::Tell { .. } => {}
             }
         }
+        // No octet of a call leaves before its intents are durable.
         for (call, endpoint) in made {
-            if self.calls.get(call).is_some() {
-                self.stats.calls += 1;
-                self.remotes[endpoint.0 as usize].pool.queue(call);
-                self.place(endpoint);
+            let Some(c) = self.calls.get(call) else { continue };
+            let (name, at) = (&self.remotes[endpoint.0 as usize].name, self.wall());
+            for p in c.parts.iter().filter(|p| p.open) {
+                let intent = || entry::Intent { id: p.msg.0, endpoint: name.clone(), at };
+                self.ledger.write(|| What::Intent(intent()));
             }
+            self.stats.calls += 1;
+            self.once_durable(Durably::Place { call, endpoint });
+        }
+    }
+
+    /// A call may leave; where it was called off meanwhile there is nothing of it any more.
+    pub(crate) fn start_call(&mut self, call: u64, endpoint: EndpointId) {
+        if self.calls.get(call).is_some() {
+            self.remotes[endpoint.0 as usize].pool.queue(call);
+            self.place(endpoint);
         }
     }
 
@@ -125,7 +138,12 @@
             m.out = None;
             m.may_run |= !reply.outcome.never_ran() && reply.outcome != Outcome::Done;
             last = reply.outcome == Outcome::Done;
+            if !last {
+                let never_ran = reply.outcome.never_ran();
+                self.ledger.write(|| What::Outcome(entry::Outcome { id: p.msg.0, never_ran }));
+            }
         }
+        self.note_place(endpoint, reply);
         self.events.push(Event::Outcome {
             id: p.msg,
             attempt: p.attempt,
@@ -155,6 +173,29 @@
         }
     }
 
+    /// Keeps what a restart must know of an endpoint: waits it told, and since when it fails.
+    fn note_place(&mut self, endpoint: EndpointId, reply: Reply) {
+        let now = self.wall();
+        let remote = &mut self.remotes[endpoint.0 as usize];
+        let (wait, bad) = remote.place;
+        let told = if reply.wait > 0 { now + reply.wait } else { 0 };
+        let bad = match reply.outcome {
+            Outcome::Done => 0,
+            // Says nothing of the endpoint, or that it answers.
+            Outcome::Skipped | Outcome::Cancelled => bad,
+            Outcome::Busy if reply.wait == 0 => bad,
+            _ if bad == 0 => now,
+            _ => bad,
+        };
+        let place = (wait.max(told), bad);
+        if place != remote.place {
+            remote.place = place;
+            let endpoint = remote.name.clone();
+            let (wait_until, bad_since) = place;
+            self.ledger.write(|| What::Place(entry::Place { endpoint, wait_until, bad_since }));
+        }
+    }
+
     /// Whether some of a message's octets have been handed to the system.
     fn begun(&self, call: u64, part: usize) -> bool {
         let Some(c) = self.calls.get(call) else { return true };
--- a/crates/engine/src/front.rs
+++ b/crates/engine/src/front.rs
@@ -3,8 +3,9 @@
 use crate::Micros;
 use crate::answers::{self, End};
 use crate::limits::Refusal;
-use crate::node::{ConnId, ID_SENDER_BITS, Key, Message, Node, Use, read_id, show_id};
+use crate::node::{ConnId, Effect, ID_SENDER_BITS, Key, Message, Node, Use, read_id, show_id};
 use heronroute::{Event, MsgId};
+use heronroute_journal::entry::{Accepted, What};
 use heronroute_smpp::receipt::Answer;
 use heronroute_smpp::server::{self, Session};
 use heronroute_smpp::submission::Submission;
@@ -110,8 +111,10 @@
             server::Event::Acknowledged { sequence, taken } => {
                 let Some(client) = self.client_of(conn) else { return };
                 let now = self.now;
-                if self.clients[client].outbox.answered(now, conn, sequence, taken, RECEIPT_PAUSE) {
+                let receipt = self.clients[client].outbox.answered(now, conn, sequence, taken, RECEIPT_PAUSE);
+                if let Some(id) = receipt.and_then(|r| read_id(&r.id)) {
                     self.stats.receipts += 1;
+                    self.taken(id);
                 }
                 self.pump(client);
             }
@@ -193,6 +196,10 @@
             self.stats.refused_other += 1;
             return Err(CommandStatus::EsmeRinvexpiry);
         }
+        if self.ledger.refuses(self.now, self.messages.len()) {
+            self.stats.refused_room += 1;
+            return Err(CommandStatus::EsmeRmsgqful);
+        }
         if let Err(refusal) = self.limits.admit(self.now, client, self.held(client)) {
             match refusal {
                 Refusal::Rate => self.stats.refused_rate += 1,
@@ -221,11 +228,31 @@
             again: submission.again,
         });
         let reply = submission.forward.then_some((conn, sequence));
+        let (taken, names) = (self.wall(), &self.cfg);
+        self.ledger.write(|| {
+            What::Accepted(Accepted {
+                id: id.0,
+                client: names.clients.get(client).map(|c| c.system_id.clone()).unwrap_or_default(),
+                class: names.class_names[class].clone(),
+                source: submission.source.clone(),
+                destination: submission.destination.clone(),
+                dest: dest.0,
+                key: submission.key.clone().unwrap_or_default(),
+                body: submission.body.clone(),
+                taken,
+                deadline: taken + span,
+                forward: submission.forward,
+                wanted: submission.wanted.code(),
+                again: submission.again,
+                coding: u32::from(submission.coding),
+                esm: u32::from(submission.esm),
+            })
+        });
         let message = Message {
             client,
             class,
             submission,
-            taken: self.wall(),
+            taken,
             deadline: self.now + span,
             reply,
             attempts: 0,
@@ -234,14 +261,20 @@
         };
         self.messages.insert(id, message);
         self.clients[client].open += 1;
-        if reply.is_none()
-            && let Some((session, out)) = self.session(conn)
-        {
-            session.submitted(sequence, &show_id(id), CommandStatus::EsmeRok, Vec::new(), out);
+        if reply.is_none() {
+            self.once_durable(Effect::Accept { conn, sequence, id });
         }
         Ok(())
     }
 
+    /// The acceptance is told. A session that is gone by now will hear of its message by the receipt alone.
+    pub(crate) fn tell_accepted(&mut self, conn: ConnId, sequence: u32, id: MsgId) {
+        if let Some((session, out)) = self.session(conn) {
+            session.submitted(sequence, &show_id(id), CommandStatus::EsmeRok, Vec::new(), out);
+        }
+        self.flush(conn);
+    }
+
     /// The response that is the final answer, in forward mode. False where its session is gone.
     pub(crate) fn respond(&mut self, conn: ConnId, sequence: u32, id: MsgId, answer: Answer) -> bool {
         let Some((session, out)) = self.session(conn) else { return false };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,7 +5,8 @@
 //! to its client. Holds messages, calls, connections, receipts owed, the directory's list.
 //! Decides (each in a module of its own): which submissions are taken on at all ([`limits`]), which destination an
 //! address belongs to ([`routes`]), on which connection a call goes ([`pool`]), what an end on the wire proves
-//! ([`calls`]), which answer a client is told ([`answers`]), in which order receipts go out ([`outbox`]).
+//! ([`calls`]), which answer a client is told ([`answers`]), in which order receipts go out ([`outbox`]), what
+//! becomes of a message after a restart ([`resume`]), what waits for the journal ([`ledger`]).
 //! Never: touches a socket or a file, reads a clock or a random source of the machine, or decides what
 //! the decision library decides: which message goes where and when, how long to wait, when to give up.
 
@@ -17,17 +18,21 @@
 pub mod directory;
 mod front;
 pub mod home;
+pub mod ledger;
 pub mod limits;
 pub mod link;
 mod node;
 pub mod outbox;
 pub mod pool;
+mod restart;
+pub mod resume;
 pub mod routes;
 pub mod stats;
 mod stream;
 pub mod timers;
 
 pub use node::{ConnId, Gone, Node, Output, Start};
+pub use restart::Restarted;
 pub use stats::Stats;
 
 /// Time in microseconds on the caller's clock.
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -5,6 +5,7 @@
 use crate::answers::{self, End};
 use crate::calls::Calls;
 use crate::directory::{Directory, Heard, Want};
+use crate::ledger::Ledger;
 use crate::limits::{Held, Limits};
 use crate::link::{Link, LinkEvent};
 use crate::outbox::Outbox;
@@ -17,6 +18,8 @@
     Action, DestId, Discovery, Dispatcher, EndpointEntry, EndpointId, Event, MsgId, SettingsError, Status,
 };
 use heronroute_config::{Config, Listing, parse_listing};
+use heronroute_journal::entry::{self, What};
+use heronroute_journal::{Book, Entry, Usage};
 use heronroute_smpp::receipt::{Answer, Receipt};
 use heronroute_smpp::server::{self, Session};
 use heronroute_smpp::submission::Submission;
@@ -43,7 +46,7 @@
 }
 
 /// What a node asks of whoever holds the sockets, in order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Connect; then say [`Node::connected`] or [`Node::closed`].
     Connect {
@@ -60,6 +63,8 @@
     Drop(ConnId),
     /// Keep this text for the next start.
     Keep(String),
+    /// Write these in the journal, then say [`Node::durable`].
+    Journal(Vec<Entry>),
 }
 
 /// What a node starts from.
@@ -75,6 +80,8 @@
     pub wall: Micros,
     /// The list kept from before.
     pub kept: Option<String>,
+    /// The journal's book, where there is a journal.
+    pub book: Option<Book>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -101,6 +108,17 @@
     Leave,
 }
 
+/// What waits until the entries it rests on are durable.
+#[derive(Debug)]
+pub(crate) enum Effect {
+    /// An acceptance is told.
+    Accept { conn: ConnId, sequence: u32, id: MsgId },
+    /// A call may leave.
+    Place { call: u64, endpoint: EndpointId },
+    /// A final answer is told.
+    Tell { id: MsgId, message: Box<Message>, answer: Answer, done: Micros },
+}
+
 /// What a connection is for.
 #[derive(Debug)]
 pub(crate) enum Use {
@@ -156,7 +174,10 @@
 #[derive(Debug)]
 pub(crate) struct Remote {
     pub address: SocketAddr,
+    pub name: String,
     pub kind: usize,
+    /// What the journal knows of it: told to wait until, failing since; in time of day.
+    pub place: (Micros, Micros),
     pub pool: Pool,
     /// A probe is out on this connection.
     pub probe: Option<ConnId>,
@@ -192,7 +213,7 @@
     pub(crate) next_id: u64,
     pub(crate) calls: Calls,
     pub(crate) remotes: Vec<Remote>,
-    names: BTreeMap<String, EndpointId>,
+    pub(crate) names: BTreeMap<String, EndpointId>,
     zones: Vec<String>,
     pub(crate) clients: Vec<Client>,
     pub(crate) client_names: BTreeMap<String, usize>,
@@ -201,6 +222,7 @@
     pub(crate) routes: Trie<DestId>,
     directory: Directory,
     directory_conn: Option<ConnId>,
+    pub(crate) ledger: Ledger<Effect>,
     pub(crate) outputs: Vec<Output>,
     pub(crate) stats: Stats,
     pub(crate) leaving: bool,
@@ -257,6 +279,7 @@
             routes: Trie::default(),
             directory,
             directory_conn: None,
+            ledger: Ledger::new(start.book.as_ref().map(|_| cfg.journal.limits), cfg.journal.most_lag),
             outputs: Vec::new(),
             stats: Stats::default(),
             leaving: false,
@@ -275,6 +298,9 @@
         let first = kept.unwrap_or(known);
         node.directory.known(&first);
         node.members(&first);
+        if let Some(book) = start.book {
+            node.restart(book);
+        }
         node.schedule_directory();
         node.settle(now);
         Ok(node)
@@ -309,6 +335,7 @@
             ("service", old.service != cfg.service),
             ("smpp", old.smpp != cfg.smpp),
             ("directory", old.directory != cfg.directory),
+            ("journal", old.journal != cfg.journal),
             ("class", old.settings.classes != cfg.settings.classes || old.class_names != cfg.class_names),
             ("kind", old.kinds != cfg.kinds),
         ] {
@@ -501,6 +528,33 @@
         if self.leaving {
             self.go_on_leaving();
         }
+        let entries = self.ledger.hand_over(self.now);
+        if !entries.is_empty() {
+            self.outputs.push(Output::Journal(entries));
+        }
+    }
+
+    /// So many entries since the start are durable. What rested on them is done.
+    pub fn durable(&mut self, now: Micros, count: u64, usage: Usage) {
+        self.now = now.max(self.now);
+        for effect in self.ledger.durable(count, usage) {
+            self.perform(effect);
+        }
+    }
+
+    /// Does what rests on all that was written so far: now, or once that is durable.
+    pub(crate) fn once_durable(&mut self, effect: Effect) {
+        if let Some(effect) = self.ledger.hold(effect) {
+            self.perform(effect);
+        }
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Accept { conn, sequence, id } => self.tell_accepted(conn, sequence, id),
+            Effect::Place { call, endpoint } => self.start_call(call, endpoint),
+            Effect::Tell { id, message, answer, done } => self.tell(id, *message, answer, done),
+        }
     }
 
     fn round(&mut self) {
@@ -591,8 +645,16 @@
             let next = EndpointId(self.remotes.len() as u32);
             let endpoint = *self.names.entry(e.name.clone()).or_insert(next);
             if endpoint == next {
-                let (address, pool) = (e.address, Pool::default());
-                self.remotes.push(Remote { address, kind, pool, probe: None, probing: false });
+                let (name, address, pool) = (e.name.clone(), e.address, Pool::default());
+                self.remotes.push(Remote {
+                    address,
+                    name,
+                    kind,
+                    place: (0, 0),
+                    pool,
+                    probe: None,
+                    probing: false,
+                });
             } else {
                 let moved = self.remotes[endpoint.0 as usize].address != e.address;
                 self.remotes[endpoint.0 as usize].address = e.address;
@@ -641,6 +703,18 @@
         };
         self.stats.answers[at] += 1;
         let done = self.wall();
+        self.ledger.write(|| {
+            What::Answer(entry::Answer {
+                id: id.0,
+                word: answer.word().to_string(),
+                retry_after: answer.retry_after().unwrap_or(-1),
+                at: done,
+            })
+        });
+        self.once_durable(Effect::Tell { id, message: Box::new(m), answer, done });
+    }
+
+    fn tell(&mut self, id: MsgId, m: Message, answer: Answer, done: Micros) {
         self.clients[m.client].open -= 1;
         let ended = Ended { client: m.client, source: m.submission.source.clone(), answer, done };
         self.ended.insert(id, ended);
@@ -650,18 +724,15 @@
                 self.ended.remove(&old);
             }
         }
-        self.tell(id, m, answer, done);
-    }
-
-    fn tell(&mut self, id: MsgId, m: Message, answer: Answer, done: Micros) {
         if let Some((conn, sequence)) = m.reply
             && self.respond(conn, sequence, id, answer)
         {
-            return;
+            return self.taken(id);
         }
         // In forward mode the response is the answer; where its session is gone, a receipt stands in for it.
-        if m.reply.is_none() && !m.submission.wanted.receipt(answer == Answer::Delivered) {
-            return;
+        let forward = m.submission.forward;
+        if !forward && !m.submission.wanted.receipt(answer == Answer::Delivered) {
+            return self.taken(id);
         }
         let receipt = Receipt {
             id: show_id(id),
@@ -675,6 +746,11 @@
         self.pump(m.client);
     }
 
+    /// The answer was taken, or none is owed: nothing of the message is needed any more.
+    pub(crate) fn taken(&mut self, id: MsgId) {
+        self.ledger.write(|| What::Taken(entry::Taken { id: id.0 }));
+    }
+
     /// Goes out of service: nothing more is taken on, what is held is answered, sessions are unbound once nothing
     /// is owed to them, at the latest after the time set for it.
     pub fn leave(&mut self, now: Micros) {
@@ -693,7 +769,7 @@
     }
 
     fn go_on_leaving(&mut self) {
-        if !self.messages.is_empty() {
+        if !self.messages.is_empty() || !self.ledger.settled() {
             return;
         }
         let told = |c: &Client| c.outbox.out() == 0 && (c.outbox.owed() == 0 || c.outbox.sessions() == 0);
--- a/crates/engine/src/outbox.rs
+++ b/crates/engine/src/outbox.rs
@@ -86,7 +86,7 @@
         self.out.insert((session, sequence), receipt);
     }
 
-    /// The peer answered. A receipt that it could not take now is owed again, after a pause: guards against a
+    /// The peer answered; gives the receipt where it was taken. A receipt that it could not take now is owed again, after a pause: guards against a
     /// peer that refuses at once being asked at once, for ever.
     pub fn answered(
         &mut self,
@@ -95,13 +95,14 @@
         sequence: u32,
         taken: bool,
         pause: Micros,
-    ) -> bool {
-        let Some(receipt) = self.out.remove(&(session, sequence)) else { return false };
-        if !taken {
-            self.waiting.push_front(receipt);
-            self.not_before = now + pause;
+    ) -> Option<Receipt> {
+        let receipt = self.out.remove(&(session, sequence))?;
+        if taken {
+            return Some(receipt);
         }
-        taken
+        self.waiting.push_front(receipt);
+        self.not_before = now + pause;
+        None
     }
 }
 
@@ -132,8 +133,8 @@
             let r = o.take().unwrap();
             o.went(7, n, r);
         }
-        assert!(o.answered(0, 7, 2, true, 100));
-        assert!(!o.answered(0, 7, 2, true, 100), "only once");
+        assert!(o.answered(0, 7, 2, true, 100).is_some());
+        assert!(o.answered(0, 7, 2, true, 100).is_none(), "only once");
         o.leave(7);
         let rest: Vec<String> = std::iter::from_fn(|| o.take()).map(|r| r.id).collect();
         assert_eq!(rest, ["0", "2", "3"]);
@@ -146,7 +147,7 @@
         o.join(1);
         let r = o.take().unwrap();
         o.went(1, 1, r);
-        assert!(!o.answered(50, 1, 1, false, 100));
+        assert!(o.answered(50, 1, 1, false, 100).is_none());
         assert_eq!((o.turn(149), o.wake(), o.turn(150)), (None, Some(150), Some(1)));
     }
 }
--- /dev/null
+++ b/crates/engine/src/restart.rs
@@ -0,0 +1,151 @@
+//! After a restart: what the book says is taken up again. `resume.rs` decides; here it is carried out.
+
+use crate::answers::End;
+use crate::node::{Client, Message, Node, show_id};
+use crate::resume::{Resume, resume};
+use heronroute::{DestId, Event, MsgId};
+use heronroute_journal::entry::{Accepted, Answer as Answered};
+use heronroute_journal::{Book, Open};
+use heronroute_smpp::receipt::{Answer, Receipt};
+use heronroute_smpp::submission::{Submission, Wanted};
+
+/// What was taken up, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Restarted {
+    /// Messages that go on.
+    pub go_on: usize,
+    /// Messages answered at once.
+    pub over: usize,
+    /// Answers still owed.
+    pub owed: usize,
+}
+
+fn submission(a: &Accepted) -> Submission {
+    Submission {
+        service: a.class.clone(),
+        source: a.source.clone(),
+        destination: a.destination.clone(),
+        forward: a.forward,
+        wanted: Wanted::from_code(a.wanted),
+        key: Some(a.key.clone()).filter(|k| !k.is_empty()),
+        again: a.again,
+        coding: a.coding as u8,
+        esm: a.esm as u8,
+        body: a.body.clone(),
+        ..Submission::default()
+    }
+}
+
+impl Node {
+    /// Takes up the book. Messages come to the decision library in the order in which they were accepted, so that
+    /// keys keep theirs; all of them before their class's deadline, or they are answered here.
+    pub(crate) fn restart(&mut self, book: Book) {
+        let wall = self.wall();
+        self.next_id = self
+            .next_id
+            .max(book.next_id.next_multiple_of(1 << crate::node::ID_SENDER_BITS) | (self.next_id & 63));
+        for (name, p) in &book.places {
+            let Some(endpoint) = self.names.get(name).copied() else { continue };
+            self.remotes[endpoint.0 as usize].place = (p.wait_until, p.bad_since);
+            let wait = (p.wait_until - wall).max(0);
+            let bad_for = (p.bad_since > 0).then(|| (wall - p.bad_since).max(0));
+            if wait > 0 || bad_for.is_some() {
+                self.events.push(Event::Remembered { endpoint, wait, bad_for });
+            }
+        }
+        let mut done = Restarted::default();
+        for open in book.open.into_values() {
+            let a = &open.accepted;
+            let client = self.client_named(&a.client);
+            let class = self.class_names.get(&a.class).copied();
+            let settings = class.and_then(|c| self.cfg.settings.classes.get(c));
+            match resume(&open, settings.map(|c| (c.effect, c.window)), wall) {
+                Resume::Answered => {
+                    done.owed += usize::from(self.owe(client, &open));
+                }
+                Resume::GoesOn(ran) => {
+                    done.go_on += 1;
+                    self.take_up(client, class.unwrap_or(0), &open, ran.is_some());
+                    let may_run = ran.map(|i| {
+                        let at = self.names.get(&i.endpoint).copied();
+                        // An endpoint that is not known any more shares its memory with none that is.
+                        (at.unwrap_or(heronroute::EndpointId(u32::MAX)), (wall - i.at).max(0))
+                    });
+                    let id = MsgId(open.accepted.id);
+                    self.events.push(Event::Resumed { id, attempts: open.attempts, may_run });
+                }
+                Resume::Over { may_run } => {
+                    done.over += 1;
+                    let id = MsgId(a.id);
+                    self.hold_message(client, class.unwrap_or(0), &open, may_run);
+                    self.answer(id, End::Failed);
+                }
+            }
+        }
+        tracing::info!(?done, "taken up after a restart");
+    }
+
+    /// The client's place; one that is not in the settings any more has no session, and is owed all the same.
+    fn client_named(&mut self, name: &str) -> usize {
+        let next = self.clients.len();
+        let at = *self.client_names.entry(name.to_string()).or_insert(next);
+        if at == next {
+            self.clients.push(Client::default());
+        }
+        at
+    }
+
+    fn hold_message(&mut self, client: usize, class: usize, open: &Open, may_run: bool) {
+        let a = &open.accepted;
+        let message = Message {
+            client,
+            class,
+            submission: submission(a),
+            taken: a.taken,
+            deadline: self.now + (a.deadline - self.wall()),
+            reply: None,
+            attempts: open.attempts,
+            out: None,
+            may_run,
+        };
+        self.clients[client].open += 1;
+        self.messages.insert(MsgId(a.id), message);
+    }
+
+    fn take_up(&mut self, client: usize, class: usize, open: &Open, may_run: bool) {
+        self.hold_message(client, class, open, may_run);
+        let a = &open.accepted;
+        let ordered = self.cfg.settings.classes.get(class).is_some_and(|c| c.ordered);
+        self.events.push(Event::Message {
+            id: MsgId(a.id),
+            class,
+            tenant: client,
+            key: (ordered && !a.key.is_empty()).then(|| format!("{client}/{}", a.key)),
+            dest: DestId(a.dest),
+            time_left: a.deadline - self.wall(),
+            // It counts as no new demand.
+            again: true,
+        });
+    }
+
+    /// An answer that was not taken is told again, the same.
+    fn owe(&mut self, client: usize, open: &Open) -> bool {
+        let a = &open.accepted;
+        let Some(Answered { word, retry_after, at, .. }) = &open.answer else { return false };
+        let wait = Some(*retry_after).filter(|w| *w >= 0);
+        let answer = Answer::read(word, wait).unwrap_or(Answer::Unknown { retry_after: None });
+        if !a.forward && !Wanted::from_code(a.wanted).receipt(answer == Answer::Delivered) {
+            self.taken(MsgId(a.id));
+            return false;
+        }
+        self.clients[client].outbox.owe(Receipt {
+            id: show_id(MsgId(a.id)),
+            answer,
+            taken: a.taken,
+            done: *at,
+            source: a.source.clone(),
+            destination: a.destination.clone(),
+        });
+        true
+    }
+}
--- /dev/null
+++ b/crates/engine/src/resume.rs
@@ -0,0 +1,71 @@
+//! What becomes of a message after a restart. Free of I/O.
+//!
+//! An attempt that was about to leave and has no outcome may have run: power may have gone between the sending and
+//! the record. Nothing else is guessed.
+
+use crate::Micros;
+use heronroute::Effect;
+use heronroute_journal::Open;
+use heronroute_journal::entry::Intent;
+
+/// The decision.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Resume {
+    /// Its answer stands and is owed to its client.
+    Answered,
+    /// It goes on, with its first attempt that may have run.
+    GoesOn(Option<Intent>),
+    /// It is answered at once: it may have taken effect and may not be repeated, or its time is up.
+    Over {
+        /// Whether it may have run.
+        may_run: bool,
+    },
+}
+
+/// Decides for one message. `class`: its effect and window, where the class is still known; `now` is the time of
+/// day.
+pub fn resume(open: &Open, class: Option<(Effect, Micros)>, now: Micros) -> Resume {
+    if open.answer.is_some() {
+        return Resume::Answered;
+    }
+    let ran = open.may_run.clone().or(open.out.clone());
+    let may_run = ran.is_some();
+    let Some((effect, window)) = class else { return Resume::Over { may_run } };
+    if now >= open.accepted.deadline {
+        return Resume::Over { may_run };
+    }
+    match (effect, &ran) {
+        (Effect::SingleShot, Some(_)) => Resume::Over { may_run },
+        // Time down counts: the receiver's memory of the key does not stand still.
+        (Effect::Guarded, Some(i)) if now >= i.at + window => Resume::Over { may_run },
+        _ => Resume::GoesOn(ran),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use heronroute_journal::entry::Accepted;
+
+    #[test]
+    fn each_class_by_what_may_have_run() {
+        let intent = Intent { id: 1, endpoint: "e".into(), at: 1_000 };
+        let accepted = Accepted { id: 1, deadline: 10_000, ..Accepted::default() };
+        let never = Open { accepted, attempts: 0, may_run: None, out: None, answer: None };
+        let flying = Open { out: Some(intent.clone()), attempts: 1, ..never.clone() };
+        let over = |may_run| Resume::Over { may_run };
+        for effect in [Effect::Free, Effect::Guarded, Effect::SingleShot] {
+            let at = |o: &Open, now| resume(o, Some((effect, 500)), now);
+            assert_eq!(at(&never, 2_000), Resume::GoesOn(None));
+            assert_eq!(at(&never, 10_000), over(false), "its time is up");
+            assert_eq!(at(&flying, 10_000), over(true));
+            let wanted = match effect {
+                Effect::SingleShot => [over(true), over(true)],
+                Effect::Guarded => [Resume::GoesOn(Some(intent.clone())), over(true)],
+                Effect::Free => [Resume::GoesOn(Some(intent.clone())), Resume::GoesOn(Some(intent.clone()))],
+            };
+            assert_eq!([at(&flying, 1_400), at(&flying, 1_500)], wanted, "{effect:?}");
+        }
+        assert_eq!(resume(&flying, None, 0), over(true), "a class that is gone");
+    }
+}
--- a/crates/engine/tests/node.rs
+++ b/crates/engine/tests/node.rs
@@ -27,7 +27,7 @@
          class {{ name: \"PAY\" effect: \"single_shot\" deadline: \"2s\" }} \
          kind {{ name: \"k\" protocol: \"http\" }} route {{ destination: 1 }} {more}"
     );
-    let start = Start { index: 0, seed: 3, now: 0, wall: 1 << 50, kept };
+    let start = Start { index: 0, seed: 3, now: 0, wall: 1 << 50, kept, book: None };
     Node::new(Arc::new(parse("test", &text).unwrap()), start).unwrap()
 }
 
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -11,7 +11,7 @@
 use std::io;
 
 /// Figures of a journal.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// A segment is closed at this size, in octets.
     pub segment: u64,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,7 +1,7 @@
 //! Sockets, clock and threads: the only package of the service that touches them.
 //!
 //! Does: a thread for each sender with its own reactor (mio) and [`Node`](heronroute_engine::Node), sharing
-//! nothing; a thread at the door that accepts clients and brings each to its home; the kept list's file.
+//! nothing, and one for its journal; a thread at the door that accepts clients and brings each to its home; the kept list's file.
 //! Decides: how much is read and written in a turn, so that no connection holds up the others.
 //! Never: looks into what it carries, but for the name in a client's first command.
 
@@ -10,6 +10,7 @@
 mod clock;
 mod door;
 mod reactor;
+mod scribe;
 mod service;
 mod socket;
 
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -4,6 +4,7 @@
 use crate::socket::{Progress, read_some, write_some};
 use heronroute_config::Config;
 use heronroute_engine::{ConnId, Gone, Node, Output, Stats};
+use heronroute_journal::{Entry, Usage};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token, Waker};
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +27,10 @@
     Reload(Arc<Config>, Sender<Vec<&'static str>>),
     /// Go out of service.
     Leave,
+    /// So many entries are durable.
+    Durable(u64, Usage),
+    /// The journal can't go on: end at once, without another word to anyone. A restart finds what was durable.
+    JournalFailed,
     /// Stand still for a while, as a stalled machine would. For drills.
     Stall(Duration),
 }
@@ -50,6 +55,9 @@
     ready: BTreeSet<ConnId>,
     inbox: Receiver<Command>,
     keep: Option<PathBuf>,
+    /// The way to the journal's thread.
+    journal: Option<Sender<Vec<Entry>>>,
+    failed: bool,
     shown: Arc<Mutex<Stats>>,
     buffer: Vec<u8>,
     inbox_closed: bool,
@@ -62,6 +70,7 @@
         clock: Clock,
         inbox: Receiver<Command>,
         keep: Option<PathBuf>,
+        journal: Option<Sender<Vec<Entry>>>,
         shown: Arc<Mutex<Stats>>,
     ) -> io::Result<(Self, Waker)> {
         let poll = Poll::new()?;
@@ -74,6 +83,8 @@
             ready: BTreeSet::new(),
             inbox,
             keep,
+            journal,
+            failed: false,
             shown,
             buffer: vec![0; TURN],
             inbox_closed: false,
@@ -103,6 +114,11 @@
                 }
             }
             self.listen();
+            if self.failed {
+                return Err(io::Error::other(
+                    "the journal failed; what was durable is found at the next start",
+                ));
+            }
             for conn in std::mem::take(&mut self.ready) {
                 self.read(conn);
             }
@@ -140,6 +156,8 @@
                     _ = answer.send(self.node.reload(self.clock.now(), cfg));
                 }
                 Command::Leave => self.node.leave(self.clock.now()),
+                Command::Durable(count, usage) => self.node.durable(self.clock.now(), count, usage),
+                Command::JournalFailed => self.failed = true,
                 Command::Stall(span) => std::thread::sleep(span),
             }
         }
@@ -261,6 +279,13 @@
                     Output::Drop(conn) => {
                         self.sockets.remove(&conn);
                     }
+                    Output::Journal(entries) => {
+                        if let Some(journal) = &self.journal
+                            && journal.send(entries).is_err()
+                        {
+                            self.failed = true;
+                        }
+                    }
                     Output::Keep(text) => {
                         if let Some(path) = &self.keep
                             && let Err(e) = keep(path, &text)
--- a/crates/net/src/service.rs
+++ b/crates/net/src/service.rs
@@ -3,8 +3,11 @@
 use crate::clock::Clock;
 use crate::door::{Door, Way};
 use crate::reactor::{Command, Reactor};
+use crate::scribe;
 use heronroute_config::Config;
 use heronroute_engine::{Node, Start, Stats};
+use heronroute_journal::Journal;
+use heronroute_journal::dir::Dir;
 use mio::Waker;
 use mio::net::TcpListener;
 use std::io;
@@ -25,6 +28,14 @@
     /// The decision library refused the settings.
     #[error(transparent)]
     Settings(#[from] heronroute_config::SettingsError),
+    /// The journal can't be used.
+    #[error("journal: {0}")]
+    Journal(#[from] heronroute_journal::JournalError),
+    /// Another number of senders wrote the journal, and messages in it are open.
+    #[error(
+        "journal: written by {0} senders, with messages still open; start with as many until it is empty"
+    )]
+    Senders(usize),
     /// A thread or poll could not be had.
     #[error("cannot start: {0}")]
     Io(#[from] io::Error),
@@ -47,27 +58,56 @@
     /// # Errors
     /// Where something it needs can't be had.
     pub fn start(cfg: Arc<Config>, seed: u64) -> Result<Self, StartError> {
+        Self::start_with(cfg, seed, Arc::new(|| ()))
+    }
+
+    /// The same; `failed` is called where a sender's journal fails, so that the process can end.
+    ///
+    /// # Errors
+    /// As [`Service::start`].
+    pub fn start_with(
+        cfg: Arc<Config>,
+        seed: u64,
+        failed: Arc<dyn Fn() + Send + Sync>,
+    ) -> Result<Self, StartError> {
         let clock = Clock::start();
+        let journals = journals(&cfg)?;
         let listener =
             TcpListener::bind(cfg.smpp.listen).map_err(|e| StartError::Listen(cfg.smpp.listen, e))?;
         let address = listener.local_addr()?;
         let keep = cfg.directory.keep.as_ref().map(PathBuf::from);
         let kept = keep.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
         let (mut ways, mut shown, mut threads) = (Vec::new(), Vec::new(), Vec::new());
-        for index in 0..cfg.service.senders {
+        let mut scribes = Vec::new();
+        for (index, journal) in journals.into_iter().enumerate() {
             let start = Start {
                 index,
                 seed: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(index as u64 + 1),
                 now: clock.now(),
                 wall: clock.wall(),
                 kept: kept.clone(),
+                book: journal.as_ref().map(|j| j.book().clone()),
             };
             let node = Node::new(cfg.clone(), start)?;
             let (commands, inbox) = channel();
             let stats = Arc::new(Mutex::new(Stats::default()));
             let keep = keep.clone().filter(|_| index == 0);
-            let (reactor, waker) = Reactor::new(node, clock, inbox, keep, stats.clone())?;
-            ways.push(Way { commands, waker: Arc::new(waker) });
+            let (to_journal, entries) = channel();
+            let to_journal = Some(to_journal).filter(|_| journal.is_some());
+            let (reactor, waker) = Reactor::new(node, clock, inbox, keep, to_journal, stats.clone())?;
+            let way = Way { commands, waker: Arc::new(waker) };
+            if let Some(journal) = journal {
+                let (way, failed) = (way.clone(), failed.clone());
+                let scribe = move || {
+                    scribe::run(journal, &entries, &way).map_err(|e| {
+                        tracing::error!(error = %e, "the journal can't go on");
+                        failed();
+                        io::Error::other(e.to_string())
+                    })
+                };
+                scribes.push(std::thread::Builder::new().name(format!("journal-{index}")).spawn(scribe)?);
+            }
+            ways.push(way);
             shown.push(stats);
             threads.push(
                 std::thread::Builder::new().name(format!("sender-{index}")).spawn(move || reactor.run())?,
@@ -77,6 +117,7 @@
         let init = cfg.smpp.session_init;
         let (door, door_waker) = Door::new(listener, ways.clone(), init, clock, closing.clone())?;
         let door = Some(std::thread::Builder::new().name("door".into()).spawn(move || door.run())?);
+        threads.extend(scribes);
         Ok(Service { address, ways, shown, threads, door, door_waker, closing })
     }
 
@@ -141,3 +182,26 @@
         Ok(self.stats())
     }
 }
+
+/// The senders' journals, one folder each, or none.
+fn journals(cfg: &Config) -> Result<Vec<Option<Journal<Dir>>>, StartError> {
+    let n = cfg.service.senders;
+    let Some(folder) = &cfg.journal.folder else { return Ok((0..n).map(|_| None).collect()) };
+    let folder = PathBuf::from(folder);
+    std::fs::create_dir_all(&folder)?;
+    // Clients have their homes by the number of senders: with another number, what is open would be owed by a
+    // sender to which its client never comes.
+    let count = folder.join("senders");
+    let before =
+        std::fs::read_to_string(&count).ok().and_then(|t| t.trim().parse::<usize>().ok()).unwrap_or(n);
+    let mut list = Vec::new();
+    for index in 0..n.max(before) {
+        list.push(Some(scribe::open(&folder.join(format!("sender-{index}")), cfg.journal.limits)?));
+    }
+    if before != n && list.iter().flatten().any(|j| !j.book().open.is_empty()) {
+        return Err(StartError::Senders(before));
+    }
+    list.truncate(n);
+    std::fs::write(&count, n.to_string())?;
+    Ok(list)
+}
--- a/crates/smpp/src/submission.rs
+++ b/crates/smpp/src/submission.rs
@@ -52,12 +52,7 @@
 }
 
 fn wanted(r: RegisteredDelivery) -> Wanted {
-    match u8::from(r) & 3 {
-        1 => Wanted::Always,
-        2 => Wanted::Failure,
-        3 => Wanted::Success,
-        _ => Wanted::Never,
-    }
+    Wanted::from_code(u32::from(u8::from(r)))
 }
 
 impl Submission {
@@ -147,12 +142,7 @@
     pub fn submit(&self, message: Option<&str>) -> SubmitSm {
         let text = |t: &str| COctetString::from_string(t.to_string()).unwrap_or_default();
         let mode = if self.forward { 2 } else { 0 };
-        let receipts = match self.wanted {
-            Wanted::Never => 0,
-            Wanted::Always => 1,
-            Wanted::Failure => 2,
-            Wanted::Success => 3,
-        };
+        let receipts = self.wanted.code() as u8;
         let validity = self.validity.map(time::relative).unwrap_or_default();
         let service = COctetString::from_string(self.service.clone()).unwrap_or_default();
         let mut sm = SubmitSm::builder()
@@ -189,6 +179,26 @@
 }
 
 impl Wanted {
+    /// A number for it, as in registered_delivery.
+    pub fn code(self) -> u32 {
+        match self {
+            Wanted::Never => 0,
+            Wanted::Always => 1,
+            Wanted::Failure => 2,
+            Wanted::Success => 3,
+        }
+    }
+
+    /// The other way.
+    pub fn from_code(code: u32) -> Self {
+        match code & 3 {
+            1 => Wanted::Always,
+            2 => Wanted::Failure,
+            3 => Wanted::Success,
+            _ => Wanted::Never,
+        }
+    }
+
     /// Whether a receipt is wanted of an answer that is a success, or a failure.
     pub fn receipt(self, delivered: bool) -> bool {
         match self {
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -34,6 +34,8 @@
     pub system_id: String,
     /// Its proof.
     pub password: String,
+    /// Where its connection is lost it binds again, as often as need be.
+    pub returns: bool,
     /// What it does when, in order of time.
     pub steps: Vec<(Micros, Step)>,
 }
@@ -44,6 +46,8 @@
     conn: Option<Conn>,
     session: Option<Session>,
     mode: Mode,
+    /// As it bound last; `mode` falls to transmitter once it takes no receipts.
+    first_mode: Mode,
     /// Submissions without a response: by sequence.
     asked: BTreeMap<u32, (usize, Micros)>,
     /// Steps that wait for the bind.
@@ -109,6 +113,7 @@
             conn: None,
             session: None,
             mode: Mode::Transceiver,
+            first_mode: Mode::Transceiver,
             asked: BTreeMap::new(),
             held: Vec::new(),
         };
@@ -145,7 +150,7 @@
         let run = &mut self.runs[i];
         match step {
             Step::Bind(mode) => {
-                run.mode = mode;
+                (run.mode, run.first_mode) = (mode, mode);
                 self.started += 1;
                 self.asks.push(Ask::Connect { tag: i, address: self.address });
             }
@@ -325,6 +330,14 @@
         }
     }
 
+    /// Binds again a little later.
+    fn again(&mut self, now: Micros, i: usize, mode: Mode) {
+        let run = &mut self.runs[i];
+        run.plan.steps.push((now + 50_000, Step::Bind(mode)));
+        run.plan.steps[run.at..].sort_by_key(|s| s.0);
+        self.agenda.insert((now + 50_000, i));
+    }
+
     fn out(&mut self, conn: Conn, out: &BytesMut) {
         if !out.is_empty() {
             self.asks.push(Ask::Write(conn, out.to_vec()));
@@ -355,12 +368,8 @@
     }
 
     fn refused(&mut self, now: Micros, tag: usize) {
-        // Comes again a little later.
         let mode = self.runs[tag].mode;
-        self.runs[tag].plan.steps.push((now + 50_000, Step::Bind(mode)));
-        let from = self.runs[tag].at;
-        self.runs[tag].plan.steps[from..].sort_by_key(|s| s.0);
-        self.agenda.insert((now + 50_000, tag));
+        self.again(now, tag, mode);
     }
 
     fn received(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
@@ -378,8 +387,12 @@
     fn closed(&mut self, now: Micros, conn: Conn) {
         self.now = now;
         if let Some(i) = self.by_conn.get(&conn).copied() {
+            let mode = self.runs[i].first_mode;
             self.leaves(now, i);
             self.lost(i);
+            if self.runs[i].plan.returns {
+                self.again(now, i, mode);
+            }
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -368,6 +368,24 @@
         /// It is known to have been handed in before.
         again: bool,
     },
+    /// After a restart, for a message that was just given with [`Event::Message`]: what had become of it before.
+    Resumed {
+        /// The message.
+        id: MsgId,
+        /// Attempts made before.
+        attempts: u32,
+        /// Where and how long ago the first attempt was made that may have run, if one was.
+        may_run: Option<(EndpointId, Micros)>,
+    },
+    /// After a restart: what was known of a listed endpoint before.
+    Remembered {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The rest of a wait that it told, 0 if none.
+        wait: Micros,
+        /// How long calls there had been failing, if they were.
+        bad_for: Option<Micros>,
+    },
     /// An attempt ended.
     Outcome {
         /// The message.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -198,6 +198,8 @@
                 let answer = Answer { outcome: *outcome, took: *elapsed, wait, report: *report };
                 self.outcome(*id, *attempt, *last, answer, out);
             }
+            Event::Resumed { id, attempts, may_run } => self.resume(*id, *attempts, *may_run),
+            Event::Remembered { endpoint, wait, bad_for } => self.remember(*endpoint, *wait, *bad_for),
             Event::Left { id } => self.close(*id),
             Event::Probed { endpoint, outcome, report } => {
                 let (now, gap) = (self.now, self.trial_gap(*endpoint));
@@ -216,6 +218,34 @@
         }
     }
 
+    /// Guards against a restart that forgets: what may have run binds as before, and its key rests.
+    fn resume(&mut self, id: MsgId, attempts: u32, may_run: Option<(EndpointId, Micros)>) {
+        let (now, settle) = (self.now, self.set.order_settle);
+        let Some(msg) = self.msgs.get_mut(&id).filter(|m| m.attempts == 0 && m.out.is_empty()) else {
+            return;
+        };
+        msg.attempts = attempts;
+        msg.may_run = may_run.map(|(at, ago)| (now - ago.clamp(0, MAX_SPAN), at));
+        let Some((sent, _)) = msg.may_run else { return };
+        if let Some(c) = self.set.classes.get(msg.class).filter(|c| c.effect == Effect::Guarded) {
+            self.agenda.insert((sent + c.window, Due::Msg(id)));
+        }
+        let key = msg.key.as_ref().and_then(|k| self.keys.get_mut(k));
+        key.into_iter().for_each(|k| k.rest_until = now + settle);
+        self.agenda.insert((now, Due::Msg(id)));
+    }
+
+    /// Guards against a restart that breaks a wait, or pushes over a destination that it knew to be down.
+    fn remember(&mut self, endpoint: EndpointId, wait: Micros, bad_for: Option<Micros>) {
+        let (now, gap) = (self.now, self.trial_gap(endpoint));
+        let told = now + wait.clamp(0, MAX_SPAN);
+        self.lane_of(endpoint).into_iter().for_each(|l| l.wait_until = l.wait_until.max(told));
+        if let (Some(e), Some(ago)) = (self.endpoints.get_mut(&endpoint), bad_for) {
+            e.first_bad = Some(now - ago.clamp(0, MAX_SPAN));
+            e.trouble = Some(Trouble::new(now, false, gap));
+        }
+    }
+
     /// A directory that failed, or whose subscription broke, is asked again after a growing wait at a random
     /// time: hundreds of senders must not keep it down. Until then the last list serves. The longest
     /// wait is half the span after which a sender that doesn't ask counts as told.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -280,3 +280,36 @@
     let first = next.into_iter().chain(w.pass(5 * S)).next().expect("a trial");
     assert_eq!(first.id, 10, "{first:?}");
 }
+
+#[test]
+fn after_a_restart_what_may_have_run_binds_as_before() {
+    let mut w = World::new(settings(), vec![entry(1, 1, 0)]);
+    let ran = Some((EndpointId(1), 3 * S));
+    let resumed = |id: u64, may_run| Event::Resumed { id: MsgId(id), attempts: 1, may_run };
+    let sent = w.round(&[
+        message(1, UNSAFE, 1),
+        resumed(1, ran),
+        message(2, KEYED, 1),
+        resumed(2, Some((EndpointId(1), 9 * S))),
+        message(3, UNSAFE, 1),
+        resumed(3, None),
+        message(4, KEYED, 1),
+        resumed(4, ran),
+    ]);
+    assert_eq!(w.failed, [1], "an unsafe one that may have run is not sent again");
+    assert!(w.refused.contains(&2), "nor a keyed one after its window, time down counted");
+    let ids: Vec<u64> = sent.iter().map(|s| s.id).collect();
+    assert_eq!(ids, [3, 4], "what never ran goes on, and a keyed one within its window");
+}
+
+#[test]
+fn after_a_restart_waits_are_kept_and_a_failing_destination_is_tried_not_flooded() {
+    let mut w = World::new(settings(), vec![entry(1, 1, 0), entry(2, 2, 0)]);
+    let known = |endpoint, wait, bad_for| Event::Remembered { endpoint: EndpointId(endpoint), wait, bad_for };
+    let mut events = vec![known(1, 2 * S, None), known(2, 0, Some(5 * S))];
+    events.extend((0..10).map(|i| message(i, FREE, 1 + (i % 2) as i64)));
+    assert!(w.round(&events).is_empty(), "one was told to wait, the other is probed first");
+    let early = w.pass(2 * S - 100 * MS);
+    assert!(early.iter().all(|s| s.endpoint != 1), "the wait is kept");
+    assert!(w.pass(S).iter().any(|s| s.endpoint == 1), "and over when it is over");
+}
