--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod days;
+mod journal;
 mod serve;
 mod standin;
 
@@ -63,6 +64,11 @@
         #[command(subcommand)]
         what: standin::Standin,
     },
+    /// Look into a journal, live or a copy, without touching it.
+    Journal {
+        #[command(subcommand)]
+        look: journal::Look,
+    },
     /// Hand in messages over SMPP and print their final answers.
     Client(client::ClientArgs),
 }
@@ -84,6 +90,7 @@
             days::bad(seed, script.as_deref(), show, report.as_deref())
         }
         Command::Standin { what } => standin::run(&what),
+        Command::Journal { look } => journal::run(&look),
         Command::Client(args) => client::run(&args),
     }
 }
--- a/crates/cli/tests/kill.rs
+++ b/crates/cli/tests/kill.rs
@@ -40,9 +40,9 @@
         folder.display()
     );
     for (i, at) in receivers.iter().enumerate() {
-        let (d, kind) = (i / 2 + 1, if i / 2 % 2 == 0 { "s" } else { "h" });
+        let (d, kind) = (i / 2 + 1, if (i / 2).is_multiple_of(2) { "s" } else { "h" });
         _ = writeln!(t, "endpoint {{ name: \"e{i}\" address: \"{at}\" destination: {d} kind: \"{kind}\" }}");
-        if i % 2 == 0 {
+        if i.is_multiple_of(2) {
             _ = writeln!(t, "route {{ prefix: \"{d:06}\" destination: {d} }}");
         }
     }
@@ -104,7 +104,7 @@
     let endpoint = |i: usize| Endpoint {
         name: format!("e{i}"),
         destination: i as i64 / 2 + 1,
-        speaks: if i / 2 % 2 == 0 { Speaks::Smpp } else { Speaks::Http },
+        speaks: if (i / 2).is_multiple_of(2) { Speaks::Smpp } else { Speaks::Http },
         batches: false,
         leaves: None,
         strays: false,
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -70,6 +70,67 @@
     );
 }
 
+#[test]
+fn a_journal_is_looked_into_while_it_is_written_and_refused_to_a_second() {
+    let (receiver, at, _lines) =
+        start(&["standin", "receiver", "--pace", "100ms", "--trouble", "hang", "0", "60"]);
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("looked-into");
+    _ = std::fs::remove_dir_all(&folder);
+    let folder = folder.to_str().unwrap().to_string();
+    let path = file("journal.txt", &settings(&at, &format!("journal {{ folder: \"{folder}\" }}")));
+    let config = path.to_str().unwrap();
+    let (mut service, address, _out) = start(&["serve", "--config", config]);
+    let client =
+        ["client", "--connect", &address, "--system-id", "oduya", "--password", "secret", "--class", "PAY"];
+    let mut client =
+        Command::new(PROGRAM).args(client).args(["--to", "2341"]).stdout(Stdio::piped()).spawn().unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let out = run(&["journal", "stats", &folder]);
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert!(
+        out.status.success() && text.contains("1 messages open, 1 of them with an attempt out"),
+        "{text}"
+    );
+    let dump = run(&["journal", "dump", &folder]);
+    let text = String::from_utf8_lossy(&dump.stdout).into_owned();
+    assert!(text.contains("Accepted") && text.contains("Intent"), "{text}");
+    let id = text.split("id: ").nth(1).and_then(|t| t.split(',').next()).unwrap().parse::<u64>().unwrap();
+    let out = run(&["journal", "inspect", &folder, "--id", &format!("{id:016x}")]);
+    assert!(String::from_utf8_lossy(&out.stdout).contains("open: "));
+    let second = run(&["serve", "--config", config]);
+    assert_eq!(second.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&second.stderr).contains("another process has this journal"));
+
+    // Killed with a payout in flight: after the restart its client is told UNKNOWN at once.
+    service.kill().unwrap();
+    service.wait().unwrap();
+    client.kill().unwrap();
+    client.wait().unwrap();
+    assert!(run(&["journal", "verify", &folder]).status.success());
+    let (mut service, address, _out) = start(&["serve", "--config", config]);
+    let out = run(&[
+        "client",
+        "--connect",
+        &address,
+        "--system-id",
+        "oduya",
+        "--password",
+        "secret",
+        "--class",
+        "PAY",
+        "--to",
+        "99",
+        "--wait",
+        "1",
+    ]);
+    assert_eq!(out.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&run(&["journal", "dump", &folder]).stdout).into_owned();
+    assert!(text.contains("word: \"UNKNOWN\""), "{text}");
+    service.kill().unwrap();
+    service.wait().unwrap();
+    drop(receiver);
+}
+
 #[test]
 fn a_scripted_day_is_run_and_its_faults_are_told() {
     let day = "length: \"2s\" receivers: 3 rate: 50\n\
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod frame;
 mod log;
 pub mod shed;
+pub mod tool;
 
 pub use book::{Book, Open};
 pub use entry::Entry;
