--- a/crates/drill/benches/end_to_end.rs
+++ b/crates/drill/benches/end_to_end.rs
@@ -206,12 +206,12 @@
     tasks.filter_map(one).sum()
 }
 
-fn service(echo: SocketAddr, senders: usize) -> Service {
+fn service(echo: SocketAddr, senders: usize, journal: &str) -> Service {
     let mut t = format!(
         "service {{ senders: {senders} slots: 2000 room: 50000 owed_room: 50000 }} \
          smpp {{ listen: \"127.0.0.1:0\" window: 60000 }} \
          client {{ system_id: \"c\" password: \"p\" }} \
-         class {{ name: \"RESP\" effect: \"guarded\" window: \"10s\" deadline: \"30s\" }} \
+         {journal} class {{ name: \"RESP\" effect: \"guarded\" window: \"10s\" deadline: \"30s\" }} \
          kind {{ name: \"k\" protocol: \"smpp\" window: 64 }}\n"
     );
     for d in 1..=20 {
@@ -237,7 +237,7 @@
     println!("sessions x window: bare echo, end to end, ratio; delivered");
     for (sessions, window) in [(1, 16), (10, 16), (10, 64), (100, 16), (1_000, 4)] {
         let (bare, _) = pass(at, sessions, window, 40_000, false);
-        let s = service(at, 1);
+        let s = service(at, 1, "");
         // Pools of permits learn the rate first.
         pass(s.address(), sessions, window, 10_000, true);
         let (rate, delivered) = pass(s.address(), sessions, window, 40_000, true);
@@ -249,7 +249,22 @@
         s.leave();
         s.join().expect("service");
     }
-    let s = service(at, 1);
+    let folder = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("bench-end");
+    for (sessions, window) in [(10, 64), (100, 16)] {
+        let mut rates = Vec::new();
+        for journal in [String::new(), format!("journal {{ folder: \"{}\" }}", folder.display())] {
+            _ = std::fs::remove_dir_all(&folder);
+            let s = service(at, 1, &journal);
+            pass(s.address(), sessions, window, 10_000, true);
+            rates.push(pass(s.address(), sessions, window, 40_000, true).0);
+            s.leave();
+            s.join().expect("service");
+        }
+        let (off, on) = (rates[0], rates[1]);
+        println!("{sessions:>5} x {window:<3}: journal off {off:>8.0}/s, on {on:>8.0}/s {:>5.2}", on / off);
+    }
+    _ = std::fs::remove_dir_all(&folder);
+    let s = service(at, 1, "");
     let before = spent("sender-0");
     let start = Instant::now();
     let address = s.address();
--- a/crates/engine/tests/node.rs
+++ b/crates/engine/tests/node.rs
@@ -112,6 +112,51 @@
     assert!(n.outputs().iter().any(|o| matches!(o, Output::Keep(text) if text.contains("9001"))));
 }
 
+#[test]
+fn a_wait_that_was_told_before_a_restart_is_kept_after_it() {
+    use heronroute_journal::Book;
+    use heronroute_journal::entry::{Accepted, Place, What};
+    let wall = 1 << 50;
+    let mut book = Book::default();
+    let place = Place { endpoint: "a".into(), wait_until: wall + 700_000, bad_since: 0 };
+    book.apply(&What::Place(place).into());
+    let accepted = Accepted {
+        id: 64,
+        client: "c".into(),
+        class: "PAY".into(),
+        dest: 1,
+        deadline: wall + 2_000_000,
+        ..Accepted::default()
+    };
+    book.apply(&What::Accepted(accepted).into());
+    let text = format!(
+        "service {{ quantum: \"0s\" }} client {{ system_id: \"c\" password: \"p\" }} \
+         class {{ name: \"PAY\" effect: \"single_shot\" deadline: \"2s\" }} \
+         kind {{ name: \"k\" protocol: \"http\" }} route {{ destination: 1 }} {LIST}"
+    );
+    let start = Start { index: 0, seed: 3, now: 0, wall, kept: None, book: Some(book) };
+    let mut n = Node::new(Arc::new(parse("test", &text).unwrap()), start).unwrap();
+    let (mut count, mut sent) = (0, None);
+    n.settle(0);
+    while let Some(at) = n.wake().filter(|at| *at < 2_000_000 && sent.is_none()) {
+        n.settle(at);
+        for o in n.outputs() {
+            match o {
+                Output::Journal(entries) => {
+                    count += entries.len() as u64;
+                    n.durable(at, count, heronroute_journal::Usage::default());
+                    n.settle(at);
+                    sent = connects(&n.outputs()).first().map(|_| at);
+                }
+                Output::Connect { .. } => sent = Some(at),
+                _ => {}
+            }
+        }
+    }
+    let at = sent.unwrap();
+    assert!((700_000..1_500_000).contains(&at), "sent at {at}");
+}
+
 #[test]
 fn what_never_left_is_taken_back_and_called_unsent() {
     let mut n = node(LIST, None);
