Kill and program tests: folders of their own, ports that stay free

Folders carry the process's number now; the service's port lies below those given to outgoing connections, one of which could have it between two lives.

--- a/crates/cli/tests/kill.rs
+++ b/crates/cli/tests/kill.rs
@@ -57,6 +57,18 @@
         .unwrap()
 }
 
+/// A port that stays free between two lives of the service: below those that the system gives to outgoing
+/// connections, one of which had it in a long run when the service came back.
+fn free_port(dice: &mut Dice) -> SocketAddr {
+    for _ in 0..100 {
+        let at = SocketAddr::from(([127, 0, 0, 1], 20_000 + dice.below(10_000) as u16));
+        if TcpListener::bind(at).is_ok() {
+            return at;
+        }
+    }
+    panic!("no port is free");
+}
+
 /// Numbers that are the same in each run.
 struct Dice(u64);
 
@@ -119,8 +131,9 @@
         Farm::new((0..8).map(endpoint).collect(), (1..=4).map(destination).collect(), seed)
     })
     .unwrap();
-    let listen = TcpListener::bind(any).unwrap().local_addr().unwrap();
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("kill-{seed}"));
+    let listen = free_port(&mut dice);
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("kill-{}-{seed}", std::process::id()));
     _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     let config = folder.join("settings.txt");
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -11,7 +11,8 @@
 }
 
 fn file(name: &str, text: &str) -> PathBuf {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(std::process::id().to_string());
+    std::fs::create_dir_all(&dir).unwrap();
     let path = dir.join(name);
     std::fs::write(&path, text).unwrap();
     path
@@ -74,7 +75,8 @@
 fn a_journal_is_looked_into_while_it_is_written_and_refused_to_a_second() {
     let (receiver, at, _lines) =
         start(&["standin", "receiver", "--pace", "100ms", "--trouble", "hang", "0", "60"]);
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("looked-into");
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("looked-into-{}", std::process::id()));
     _ = std::fs::remove_dir_all(&folder);
     let folder = folder.to_str().unwrap().to_string();
     let path = file("journal.txt", &settings(&at, &format!("journal {{ folder: \"{folder}\" }}")));
