The front seam: what clients ask for and are told, apart from what they speak

A second front needs the same desk: who is let in, what is taken on, which answers go where. What a connection speaks is now a Front (receive, tick, admitted, accepted, refused, answered, deliver ...), refusals have names instead of SMPP statuses, and SMPP is moved onto it; desk.rs is the same for all.

--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -207,10 +207,10 @@
     /// Takes back a message that has not begun to leave; its outcome is then that it never ran. Where others
     /// share its octets it stays, and may run.
     pub(crate) fn take_back(&mut self, call: u64, part: usize) -> bool {
-        self.withdraw(call, part, CallEnd::CalledOff)
+        self.pull(call, part, CallEnd::CalledOff)
     }
 
-    fn withdraw(&mut self, call: u64, part: usize, end: CallEnd) -> bool {
+    fn pull(&mut self, call: u64, part: usize, end: CallEnd) -> bool {
         let Some(c) = self.calls.get(call) else { return false };
         let (conn, range) = (c.conn, c.parts[part].range);
         if let Some(conn) = conn {
@@ -249,7 +249,7 @@
         if let Some(conn) = conn {
             self.remotes[endpoint.0 as usize].pool.suspect(conn);
         }
-        if !self.begun(call, part) && self.withdraw(call, part, end) {
+        if !self.begun(call, part) && self.pull(call, part, end) {
             return;
         }
         if let Some(Use::Receiver { link, .. }) =
--- a/crates/engine/src/front.rs
+++ b/crates/engine/src/desk.rs
@@ -1,24 +1,18 @@
-//! The clients' side: sessions, submissions, receipts, questions.
+//! The clients' side, the same for all fronts: who is let in, what is taken on, which answers go where.
 
 use crate::Micros;
-use crate::answers::{self, End};
+use crate::answers::End;
+use crate::front::{Ask, Denied, Front, No, SmppFront};
 use crate::limits::Refusal;
 use crate::node::{ConnId, Effect, ID_SENDER_BITS, Key, Message, Node, Use, read_id, show_id};
 use heronroute::{Event, MsgId};
 use heronroute_journal::entry::{Accepted, What};
 use heronroute_smpp::receipt::Answer;
-use heronroute_smpp::server::{self, Session};
 use heronroute_smpp::submission::Submission;
-use heronroute_smpp::tags;
-use rusmpp_core::CommandStatus;
-use rusmpp_core::tlvs::owned::MessageSubmissionResponseTlvValue as Tlv;
-use rusmpp_core::types::owned::{AnyOctetString, COctetString};
 use rusmpp_core::values::MessageState;
 
 /// After a receipt that a client could not take.
 const RECEIPT_PAUSE: Micros = 1_000_000;
-/// The name that the service gives itself in bind responses.
-const OWN_NAME: &str = "heronroute";
 
 impl Node {
     /// A client has connected, and sent these octets already. Gives the number for its connection, or nothing
@@ -28,33 +22,31 @@
         if self.leaving || self.sessions >= self.cfg.smpp.sessions {
             return None;
         }
-        let session = Box::new(Session::new(self.now, self.session_limits));
+        let front: Box<dyn Front> = Box::new(SmppFront::new(self.now, self.session_limits));
         self.sessions += 1;
-        let conn = self.add_conn(Use::Client { session, client: None });
+        let conn = self.add_conn(Use::Client { front, client: None });
         self.client_received(conn, octets);
         Some(conn)
     }
 
-    /// Runs a session's own work, then handles what it hands on.
-    fn with_session(
+    /// Runs a front's own work, then handles what it asks for.
+    fn with_front(
         &mut self,
         conn: ConnId,
-        work: impl FnOnce(&mut Session, &mut bytes::BytesMut, &mut Vec<server::Event>),
+        work: impl FnOnce(&mut dyn Front, &mut bytes::BytesMut, &mut Vec<Ask>),
     ) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
-        let Use::Client { session, .. } = &mut c.what else { return };
-        let mut events = Vec::new();
-        work(session, &mut c.stream.out, &mut events);
-        for event in events {
-            self.session_event(conn, event);
+        let Some((front, out)) = self.front(conn) else { return };
+        let mut asks = Vec::new();
+        work(front, out, &mut asks);
+        for ask in asks {
+            self.asked(conn, ask);
         }
-        self.session_wake(conn);
+        self.front_wake(conn);
     }
 
-    fn session_wake(&mut self, conn: ConnId) {
-        let Some(c) = self.conns.get(&conn) else { return };
-        if let Use::Client { session, .. } = &c.what {
-            let wake = session.wake();
+    fn front_wake(&mut self, conn: ConnId) {
+        if let Some((front, _)) = self.front(conn) {
+            let wake = front.wake();
             self.timers.set(Key::Conn(conn), wake);
         }
         self.flush(conn);
@@ -62,12 +54,12 @@
 
     pub(crate) fn client_received(&mut self, conn: ConnId, octets: &[u8]) {
         let (now, wall) = (self.now, self.wall());
-        self.with_session(conn, |s, out, events| s.receive(now, wall, octets, out, events));
+        self.with_front(conn, |f, out, asks| f.receive(now, wall, octets, out, asks));
     }
 
     pub(crate) fn client_tick(&mut self, conn: ConnId) {
         let now = self.now;
-        self.with_session(conn, |s, out, events| s.tick(now, out, events));
+        self.with_front(conn, |f, out, asks| f.tick(now, out, asks));
     }
 
     /// The connection ended, in whatever way: receipts that were out on it are owed again.
@@ -86,41 +78,40 @@
         self.finish(conn);
     }
 
-    fn session(&mut self, conn: ConnId) -> Option<(&mut Session, &mut bytes::BytesMut)> {
+    fn front(&mut self, conn: ConnId) -> Option<(&mut dyn Front, &mut bytes::BytesMut)> {
         let c = self.conns.get_mut(&conn)?;
         match &mut c.what {
-            Use::Client { session, .. } => Some((session, &mut c.stream.out)),
+            Use::Client { front, .. } => Some((front.as_mut(), &mut c.stream.out)),
             _ => None,
         }
     }
 
-    fn refuse(&mut self, conn: ConnId, sequence: u32, status: CommandStatus) {
-        if let Some((session, out)) = self.session(conn) {
-            session.error(sequence, status, out);
+    fn refuse(&mut self, conn: ConnId, token: u32, no: No) {
+        if let Some((front, out)) = self.front(conn) {
+            front.refused(token, no, out);
         }
     }
 
-    fn session_event(&mut self, conn: ConnId, event: server::Event) {
-        match event {
-            server::Event::Bind { system_id, password, sequence, .. } => {
-                self.bind(conn, &system_id, &password, sequence);
-            }
-            server::Event::Submit { sequence, submission, .. } => self.submit(conn, sequence, *submission),
-            server::Event::Query { sequence, id, source } => self.query(conn, sequence, &id, &source),
-            server::Event::Cancel { sequence, id, source, .. } => self.cancel(conn, sequence, &id, &source),
-            server::Event::Acknowledged { sequence, taken } => {
+    fn asked(&mut self, conn: ConnId, ask: Ask) {
+        match ask {
+            Ask::Enter { name, proof, token } => self.enter(conn, &name, &proof, token),
+            Ask::Submit { token, submission } => self.submit(conn, token, *submission),
+            Ask::Query { token, id, source } => self.query(conn, token, &id, &source),
+            Ask::Withdraw { token, id, source } => self.withdraw(conn, token, &id, &source),
+            Ask::Heard { token, taken } => {
                 let Some(client) = self.client_of(conn) else { return };
                 let now = self.now;
-                let receipt = self.clients[client].outbox.answered(now, conn, sequence, taken, RECEIPT_PAUSE);
+                let receipt = self.clients[client].outbox.answered(now, conn, token, taken, RECEIPT_PAUSE);
                 if let Some(id) = receipt.and_then(|r| read_id(&r.id)) {
                     self.stats.receipts += 1;
                     self.taken(id);
                 }
                 self.pump(client);
             }
-            server::Event::Unbound => self.end_session(conn),
-            server::Event::Ended(why) => {
-                tracing::info!(conn, why, "a client's session ended");
+            Ask::Over(why) => {
+                if let Some(why) = why {
+                    tracing::info!(conn, why, "a client's session ended");
+                }
                 self.end_session(conn);
             }
         }
@@ -133,28 +124,22 @@
         }
     }
 
-    fn bind(&mut self, conn: ConnId, system_id: &str, password: &str, sequence: u32) {
-        let known = self.client_names.get(system_id).copied();
+    fn enter(&mut self, conn: ConnId, name: &str, proof: &str, token: u32) {
+        let known = self.client_names.get(name).copied();
         let config = known.and_then(|k| self.cfg.clients.get(k));
-        let right = config.is_some_and(|c| same(&c.password, password));
-        let leaving = self.leaving;
-        let now = self.now;
-        let Some((session, out)) = self.session(conn) else { return };
-        let status = if leaving {
-            CommandStatus::EsmeRbindfail
-        } else if known.is_none() {
-            CommandStatus::EsmeRinvsysid
-        } else if !right {
-            CommandStatus::EsmeRinvpaswd
-        } else {
-            session.accept(now, sequence, OWN_NAME, out);
-            CommandStatus::EsmeRok
+        let result = match config {
+            _ if self.leaving => Err(Denied::Leaving),
+            None => Err(Denied::Name),
+            Some(c) if !same(&c.password, proof) => Err(Denied::Proof),
+            Some(_) => Ok(()),
         };
-        if status != CommandStatus::EsmeRok {
-            session.refuse(sequence, status, out);
+        let now = self.now;
+        let Some((front, out)) = self.front(conn) else { return };
+        front.admitted(now, token, result, out);
+        if result.is_err() {
             return;
         }
-        let receives = session.mode().is_some_and(server::Mode::receives);
+        let receives = front.receives();
         if let Some(Use::Client { client, .. }) = self.conns.get_mut(&conn).map(|c| &mut c.what) {
             *client = known;
         }
@@ -164,13 +149,15 @@
         }
     }
 
-    fn submit(&mut self, conn: ConnId, sequence: u32, submission: Submission) {
-        let Some(client) = self.client_of(conn) else {
-            return self.refuse(conn, sequence, CommandStatus::EsmeRinvbndsts);
-        };
-        match self.accept(conn, client, sequence, submission) {
-            Ok(()) => {}
-            Err(status) => self.refuse(conn, sequence, status),
+    fn submit(&mut self, conn: ConnId, token: u32, submission: Submission) {
+        let Some(client) = self.client_of(conn) else { return self.refuse(conn, token, No::NotEntered) };
+        if let Err(no) = self.accept(conn, client, token, submission) {
+            match no {
+                No::Rate => self.stats.refused_rate += 1,
+                No::Room => self.stats.refused_room += 1,
+                _ => self.stats.refused_other += 1,
+            }
+            self.refuse(conn, token, no);
         }
     }
 
@@ -179,37 +166,24 @@
         &mut self,
         conn: ConnId,
         client: usize,
-        sequence: u32,
+        token: u32,
         mut submission: Submission,
-    ) -> Result<(), CommandStatus> {
+    ) -> Result<(), No> {
         let named = self.class_names.get(&submission.service).copied();
-        let class = named.or(submission.service.is_empty().then_some(0));
-        let class =
-            class.ok_or(CommandStatus::EsmeRinvsertyp).inspect_err(|_| self.stats.refused_other += 1)?;
-        let Some(dest) = self.routes.find(&submission.destination) else {
-            self.stats.refused_other += 1;
-            return Err(CommandStatus::EsmeRinvdstadr);
-        };
+        let class = named.or(submission.service.is_empty().then_some(0)).ok_or(No::Class)?;
+        let dest = self.routes.find(&submission.destination).ok_or(No::Address)?;
         let settings = &self.cfg.settings.classes[class];
         let span = submission.validity.map_or(settings.deadline, |v| v.min(settings.deadline));
         if span <= 0 {
-            self.stats.refused_other += 1;
-            return Err(CommandStatus::EsmeRinvexpiry);
+            return Err(No::Time);
         }
         if self.ledger.refuses(self.now, self.messages.len()) {
-            self.stats.refused_room += 1;
-            return Err(CommandStatus::EsmeRmsgqful);
-        }
-        if let Err(refusal) = self.limits.admit(self.now, client, self.held(client)) {
-            match refusal {
-                Refusal::Rate => self.stats.refused_rate += 1,
-                Refusal::Room | Refusal::Leaving => self.stats.refused_room += 1,
-            }
-            return Err(match refusal {
-                Refusal::Rate => CommandStatus::EsmeRthrottled,
-                Refusal::Room | Refusal::Leaving => CommandStatus::EsmeRmsgqful,
-            });
+            return Err(No::Room);
         }
+        self.limits.admit(self.now, client, self.held(client)).map_err(|refusal| match refusal {
+            Refusal::Rate => No::Rate,
+            Refusal::Room | Refusal::Leaving => No::Room,
+        })?;
         let id = MsgId(self.next_id);
         self.next_id += 1 << ID_SENDER_BITS;
         // One key space for each client: two clients that use the same word do not wait for each other.
@@ -227,7 +201,7 @@
             time_left: span,
             again: submission.again,
         });
-        let reply = submission.forward.then_some((conn, sequence));
+        let reply = submission.forward.then_some((conn, token));
         let (taken, names) = (self.wall(), &self.cfg);
         self.ledger.write(|| {
             What::Accepted(Accepted {
@@ -262,42 +236,29 @@
         self.messages.insert(id, message);
         self.clients[client].open += 1;
         if reply.is_none() {
-            self.once_durable(Effect::Accept { conn, sequence, id });
+            self.once_durable(Effect::Accept { conn, token, id });
         }
         Ok(())
     }
 
     /// The acceptance is told. A session that is gone by now will hear of its message by the receipt alone.
-    pub(crate) fn tell_accepted(&mut self, conn: ConnId, sequence: u32, id: MsgId) {
-        if let Some((session, out)) = self.session(conn) {
-            session.submitted(sequence, &show_id(id), CommandStatus::EsmeRok, Vec::new(), out);
+    pub(crate) fn tell_accepted(&mut self, conn: ConnId, token: u32, id: MsgId) {
+        if let Some((front, out)) = self.front(conn) {
+            front.accepted(token, &show_id(id), out);
         }
         self.flush(conn);
     }
 
     /// The response that is the final answer, in forward mode. False where its session is gone.
-    pub(crate) fn respond(&mut self, conn: ConnId, sequence: u32, id: MsgId, answer: Answer) -> bool {
-        let Some((session, out)) = self.session(conn) else { return false };
-        if session.mode().is_none() {
-            return false;
-        }
-        let mut tlvs = Vec::new();
-        if answer != Answer::Delivered {
-            let word = COctetString::from_string(answer.word().to_string()).unwrap_or_default();
-            tlvs.push(Tlv::AdditionalStatusInfoText(word));
-        }
-        if let Some(wait) = answer.retry_after() {
-            let ms = u32::try_from(wait.max(0) / 1_000).unwrap_or(u32::MAX);
-            let value = AnyOctetString::from_vec(ms.to_be_bytes().to_vec());
-            tlvs.push(Tlv::Other { tag: tags::tag(tags::RETRY_AFTER), value });
-        }
-        session.submitted(sequence, &show_id(id), answers::status(answer), tlvs, out);
+    pub(crate) fn respond(&mut self, conn: ConnId, token: u32, id: MsgId, answer: Answer) -> bool {
+        let Some((front, out)) = self.front(conn) else { return false };
+        let told = front.answered(token, &show_id(id), answer, out);
         self.flush(conn);
-        true
+        told
     }
 
-    fn query(&mut self, conn: ConnId, sequence: u32, text: &str, source: &str) {
-        let Some(client) = self.client_of(conn) else { return };
+    fn query(&mut self, conn: ConnId, token: u32, text: &str, source: &str) {
+        let Some(client) = self.client_of(conn) else { return self.refuse(conn, token, No::NotEntered) };
         let id = read_id(text);
         let open = id.and_then(|id| self.messages.get(&id));
         let open =
@@ -309,35 +270,34 @@
             let mine = ended.filter(|e| e.client == client && (source.is_empty() || e.source == source));
             mine.map(|e| (e.answer.state(), Some(e.done)))
         };
-        let Some((session, out)) = self.session(conn) else { return };
+        let Some((front, out)) = self.front(conn) else { return };
         match known {
-            Some((state, done)) => session.queried(sequence, text, state, done, out),
+            Some((state, done)) => front.queried(token, text, state, done, out),
             // The same for what does not exist and what belongs to another client.
-            None => session.error(sequence, CommandStatus::EsmeRinvmsgid, out),
+            None => front.refused(token, No::Message, out),
         }
     }
 
     /// Withdraws a message that has surely not run and is not on its way.
-    fn cancel(&mut self, conn: ConnId, sequence: u32, text: &str, source: &str) {
-        let Some(client) = self.client_of(conn) else { return };
+    fn withdraw(&mut self, conn: ConnId, token: u32, text: &str, source: &str) {
+        let Some(client) = self.client_of(conn) else { return self.refuse(conn, token, No::NotEntered) };
         let id = read_id(text);
         let found = id.and_then(|id| self.messages.get(&id));
         let mine =
             found.filter(|m| m.client == client && (source.is_empty() || m.submission.source == source));
         let (Some(id), Some(m)) = (id, mine) else {
-            return self.refuse(conn, sequence, CommandStatus::EsmeRinvmsgid);
+            return self.refuse(conn, token, No::Message);
         };
-        let out = m.out;
-        if let Some((call, part)) = out {
+        if let Some((call, part)) = m.out {
             self.take_back(call, part);
         }
         let gone = self.messages.get(&id).is_some_and(|m| m.out.is_some() || m.may_run);
         if gone {
-            return self.refuse(conn, sequence, CommandStatus::EsmeRcancelfail);
+            return self.refuse(conn, token, No::TooLate);
         }
         self.events.push(Event::Left { id });
-        if let Some((session, out)) = self.session(conn) {
-            session.cancelled(sequence, out);
+        if let Some((front, out)) = self.front(conn) {
+            front.withdrawn(token, out);
         }
         self.answer(id, End::Withdrawn);
     }
@@ -349,8 +309,8 @@
             let now = self.now;
             let sessions = self.clients[client].outbox.sessions();
             let Some(c) = self.conns.get_mut(&conn) else { break };
-            let Use::Client { session, .. } = &mut c.what else { break };
-            if session.room() == 0 {
+            let Use::Client { front, .. } = &mut c.what else { break };
+            if front.room() == 0 {
                 full += 1;
                 if full >= sessions {
                     break;
@@ -359,9 +319,9 @@
             }
             full = 0;
             let Some(receipt) = self.clients[client].outbox.take() else { break };
-            let sequence = session.deliver(now, &receipt, &mut c.stream.out);
-            self.clients[client].outbox.went(conn, sequence, receipt);
-            self.session_wake(conn);
+            let token = front.deliver(now, &receipt, &mut c.stream.out);
+            self.clients[client].outbox.went(conn, token, receipt);
+            self.front_wake(conn);
         }
         if let Some(at) = self.clients[client].outbox.wake() {
             self.timers.set(Key::Outbox(client), at.max(self.now + 1));
@@ -372,12 +332,12 @@
         let bound: Vec<ConnId> = self
             .conns
             .iter()
-            .filter(|(_, c)| matches!(&c.what, Use::Client { session, .. } if session.mode().is_some()))
+            .filter(|(_, c)| matches!(&c.what, Use::Client { front, .. } if front.entered()))
             .map(|(id, _)| *id)
             .collect();
         for conn in bound {
             let now = self.now;
-            self.with_session(conn, |s, out, _| s.unbind(now, out));
+            self.with_front(conn, |f, out, _| f.leave(now, out));
         }
         // Those that never bound are owed nothing.
         let other: Vec<ConnId> = self
--- /dev/null
+++ b/crates/engine/src/front/smpp.rs
@@ -0,0 +1,142 @@
+//! Clients that speak SMPP.
+
+use super::{Ask, Denied, Front, No};
+use crate::Micros;
+use crate::answers;
+use bytes::BytesMut;
+use heronroute_smpp::receipt::{Answer, Receipt};
+use heronroute_smpp::server::{Event, Limits, Mode, Session};
+use heronroute_smpp::tags;
+use rusmpp_core::CommandStatus;
+use rusmpp_core::tlvs::owned::MessageSubmissionResponseTlvValue as Tlv;
+use rusmpp_core::types::owned::{AnyOctetString, COctetString};
+use rusmpp_core::values::MessageState;
+
+/// The name that the service gives itself in bind responses.
+const OWN_NAME: &str = "heronroute";
+
+/// One SMPP session.
+#[derive(Debug)]
+pub struct SmppFront {
+    session: Session,
+    events: Vec<Event>,
+}
+
+impl SmppFront {
+    /// A session on a new connection.
+    pub fn new(now: Micros, limits: Limits) -> Self {
+        SmppFront { session: Session::new(now, limits), events: Vec::new() }
+    }
+
+    fn pass_on(&mut self, asks: &mut Vec<Ask>) {
+        for event in self.events.drain(..) {
+            asks.push(match event {
+                Event::Bind { system_id, password, sequence, .. } => {
+                    Ask::Enter { name: system_id, proof: password, token: sequence }
+                }
+                Event::Submit { sequence, submission, .. } => Ask::Submit { token: sequence, submission },
+                Event::Query { sequence, id, source } => Ask::Query { token: sequence, id, source },
+                Event::Cancel { sequence, id, source, .. } => Ask::Withdraw { token: sequence, id, source },
+                Event::Acknowledged { sequence, taken } => Ask::Heard { token: sequence, taken },
+                Event::Unbound => Ask::Over(None),
+                Event::Ended(why) => Ask::Over(Some(why)),
+            });
+        }
+    }
+}
+
+impl Front for SmppFront {
+    fn receive(&mut self, now: Micros, wall: Micros, octets: &[u8], out: &mut BytesMut, asks: &mut Vec<Ask>) {
+        self.session.receive(now, wall, octets, out, &mut self.events);
+        self.pass_on(asks);
+    }
+
+    fn wake(&self) -> Micros {
+        self.session.wake()
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>) {
+        self.session.tick(now, out, &mut self.events);
+        self.pass_on(asks);
+    }
+
+    fn admitted(&mut self, now: Micros, token: u32, result: Result<(), Denied>, out: &mut BytesMut) {
+        match result {
+            Ok(()) => self.session.accept(now, token, OWN_NAME, out),
+            Err(Denied::Name) => self.session.refuse(token, CommandStatus::EsmeRinvsysid, out),
+            Err(Denied::Proof) => self.session.refuse(token, CommandStatus::EsmeRinvpaswd, out),
+            Err(Denied::Leaving) => self.session.refuse(token, CommandStatus::EsmeRbindfail, out),
+        }
+    }
+
+    fn entered(&self) -> bool {
+        self.session.mode().is_some()
+    }
+
+    fn receives(&self) -> bool {
+        self.session.mode().is_some_and(Mode::receives)
+    }
+
+    fn accepted(&mut self, token: u32, id: &str, out: &mut BytesMut) {
+        self.session.submitted(token, id, CommandStatus::EsmeRok, Vec::new(), out);
+    }
+
+    fn refused(&mut self, token: u32, no: No, out: &mut BytesMut) {
+        let status = match no {
+            No::NotEntered => CommandStatus::EsmeRinvbndsts,
+            No::Rate => CommandStatus::EsmeRthrottled,
+            No::Room => CommandStatus::EsmeRmsgqful,
+            No::Class => CommandStatus::EsmeRinvsertyp,
+            No::Address => CommandStatus::EsmeRinvdstadr,
+            No::Time => CommandStatus::EsmeRinvexpiry,
+            No::Message => CommandStatus::EsmeRinvmsgid,
+            No::TooLate => CommandStatus::EsmeRcancelfail,
+        };
+        self.session.error(token, status, out);
+    }
+
+    fn answered(&mut self, token: u32, id: &str, answer: Answer, out: &mut BytesMut) -> bool {
+        if self.session.mode().is_none() {
+            return false;
+        }
+        let mut tlvs = Vec::new();
+        if answer != Answer::Delivered {
+            let word = COctetString::from_string(answer.word().to_string()).unwrap_or_default();
+            tlvs.push(Tlv::AdditionalStatusInfoText(word));
+        }
+        if let Some(wait) = answer.retry_after() {
+            let ms = u32::try_from(wait.max(0) / 1_000).unwrap_or(u32::MAX);
+            let value = AnyOctetString::from_vec(ms.to_be_bytes().to_vec());
+            tlvs.push(Tlv::Other { tag: tags::tag(tags::RETRY_AFTER), value });
+        }
+        self.session.submitted(token, id, answers::status(answer), tlvs, out);
+        true
+    }
+
+    fn queried(
+        &mut self,
+        token: u32,
+        id: &str,
+        state: MessageState,
+        done: Option<Micros>,
+        out: &mut BytesMut,
+    ) {
+        self.session.queried(token, id, state, done, out);
+    }
+
+    fn withdrawn(&mut self, token: u32, out: &mut BytesMut) {
+        self.session.cancelled(token, out);
+    }
+
+    fn room(&self) -> usize {
+        self.session.room()
+    }
+
+    fn deliver(&mut self, now: Micros, receipt: &Receipt, out: &mut BytesMut) -> u32 {
+        self.session.deliver(now, receipt, out)
+    }
+
+    fn leave(&mut self, now: Micros, out: &mut BytesMut) {
+        self.session.unbind(now, out);
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -15,8 +15,9 @@
 pub mod answers;
 pub mod calls;
 mod carry;
+mod desk;
 pub mod directory;
-mod front;
+pub mod front;
 pub mod home;
 pub mod ledger;
 pub mod limits;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -1,10 +1,11 @@
-//! One sender: what it holds, and the ways in and out. `front.rs` has the clients' side, `carry.rs` the
+//! One sender: what it holds, and the ways in and out. `desk.rs` has the clients' side, `carry.rs` the
 //! receivers'.
 
 use crate::Micros;
 use crate::answers::{self, End};
 use crate::calls::Calls;
 use crate::directory::{Directory, Heard, Want};
+use crate::front::Front;
 use crate::ledger::Ledger;
 use crate::limits::{Held, Limits};
 use crate::link::{Link, LinkEvent};
@@ -21,7 +22,7 @@
 use heronroute_journal::entry::{self, What};
 use heronroute_journal::{Book, Entry, Usage};
 use heronroute_smpp::receipt::{Answer, Receipt};
-use heronroute_smpp::server::{self, Session};
+use heronroute_smpp::server;
 use heronroute_smpp::submission::Submission;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -112,7 +113,7 @@
 #[derive(Debug)]
 pub(crate) enum Effect {
     /// An acceptance is told.
-    Accept { conn: ConnId, sequence: u32, id: MsgId },
+    Accept { conn: ConnId, token: u32, id: MsgId },
     /// A call may leave.
     Place { call: u64, endpoint: EndpointId },
     /// A final answer is told.
@@ -123,7 +124,7 @@
 #[derive(Debug)]
 pub(crate) enum Use {
     Client {
-        session: Box<Session>,
+        front: Box<dyn Front>,
         client: Option<usize>,
     },
     Receiver {
@@ -551,7 +552,7 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Accept { conn, sequence, id } => self.tell_accepted(conn, sequence, id),
+            Effect::Accept { conn, token, id } => self.tell_accepted(conn, token, id),
             Effect::Place { call, endpoint } => self.start_call(call, endpoint),
             Effect::Tell { id, message, answer, done } => self.tell(id, *message, answer, done),
         }
