--- a/crates/cli/src/days.rs
+++ b/crates/cli/src/days.rs
@@ -3,7 +3,7 @@
 use crate::fail;
 use heronroute_config::{fault, parse_day, write_day};
 use heronroute_drill::{BadDay, Drill, Outcome, bad_day, demo as demo_day, mixed, report, stage};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 fn pass(day: &BadDay) -> Result<Outcome, String> {
@@ -44,15 +44,22 @@
     Ok((format!("{name}, seed {}", day.seed.max(1)), staged))
 }
 
-pub fn bad(seed: Option<u64>, path: Option<&Path>, show: bool, report_to: Option<&Path>) -> ExitCode {
+pub fn bad(
+    seed: Option<u64>,
+    path: Option<&Path>,
+    show: bool,
+    journal: Option<PathBuf>,
+    report_to: Option<&Path>,
+) -> ExitCode {
     if show {
         println!("{}", write_day(&mixed(seed.unwrap_or(1))));
         return ExitCode::SUCCESS;
     }
-    let (title, day) = match script(seed, path) {
+    let (title, mut day) = match script(seed, path) {
         Ok(day) => day,
         Err(e) => return fail(2, e),
     };
+    day.day.journal = journal;
     let outcome = match pass(&day) {
         Ok(outcome) => outcome,
         Err(e) => return fail(1, e),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -55,6 +55,9 @@
         /// Print the script that the seed stands for, and run nothing.
         #[arg(long)]
         show: bool,
+        /// Keep journals in this folder, which is emptied first.
+        #[arg(long)]
+        journal: Option<PathBuf>,
         /// Where to write the report; standard output without it.
         #[arg(long)]
         report: Option<PathBuf>,
@@ -86,8 +89,8 @@
         Command::Serve { config } => serve::serve(&config),
         Command::Check { file } => serve::check(&file),
         Command::Demo { seed } => days::demo(seed),
-        Command::BadDay { seed, script, show, report } => {
-            days::bad(seed, script.as_deref(), show, report.as_deref())
+        Command::BadDay { seed, script, show, journal, report } => {
+            days::bad(seed, script.as_deref(), show, journal, report.as_deref())
         }
         Command::Standin { what } => standin::run(&what),
         Command::Journal { look } => journal::run(&look),
--- a/crates/drill/src/bad_day.rs
+++ b/crates/drill/src/bad_day.rs
@@ -154,6 +154,7 @@
         stalls: Vec::new(),
         until: length + 12 * S,
         rules: Rules::default(),
+        journal: None,
         more: String::new(),
     };
     (day, dice)
--- a/crates/drill/src/setup.rs
+++ b/crates/drill/src/setup.rs
@@ -13,6 +13,7 @@
 use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -114,6 +115,8 @@
     /// Clients wait for answers until this.
     pub until: Micros,
     pub rules: Rules,
+    /// Where senders keep their journals, if they do. Emptied first.
+    pub journal: Option<PathBuf>,
     /// Further lines of the settings file.
     pub more: String,
 }
@@ -187,6 +190,9 @@
         let (list, changes) = listing(&day, &farm.addresses);
         let errors = day.directory_errors.clone();
         let directory = Running::start(&[any], clock, |_| Directory::new(list, changes, errors))?;
+        if let Some(folder) = &day.journal {
+            _ = std::fs::remove_dir_all(folder);
+        }
         let text = settings(&day, directory.addresses[0]);
         let cfg: Arc<Config> = Arc::new(parse("day", &text)?);
         let service = Some(Service::start(cfg, day.seed)?);
@@ -332,6 +338,9 @@
     for d in &day.destinations {
         _ = writeln!(t, "route {{ prefix: \"{:06}\" destination: {} }}", d.number, d.number);
     }
+    if let Some(folder) = &day.journal {
+        _ = writeln!(t, "journal {{ folder: \"{}\" }}", folder.display());
+    }
     t.push_str(&day.more);
     t
 }
--- a/crates/drill/tests/hard_cases.rs
+++ b/crates/drill/tests/hard_cases.rs
@@ -50,6 +50,7 @@
         stalls: Vec::new(),
         until: 15 * S,
         rules: Rules::default(),
+        journal: None,
         more: String::new(),
     }
 }
@@ -243,3 +244,24 @@
     let o = pass(one);
     assert_eq!((o.record.submissions.len(), told(&o, Told::Delivered)), (3_000, 3_000));
 }
+
+#[test]
+fn a_full_disk_becomes_refusals_and_nothing_accepted_is_lost() {
+    let mut one =
+        day(vec![destination(1, Speaks::Smpp, 2)], vec![plan(steady(RESP, 1, 1_200, 500 * MS, 2 * MS))]);
+    // Slow enough for messages to pile up, with room for some hundred of them in the journal.
+    one.destinations[0].shape = Shape { pace: 300 * MS, width: 4, ..Shape::default() };
+    one.classes[RESP].deadline = 6 * S;
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("full-{}", std::process::id()));
+    one.more = format!("journal {{ folder: \"{}\" most_disk: \"160KiB\" }}", folder.display());
+    let o = pass(one);
+    _ = std::fs::remove_dir_all(&folder);
+    assert!(
+        o.refused.len() > 100 && o.refused.iter().all(|r| r.status == 0x14),
+        "ESME_RMSGQFUL: {}",
+        o.refused.len()
+    );
+    assert!(o.record.submissions.len() > 50, "{}", o.record.submissions.len());
+    assert_eq!(o.record.submissions.len() + o.refused.len(), 1_200);
+}
--- a/crates/engine/tests/node.rs
+++ b/crates/engine/tests/node.rs
@@ -8,6 +8,7 @@
 use heronroute_smpp::receipt::{Answer, Receipt};
 use heronroute_smpp::server::{Limits, Mode};
 use heronroute_smpp::submission::{Submission, Wanted};
+use proptest::prelude::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -194,3 +195,50 @@
     assert_eq!(n.pending(conn), b"", "nothing of the message is left to be written");
     assert!(outputs.iter().any(|o| matches!(o, Output::Drop(c) | Output::Finish(c) if *c == conn)));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: prop::test_runner::RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever clients, receivers and the directory send, in whatever pieces: no panic, and nothing but what was
+    /// handed in is answered.
+    #[test]
+    fn no_octets_harm_a_node(
+        noise in prop::collection::vec(any::<u8>(), 1..160),
+        smpp in any::<bool>(),
+        step in 1usize..60,
+        real in any::<bool>(),
+    ) {
+        let kind = if smpp { "smpp" } else { "http" };
+        let list = LIST.replace("\"k\"", "\"x\"");
+        let more = format!("directory {{ address: \"127.0.0.1:9000\" }} kind {{ name: \"x\" protocol: \"{kind}\" }} {list}");
+        let mut n = node(&more, None);
+        let mut noise = noise;
+        if real {
+            // Plausible heads reach further in.
+            let heads: [&[u8]; 3] = [
+                b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n",
+                &[0, 0, 0, 60, 0x80, 0, 0, 4, 0, 0, 0, 0, 0, 0, 0, 2],
+                &[0, 0, 0, 40, 0, 0, 0, 4, 0, 0, 0, 0, 0, 0, 0, 9],
+            ];
+            noise.splice(0..0, heads[noise[0] as usize % 3].iter().copied());
+        }
+        let (client, mut session) = hand_in(&mut n);
+        let mut now = 0;
+        for part in noise.chunks(step) {
+            for (conn, _) in connects(&n.outputs()) {
+                n.connected(now, conn);
+                n.received(now, conn, part);
+            }
+            n.received(now, client, part);
+            for conn in 1..12 {
+                n.received(now, conn, part);
+            }
+            now += 50_000;
+            n.settle(now);
+        }
+        pass(&mut n, 6_000_000);
+        let answers = heard(&mut n, client, &mut session);
+        assert!(answers.len() <= 2, "{answers:?}");
+        assert_eq!(n.open(), 0, "what was handed in has its answer");
+    }
+}
