Fair admission: clients share the room by weight and worth; a sketch of who fills it

One client's flood filled the room and turned all others away. A client that floods a receiver of ten a second with 1,000 a second: another's 100 messages are all accepted and delivered, 95% within half a second; without the thresholds that test fails.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -88,6 +88,8 @@
     /// Messages a second accepted at most; infinite where none is set.
     pub rate: f64,
     pub burst: f64,
+    /// Its part of the room beside other clients.
+    pub weight: f64,
 }
 
 /// The protocol of a kind of destination.
@@ -367,7 +369,8 @@
         settings.tenants.push(TenantSettings { quota });
         let rate = c.figure(&path("rate"), k.rate, f64::INFINITY, 1e9);
         let burst = if k.burst == 0 { rate.max(1.0) } else { f64::from(k.burst) };
-        ClientConfig { system_id: k.system_id.clone(), password: k.password.clone(), rate, burst }
+        let weight = c.figure(&path("weight"), k.weight, 1.0, 1e3);
+        ClientConfig { system_id: k.system_id.clone(), password: k.password.clone(), rate, burst, weight }
     });
     let list: Vec<ClientConfig> = list.collect();
     if list.is_empty() {
--- a/crates/drill/tests/hard_cases.rs
+++ b/crates/drill/tests/hard_cases.rs
@@ -265,3 +265,30 @@
     assert!(o.record.submissions.len() > 50, "{}", o.record.submissions.len());
     assert_eq!(o.record.submissions.len() + o.refused.len(), 1_200);
 }
+
+#[test]
+fn one_clients_flood_does_not_turn_another_away() {
+    let mut flood = plan(steady(RESP, 1, 3_000, 500 * MS, MS));
+    flood.system_id = "flood".into();
+    let mut calm = plan(steady(RESP, 1, 100, 500 * MS, 30 * MS));
+    calm.steps.iter_mut().for_each(|(_, step)| {
+        if let Step::Submit(s, _) = step {
+            s.destination.replace_range(..6, "000002");
+        }
+    });
+    calm.system_id = "calm".into();
+    let mut ds = vec![destination(1, Speaks::Smpp, 1), destination(2, Speaks::Http, 1)];
+    ds[0].shape = Shape { pace: 200 * MS, width: 2, queue: 4, ..Shape::default() };
+    let mut one = day(ds, vec![flood, calm]);
+    one.room = 300;
+    one.clients = ["flood", "calm"].map(|id| ClientSpec { system_id: id.into(), rate: 0.0 }).to_vec();
+    let o = pass(one);
+    let of = |id: &str| o.record.submissions.iter().filter(|s| s.client == id).collect::<Vec<_>>();
+    let calm = of("calm");
+    assert_eq!(calm.len(), 100, "all of the calm one's are accepted");
+    assert!(calm.iter().all(|s| s.answers[0].1 == Told::Delivered));
+    let mut times: Vec<i64> = calm.iter().map(|s| s.answers[0].0 - s.sent).collect();
+    times.sort_unstable();
+    assert!(times[95] < 500 * MS, "and answered soon: {} ms", times[95] / MS);
+    assert!(o.refused.len() > 1_000 && o.refused.iter().all(|r| r.status == 0x58), "the flood is throttled");
+}
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -153,7 +153,7 @@
         let Some(client) = self.client_of(conn) else { return self.refuse(conn, token, No::NotEntered) };
         if let Err(no) = self.accept(conn, client, token, submission) {
             match no {
-                No::Rate => self.stats.refused_rate += 1,
+                No::Rate | No::Share => self.stats.refused_rate += 1,
                 No::Room => self.stats.refused_room += 1,
                 _ => self.stats.refused_other += 1,
             }
@@ -180,8 +180,9 @@
         if self.ledger.refuses(self.now, self.messages.len()) {
             return Err(No::Room);
         }
-        self.limits.admit(self.now, client, self.held(client)).map_err(|refusal| match refusal {
+        self.limits.admit(self.now, client, self.held(client, class)).map_err(|refusal| match refusal {
             Refusal::Rate => No::Rate,
+            Refusal::Share => No::Share,
             Refusal::Room | Refusal::Leaving => No::Room,
         })?;
         let id = MsgId(self.next_id);
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -71,6 +71,8 @@
     NotEntered,
     /// Over its accepted rate.
     Rate,
+    /// It holds its fair part of the room.
+    Share,
     /// No room, or going out of service.
     Room,
     /// Its class is unknown.
--- a/crates/engine/src/front/smpp.rs
+++ b/crates/engine/src/front/smpp.rs
@@ -84,7 +84,7 @@
     fn refused(&mut self, token: u32, no: No, out: &mut BytesMut) {
         let status = match no {
             No::NotEntered => CommandStatus::EsmeRinvbndsts,
-            No::Rate => CommandStatus::EsmeRthrottled,
+            No::Rate | No::Share => CommandStatus::EsmeRthrottled,
             No::Room => CommandStatus::EsmeRmsgqful,
             No::Class => CommandStatus::EsmeRinvsertyp,
             No::Address => CommandStatus::EsmeRinvdstadr,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -7,7 +7,7 @@
 use crate::directory::{Directory, Heard, Want};
 use crate::front::Front;
 use crate::ledger::Ledger;
-use crate::limits::{Held, Limits};
+use crate::limits::{Held, Limits, Part};
 use crate::link::{Link, LinkEvent};
 use crate::outbox::Outbox;
 use crate::pool::Pool;
@@ -678,9 +678,12 @@
     }
 
     /// What is held of one client and in all.
-    pub(crate) fn held(&self, client: usize) -> Held {
+    pub(crate) fn held(&self, client: usize, class: usize) -> Held {
         let c = &self.clients[client];
-        Held { open: self.messages.len(), of_client: c.open + c.outbox.owed() }
+        let classes = &self.cfg.settings.classes;
+        let mean = classes.iter().map(|c| c.worth).sum::<f64>() / classes.len().max(1) as f64;
+        let worth = classes.get(class).map_or(1.0, |c| c.worth / mean.max(1e-9));
+        Held { open: self.messages.len(), of_client: c.open + c.outbox.owed(), worth }
     }
 
     /// The final answer to a message: it is told once, here, and the message is over.
@@ -803,8 +806,8 @@
     plain.then(|| u64::from_str_radix(text, 16).ok().map(MsgId)).flatten()
 }
 
-fn rates(cfg: &Config) -> Vec<(f64, f64)> {
-    cfg.clients.iter().map(|c| (c.rate, c.burst)).collect()
+fn rates(cfg: &Config) -> Vec<Part> {
+    cfg.clients.iter().map(|c| Part { rate: c.rate, burst: c.burst, weight: c.weight }).collect()
 }
 
 /// Events of a link are handled in order.
--- /dev/null
+++ b/crates/fair/src/sketch.rs
@@ -0,0 +1,139 @@
+//! Who has the most traffic, in bounded memory: Space-Saving (Metwally, Agrawal and El Abbadi, 2005), with counts
+//! that fade.
+//!
+//! With `n` counters, a party's count is too high by at most the total over `n`, and never too low; every party with
+//! more than that share of the total is among the counters. An event costs by the logarithm of the counters, whatever
+//! the number of parties.
+
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hash;
+
+/// A party with much traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heavy<K> {
+    /// Who.
+    pub party: K,
+    /// Its count, at most so much ...
+    pub most: u64,
+    /// ... and at least so much.
+    pub least: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Counter {
+    count: u64,
+    error: u64,
+}
+
+/// The sketch.
+#[derive(Clone, Debug)]
+pub struct Sketch<K> {
+    room: usize,
+    counters: HashMap<K, Counter>,
+    /// Parties by count, smallest first.
+    order: BTreeSet<(u64, K)>,
+    total: u64,
+}
+
+impl<K: Ord + Hash + Copy> Sketch<K> {
+    /// A sketch of so many counters.
+    pub fn new(counters: usize) -> Self {
+        let room = counters.max(1);
+        Sketch { room, counters: HashMap::with_capacity(room), order: BTreeSet::new(), total: 0 }
+    }
+
+    /// Events counted, as faded.
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+
+    /// A party's count is too high by this at most.
+    pub fn error(&self) -> u64 {
+        self.total / self.room as u64
+    }
+
+    /// An event of a party.
+    pub fn add(&mut self, party: K) {
+        self.total += 1;
+        if let Some(c) = self.counters.get_mut(&party) {
+            self.order.remove(&(c.count, party));
+            c.count += 1;
+            self.order.insert((c.count, party));
+            return;
+        }
+        let mut least = 0;
+        if self.counters.len() >= self.room {
+            // The smallest goes; the new one may have had as many events as it, unseen.
+            let Some((count, gone)) = self.order.pop_first() else { return };
+            self.counters.remove(&gone);
+            least = count;
+        }
+        self.counters.insert(party, Counter { count: least + 1, error: least });
+        self.order.insert((least + 1, party));
+    }
+
+    /// What is known of a party: its count is between the two.
+    pub fn count(&self, party: &K) -> (u64, u64) {
+        match self.counters.get(party) {
+            Some(c) => (c.count - c.error, c.count),
+            None if self.counters.len() < self.room => (0, 0),
+            None => (0, self.order.first().map_or(0, |(n, _)| *n)),
+        }
+    }
+
+    /// All counts halved: what is long ago counts less. To be called now and then.
+    pub fn fade(&mut self) {
+        self.total /= 2;
+        self.counters.retain(|_, c| {
+            (c.count, c.error) = (c.count / 2, c.error / 2);
+            c.count > 0
+        });
+        self.order = self.counters.iter().map(|(p, c)| (c.count, *p)).collect();
+    }
+
+    /// The parties that may have more than a share of all, largest first.
+    pub fn heavy(&self, share: f64) -> Vec<Heavy<K>> {
+        let mark = (self.total as f64 * share) as u64;
+        let above = self.order.iter().rev().take_while(|(count, _)| *count > mark);
+        above
+            .map(|(count, party)| {
+                let error = self.counters.get(party).map_or(0, |c| c.error);
+                Heavy { party: *party, most: *count, least: count - error }
+            })
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn counts_are_within_the_bound_and_none_that_is_heavy_is_missed() {
+        let mut state = 1u64;
+        let mut dice = move |n: u64| {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            (state >> 11) % n
+        };
+        let (mut sketch, mut exact) = (Sketch::new(200), HashMap::new());
+        for _ in 0..200_000 {
+            // A fifth of the events come from five parties, the rest from 20,000.
+            let party = if dice(5) == 0 { dice(5) } else { 5 + dice(20_000) };
+            sketch.add(party);
+            *exact.entry(party).or_insert(0u64) += 1;
+        }
+        for (party, count) in &exact {
+            let (least, most) = sketch.count(party);
+            assert!(least <= *count && *count <= most, "{party}: {least} {count} {most}");
+            assert!(most <= count + sketch.error());
+        }
+        let heavy: Vec<u64> = sketch.heavy(0.02).into_iter().map(|h| h.party).collect();
+        assert!((0..5).all(|p| heavy.contains(&p)), "{heavy:?}");
+        assert!(heavy.len() <= 8, "and few others: {heavy:?}");
+        sketch.fade();
+        assert_eq!(sketch.total(), 100_000);
+        assert!(sketch.heavy(0.02).len() >= 5);
+    }
+}
