--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -2,8 +2,9 @@
 
 use crate::answers::End;
 use crate::calls::{End as CallEnd, proves};
-use crate::link::{self, Cargo, LinkEvent, Reply};
+use crate::link::{self, Cargo, Link, LinkEvent, Reply};
 use crate::node::{ConnId, Effect as Durably, Gone, Key, LinkEvents, Node, Output, Use, show_id};
+use crate::stream::Stream;
 use heronroute::{Action, Effect, EndpointId, Event, MsgId, Outcome};
 use heronroute_journal::entry::{self, What};
 use std::collections::BTreeMap;
@@ -84,7 +85,7 @@
             let kind = &self.cfg.kinds[remote.kind];
             let address = remote.address;
             let link = link::new(kind, self.session_limits, address.to_string(), self.index);
-            let conn = self.add_conn(Use::Receiver { endpoint, link, stands: false });
+            let conn = self.add_conn(Use::Receiver { endpoint, link });
             self.remotes[at].pool.opening(conn);
             self.stats.connections += 1;
             self.timers.set(Key::Connect(conn), self.now + self.cfg.service.connect_timeout);
@@ -338,29 +339,28 @@
         self.finish(conn);
     }
 
-    pub(crate) fn link_opened(&mut self, conn: ConnId) {
+    /// Runs a link's own work, then handles what it hands on.
+    fn with_link(&mut self, conn: ConnId, work: impl FnOnce(&mut dyn Link, &mut Stream, &mut LinkEvents)) {
         let mut events = LinkEvents::new();
         let Some(entry) = self.conns.get_mut(&conn) else { return };
-        let Use::Receiver { link, stands, .. } = &mut entry.what else { return };
-        *stands = true;
-        link.open(self.now, &mut entry.stream, &mut events);
+        let Use::Receiver { link, .. } = &mut entry.what else { return };
+        work(link.as_mut(), &mut entry.stream, &mut events);
         self.link_events(conn, events);
     }
 
+    pub(crate) fn link_opened(&mut self, conn: ConnId) {
+        let now = self.now;
+        self.with_link(conn, |link, stream, events| link.open(now, stream, events));
+    }
+
     pub(crate) fn link_received(&mut self, conn: ConnId, octets: &[u8]) {
-        let mut events = LinkEvents::new();
-        let Some(entry) = self.conns.get_mut(&conn) else { return };
-        let Use::Receiver { link, .. } = &mut entry.what else { return };
-        link.receive(self.now, octets, &mut entry.stream, &mut events);
-        self.link_events(conn, events);
+        let now = self.now;
+        self.with_link(conn, |link, stream, events| link.receive(now, octets, stream, events));
     }
 
     pub(crate) fn link_tick(&mut self, conn: ConnId) {
-        let mut events = LinkEvents::new();
-        let Some(entry) = self.conns.get_mut(&conn) else { return };
-        let Use::Receiver { link, .. } = &mut entry.what else { return };
-        link.tick(self.now, &mut entry.stream, &mut events);
-        self.link_events(conn, events);
+        let now = self.now;
+        self.with_link(conn, |link, stream, events| link.tick(now, stream, events));
     }
 
     fn link_wake(&mut self, conn: ConnId) {
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -4,7 +4,7 @@
 use crate::answers::End;
 use crate::front::{Ask, Denied, Front, No, SmppFront};
 use crate::limits::Refusal;
-use crate::node::{ConnId, Effect, ID_SENDER_BITS, Key, Message, Node, Use, read_id, show_id};
+use crate::node::{ConnId, Effect, ID_SENDER_BITS, Key, Message, Node, Use, key_of, read_id, show_id};
 use heronroute::{Event, MsgId};
 use heronroute_journal::entry::{Accepted, What};
 use heronroute_smpp::receipt::Answer;
@@ -187,11 +187,8 @@
         })?;
         let id = MsgId(self.next_id);
         self.next_id += 1 << ID_SENDER_BITS;
-        // One key space for each client: two clients that use the same word do not wait for each other.
-        let key = submission.key.clone().filter(|_| settings.ordered).map(|k| format!("{client}/{k}"));
-        if !settings.ordered {
-            submission.key = None;
-        }
+        submission.key = submission.key.filter(|_| settings.ordered);
+        let key = submission.key.as_ref().map(|k| key_of(client, k));
         self.stats.accepted += 1;
         self.events.push(Event::Message {
             id,
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -130,7 +130,6 @@
     Receiver {
         endpoint: EndpointId,
         link: Box<dyn Link>,
-        stands: bool,
     },
     Directory,
     /// Being closed once all is written.
@@ -735,8 +734,7 @@
             return self.taken(id);
         }
         // In forward mode the response is the answer; where its session is gone, a receipt stands in for it.
-        let forward = m.submission.forward;
-        if !forward && !m.submission.wanted.receipt(answer == Answer::Delivered) {
+        if !m.submission.owes_receipt(answer == Answer::Delivered) {
             return self.taken(id);
         }
         let receipt = Receipt {
@@ -796,6 +794,12 @@
     }
 }
 
+/// A key as the decision library knows it: each client has a key space of its own, so that two that use the same
+/// word do not wait for each other.
+pub(crate) fn key_of(client: usize, key: &str) -> String {
+    format!("{client}/{key}")
+}
+
 /// A message's number as clients see it.
 pub(crate) fn show_id(id: MsgId) -> String {
     format!("{:016x}", id.0)
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -1,7 +1,7 @@
 //! After a restart: what the book says is taken up again. `resume.rs` decides; here it is carried out.
 
 use crate::answers::End;
-use crate::node::{Client, Message, Node, show_id};
+use crate::node::{Client, ID_SENDER_BITS, Message, Node, key_of, show_id};
 use crate::resume::{Resume, resume};
 use heronroute::{DestId, Event, MsgId};
 use heronroute_journal::entry::{Accepted, Answer as Answered};
@@ -41,9 +41,9 @@
     /// keys keep theirs; all of them before their class's deadline, or they are answered here.
     pub(crate) fn restart(&mut self, book: Book) {
         let wall = self.wall();
-        self.next_id = self
-            .next_id
-            .max(book.next_id.next_multiple_of(1 << crate::node::ID_SENDER_BITS) | (self.next_id & 63));
+        // Above all numbers given so far, with this sender's in the low bits.
+        let (step, own) = (1 << ID_SENDER_BITS, self.next_id % (1 << ID_SENDER_BITS));
+        self.next_id = self.next_id.max(book.next_id.next_multiple_of(step) | own);
         for (name, p) in &book.places {
             let Some(endpoint) = self.names.get(name).copied() else { continue };
             self.remotes[endpoint.0 as usize].place = (p.wait_until, p.bad_since);
@@ -120,7 +120,7 @@
             id: MsgId(a.id),
             class,
             tenant: client,
-            key: (ordered && !a.key.is_empty()).then(|| format!("{client}/{}", a.key)),
+            key: (ordered && !a.key.is_empty()).then(|| key_of(client, &a.key)),
             dest: DestId(a.dest),
             time_left: a.deadline - self.wall(),
             // It counts as no new demand.
@@ -134,7 +134,7 @@
         let Some(Answered { word, retry_after, at, .. }) = &open.answer else { return false };
         let wait = Some(*retry_after).filter(|w| *w >= 0);
         let answer = Answer::read(word, wait).unwrap_or(Answer::Unknown { retry_after: None });
-        if !a.forward && !Wanted::from_code(a.wanted).receipt(answer == Answer::Delivered) {
+        if !submission(a).owes_receipt(answer == Answer::Delivered) {
             self.taken(MsgId(a.id));
             return false;
         }
--- a/crates/smpp/src/server.rs
+++ b/crates/smpp/src/server.rs
@@ -266,7 +266,7 @@
                 events.push(Event::Unbound);
             }
             Pdu::BindTransmitter(b) => {
-                self.bind(Mode::Transmitter, id, sequence, b.interface_version, out).then(|| {
+                self.bind(id, sequence, b.interface_version, out).then(|| {
                     events.push(bind_event(
                         Mode::Transmitter,
                         &b.system_id,
@@ -277,7 +277,7 @@
                 });
             }
             Pdu::BindReceiver(b) => {
-                self.bind(Mode::Receiver, id, sequence, b.interface_version, out).then(|| {
+                self.bind(id, sequence, b.interface_version, out).then(|| {
                     events.push(bind_event(
                         Mode::Receiver,
                         &b.system_id,
@@ -288,7 +288,7 @@
                 });
             }
             Pdu::BindTransceiver(b) => {
-                self.bind(Mode::Transceiver, id, sequence, b.interface_version, out).then(|| {
+                self.bind(id, sequence, b.interface_version, out).then(|| {
                     events.push(bind_event(
                         Mode::Transceiver,
                         &b.system_id,
@@ -334,19 +334,11 @@
         }
     }
 
-    fn bind(
-        &mut self,
-        mode: Mode,
-        id: CommandId,
-        sequence: u32,
-        version: InterfaceVersion,
-        out: &mut BytesMut,
-    ) -> bool {
+    fn bind(&mut self, id: CommandId, sequence: u32, version: InterfaceVersion, out: &mut BytesMut) -> bool {
         if self.state != State::Open {
             encode_error(id.into(), CommandStatus::EsmeRalybnd, sequence, out);
             return false;
         }
-        _ = mode;
         self.version = version.into();
         self.state = State::Binding;
         self.owed.insert(sequence, id);
--- a/crates/smpp/src/submission.rs
+++ b/crates/smpp/src/submission.rs
@@ -99,6 +99,12 @@
         Ok(s)
     }
 
+    /// Whether a receipt is owed for an answer that was not told as the response. In forward mode it always is: the
+    /// response was to be the answer, and its session is gone.
+    pub fn owes_receipt(&self, delivered: bool) -> bool {
+        self.forward || self.wanted.receipt(delivered)
+    }
+
     fn mode(&mut self, class: EsmClass) -> Result<(), CommandStatus> {
         let octet = u8::from(class);
         // Bits 1-0 are the mode, 5-2 the type of message: clients hand in ordinary ones.
