--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -21,6 +21,8 @@
     pub service: ServiceConfig,
     /// The front for clients.
     pub smpp: SmppConfig,
+    /// The MQTT front, where it is spoken.
+    pub mqtt: Option<MqttConfig>,
     /// The directory.
     pub directory: DirectoryConfig,
     /// The journal.
@@ -61,6 +63,33 @@
     pub window: usize,
     pub sessions: usize,
     pub max_pdu: usize,
+    /// Its part of the room beside other fronts.
+    pub weight: f64,
+}
+
+/// The front that speaks MQTT.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MqttConfig {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// A CONNECT must come within this.
+    pub connect_within: i64,
+    /// The longest keep-alive in seconds, 0 for none.
+    pub keep_alive: u16,
+    /// The longest a session is kept without a connection, in seconds.
+    pub expiry: u32,
+    /// PUBLISHes without an acknowledgement, either way.
+    pub window: u16,
+    /// Octets of a packet.
+    pub max_packet: u32,
+    /// Sessions of one sender, with and without a connection.
+    pub sessions: usize,
+    /// Clients' own names of messages count for so long.
+    pub remember: i64,
+    /// Such names of one sender at once.
+    pub remembered: usize,
+    /// Its part of the room beside other fronts.
+    pub weight: f64,
 }
 
 /// How the directory is reached.
@@ -212,6 +241,7 @@
 pub fn config(raw: raw::File) -> Result<Config, Vec<Wrong>> {
     let mut c = Check::default();
     let smpp = smpp(&mut c, raw.smpp.unwrap_or_default());
+    let mqtt = mqtt(&mut c, &raw.mqtt.unwrap_or_default());
     let directory = raw.directory.unwrap_or_default();
     let mut settings = Settings::default();
     let service = service(&mut c, raw.service.clone().unwrap_or_default(), &mut settings);
@@ -276,6 +306,7 @@
     Ok(Config {
         service,
         smpp,
+        mqtt,
         directory,
         journal,
         clients,
@@ -347,7 +378,40 @@
         window: c.count("smpp.window", s.window, 100, 65_536) as usize,
         sessions: c.count("smpp.sessions", s.sessions, 4_096, 1 << 20) as usize,
         max_pdu: c.count("smpp.max_pdu", s.max_pdu, 66_000, 1 << 20) as usize,
+        weight: c.figure("smpp.weight", s.weight, 1.0, 1e3),
+    }
+}
+
+fn mqtt(c: &mut Check, m: &raw::Mqtt) -> Option<MqttConfig> {
+    let keep_alive = c.span("mqtt.keep_alive", &m.keep_alive, 300_000_000, 0);
+    let seconds = u16::try_from(keep_alive / 1_000_000).unwrap_or_else(|_| {
+        c.say("mqtt.keep_alive", format!("\"{}\" is too long: at most 65,535 s", m.keep_alive));
+        0
+    });
+    if keep_alive % 1_000_000 != 0 {
+        c.say("mqtt.keep_alive", format!("\"{}\" is no whole number of seconds", m.keep_alive));
+    }
+    let expiry = c.span("mqtt.expiry", &m.expiry, 86_400_000_000, 0) / 1_000_000;
+    let mut config = MqttConfig {
+        listen: SocketAddr::from(([127, 0, 0, 1], 1883)),
+        connect_within: c.span("mqtt.connect_within", &m.connect_within, 5_000_000, 1_000),
+        keep_alive: seconds,
+        expiry: u32::try_from(expiry).unwrap_or(u32::MAX - 1).min(u32::MAX - 1),
+        window: c.count("mqtt.window", m.window, 100, 65_535) as u16,
+        max_packet: c.count("mqtt.max_packet", m.max_packet, 66_000, 1 << 24),
+        sessions: c.count("mqtt.sessions", m.sessions, 10_000, 1 << 20) as usize,
+        remember: c.span("mqtt.remember", &m.remember, 600_000_000, 0),
+        remembered: c.count("mqtt.remembered", m.remembered, 262_144, 1 << 24) as usize,
+        weight: c.figure("mqtt.weight", m.weight, 1.0, 1e3),
+    };
+    if m.listen.is_empty() {
+        if *m != raw::Mqtt::default() {
+            c.say("mqtt", "without `listen` no other field of it has a meaning");
+        }
+        return None;
     }
+    config.listen = c.address("mqtt.listen", &m.listen)?;
+    Some(config)
 }
 
 fn rules(c: &mut Check, r: raw::Rules, settings: &mut Settings) {
--- a/crates/engine/benches/node.rs
+++ b/crates/engine/benches/node.rs
@@ -6,6 +6,7 @@
 
 use bytes::BytesMut;
 use heronroute_config::parse;
+use heronroute_engine::front::Speaks;
 use heronroute_engine::{Gone, Node, Output, Start};
 use heronroute_smpp::client;
 use heronroute_smpp::server::{Event, Limits, Mode, Session};
@@ -71,7 +72,7 @@
         for _ in 0..n {
             let mut out = BytesMut::new();
             let session = client::Session::bind(0, LIMITS, Mode::Transceiver, "c", "p", &mut out);
-            let conn = self.node.accepted(self.now, &out).expect("room");
+            let conn = self.node.accepted(self.now, Speaks::Smpp, &out).expect("room");
             self.clients.insert(conn, session);
             conns.push(conn);
         }
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -2,11 +2,13 @@
 
 use crate::Micros;
 use crate::answers::End;
-use crate::front::{Ask, Denied, Front, No, SmppFront};
+use crate::front::{Ask, Delivery, Front, Handing, MqttFront, No, SmppFront, Speaks};
 use crate::limits::Refusal;
+use crate::mailboxes::BoxId;
 use crate::node::{ConnId, Effect, ID_SENDER_BITS, Key, Message, Node, Use, key_of, read_id, show_id};
 use heronroute::{Event, MsgId};
-use heronroute_journal::entry::{Accepted, What};
+use heronroute_journal::entry::{Accepted, Named, What};
+use heronroute_seen::{Name, Verdict};
 use heronroute_smpp::receipt::Answer;
 use heronroute_smpp::submission::Submission;
 use rusmpp_core::values::MessageState;
@@ -14,23 +16,50 @@
 /// After a receipt that a client could not take.
 const RECEIPT_PAUSE: Micros = 1_000_000;
 
+/// Worth of what may be lost by its own protocol, beside the same that may not.
+const LIGHT: f64 = 0.5;
+
+/// Where a message comes from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct From {
+    /// The connection and request; none for a message handed in for a client that is gone.
+    pub conn: Option<ConnId>,
+    pub token: u32,
+    pub client: usize,
+    pub mailbox: BoxId,
+}
+
 impl Node {
     /// A client has connected, and sent these octets already. Gives the number for its connection, or nothing
-    /// where there is no room for a further session.
-    pub fn accepted(&mut self, now: Micros, octets: &[u8]) -> Option<ConnId> {
+    /// where there is no room for a further one.
+    pub fn accepted(&mut self, now: Micros, speaks: Speaks, octets: &[u8]) -> Option<ConnId> {
         self.now = now.max(self.now);
-        if self.leaving || self.sessions >= self.cfg.smpp.sessions {
+        let most = match speaks {
+            Speaks::Smpp => self.cfg.smpp.sessions,
+            Speaks::Mqtt => self.cfg.mqtt.as_ref().map_or(0, |m| m.sessions),
+        };
+        if self.leaving || self.sessions[speaks as usize] >= most {
             return None;
         }
-        let front: Box<dyn Front> = Box::new(SmppFront::new(self.now, self.session_limits));
-        self.sessions += 1;
-        let conn = self.add_conn(Use::Client { front, client: None });
+        let front: Box<dyn Front> = match (speaks, self.mqtt_limits) {
+            (Speaks::Mqtt, Some(limits)) => Box::new(MqttFront::new(self.now, limits)),
+            _ => Box::new(SmppFront::new(self.now, self.session_limits)),
+        };
+        self.sessions[speaks as usize] += 1;
+        let conn = self.add_conn(Use::Client {
+            front,
+            speaks,
+            client: None,
+            mailbox: None,
+            open: 0,
+            shedding: false,
+        });
         self.client_received(conn, octets);
         Some(conn)
     }
 
     /// Runs a front's own work, then handles what it asks for.
-    fn with_front(
+    pub(crate) fn with_front(
         &mut self,
         conn: ConnId,
         work: impl FnOnce(&mut dyn Front, &mut bytes::BytesMut, &mut Vec<Ask>),
@@ -38,13 +67,19 @@
         let Some((front, out)) = self.front(conn) else { return };
         let mut asks = Vec::new();
         work(front, out, &mut asks);
+        let mut entered = false;
         for ask in asks {
+            entered |= matches!(ask, Ask::Enter { .. });
             self.asked(conn, ask);
         }
         self.front_wake(conn);
+        if entered {
+            // What came behind the request to be let in has waited for its answer.
+            self.client_received(conn, &[]);
+        }
     }
 
-    fn front_wake(&mut self, conn: ConnId) {
+    pub(crate) fn front_wake(&mut self, conn: ConnId) {
         if let Some((front, _)) = self.front(conn) {
             let wake = front.wake();
             self.timers.set(Key::Conn(conn), wake);
@@ -62,23 +97,7 @@
         self.with_front(conn, |f, out, asks| f.tick(now, out, asks));
     }
 
-    /// The connection ended, in whatever way: receipts that were out on it are owed again.
-    pub(crate) fn client_gone(&mut self, conn: ConnId) {
-        let Some(c) = self.conns.get(&conn) else { return };
-        let Use::Client { client, .. } = &c.what else { return };
-        self.sessions -= 1;
-        if let Some(client) = *client {
-            self.clients[client].outbox.leave(conn);
-            self.pump(client);
-        }
-    }
-
-    fn end_session(&mut self, conn: ConnId) {
-        self.client_gone(conn);
-        self.finish(conn);
-    }
-
-    fn front(&mut self, conn: ConnId) -> Option<(&mut dyn Front, &mut bytes::BytesMut)> {
+    pub(crate) fn front(&mut self, conn: ConnId) -> Option<(&mut dyn Front, &mut bytes::BytesMut)> {
         let c = self.conns.get_mut(&conn)?;
         match &mut c.what {
             Use::Client { front, .. } => Some((front.as_mut(), &mut c.stream.out)),
@@ -94,20 +113,22 @@
 
     fn asked(&mut self, conn: ConnId, ask: Ask) {
         match ask {
-            Ask::Enter { name, proof, token } => self.enter(conn, &name, &proof, token),
-            Ask::Submit { token, submission } => self.submit(conn, token, *submission),
+            Ask::Enter { name, proof, token, session } => self.enter(conn, &name, &proof, token, session),
+            Ask::Submit { token, submission, handing } => self.submit(conn, token, *submission, *handing),
             Ask::Query { token, id, source } => self.query(conn, token, &id, &source),
             Ask::Withdraw { token, id, source } => self.withdraw(conn, token, &id, &source),
             Ask::Heard { token, taken } => {
-                let Some(client) = self.client_of(conn) else { return };
+                let Some((_, mailbox)) = self.place_of(conn) else { return };
                 let now = self.now;
-                let receipt = self.clients[client].outbox.answered(now, conn, token, taken, RECEIPT_PAUSE);
-                if let Some(id) = receipt.and_then(|r| read_id(&r.id)) {
+                let Some(m) = self.mailboxes.get_mut(mailbox) else { return };
+                let owed = m.outbox.answered(now, conn, token, taken, RECEIPT_PAUSE);
+                if let Some(owed) = owed {
                     self.stats.receipts += 1;
-                    self.taken(id);
+                    self.heard_of(mailbox, &owed.receipt.id);
                 }
-                self.pump(client);
+                self.pump(mailbox);
             }
+            Ask::Notes(notes) => self.noted(conn, notes),
             Ask::Over(why) => {
                 if let Some(why) = why {
                     tracing::info!(conn, why, "a client's session ended");
@@ -124,121 +145,302 @@
         }
     }
 
-    fn enter(&mut self, conn: ConnId, name: &str, proof: &str, token: u32) {
-        let known = self.client_names.get(name).copied();
-        let config = known.and_then(|k| self.cfg.clients.get(k));
-        let result = match config {
-            _ if self.leaving => Err(Denied::Leaving),
-            None => Err(Denied::Name),
-            Some(c) if !same(&c.password, proof) => Err(Denied::Proof),
-            Some(_) => Ok(()),
+    /// Whose connection it is, and where its answers go.
+    pub(crate) fn place_of(&self, conn: ConnId) -> Option<(usize, BoxId)> {
+        match self.conns.get(&conn).map(|c| &c.what) {
+            Some(Use::Client { client, mailbox, .. }) => (*client).zip(*mailbox),
+            _ => None,
+        }
+    }
+
+    /// An answer was taken.
+    pub(crate) fn heard_of(&mut self, mailbox: BoxId, id: &str) {
+        if let Some(id) = read_id(id) {
+            self.taken(id);
+        }
+        if let Some(m) = self.mailboxes.get(mailbox) {
+            self.clients[m.client].owed -= 1;
+        }
+        self.mailboxes.tidy(mailbox);
+    }
+
+    fn submit(&mut self, conn: ConnId, token: u32, submission: Submission, handing: Handing) {
+        let Some((client, mailbox)) = self.place_of(conn) else {
+            return self.refuse(conn, token, No::NotEntered);
         };
-        let now = self.now;
-        let Some((front, out)) = self.front(conn) else { return };
-        front.admitted(now, token, result, out);
-        if result.is_err() {
-            return;
+        let (now, cfg) = (self.now, &self.cfg);
+        self.turns.count(now, client, |c| cfg.clients.get(c).map_or(1.0, |c| c.weight));
+        let result = match self.known(client, mailbox, &handing) {
+            Verdict::Same(id) => {
+                // Once what was said the first time is durable, it may be said again.
+                self.stats.repeated += 1;
+                return self.once_durable(Effect::Accept { conn, token, id: MsgId(id) });
+            }
+            Verdict::Unsure => Err(No::Unsure),
+            Verdict::New => {
+                let from = From { conn: Some(conn), token, client, mailbox };
+                self.accept(from, &submission, &handing)
+            }
+        };
+        let Err(no) = result else { return };
+        match no {
+            No::Rate | No::Share => self.stats.refused_rate += 1,
+            No::Room | No::Unsure => self.stats.refused_room += 1,
+            _ => self.stats.refused_other += 1,
         }
-        let receives = front.receives();
-        if let Some(Use::Client { client, .. }) = self.conns.get_mut(&conn).map(|c| &mut c.what) {
-            *client = known;
+        let told = self.front(conn).is_none_or(|(front, _)| front.refuses());
+        if told || handing.handle.is_none() {
+            return self.refuse(conn, token, no);
         }
-        if let Some(client) = known.filter(|_| receives) {
-            self.clients[client].outbox.join(conn);
-            self.pump(client);
+        let from = From { conn: Some(conn), token, client, mailbox };
+        if !self.answer_refusal(from, &submission, &handing, no) {
+            tracing::info!(conn, "no room for the answers of a client that can't be refused");
+            self.end_session(conn);
         }
     }
 
-    fn submit(&mut self, conn: ConnId, token: u32, submission: Submission) {
-        let Some(client) = self.client_of(conn) else { return self.refuse(conn, token, No::NotEntered) };
-        if let Err(no) = self.accept(conn, client, token, submission) {
-            match no {
-                No::Rate | No::Share => self.stats.refused_rate += 1,
-                No::Room => self.stats.refused_room += 1,
-                _ => self.stats.refused_other += 1,
+    /// Whether a message was handed in before: in this session, or under the client's own name for it.
+    fn known(&self, client: usize, mailbox: BoxId, handing: &Handing) -> Verdict {
+        let kept = self.mailboxes.get(mailbox).and_then(|m| m.kept.as_ref());
+        if let (Some(kept), Some(handle)) = (kept, handing.handle) {
+            match kept.recent.find(handle) {
+                Verdict::New => {}
+                other => return other,
             }
-            self.refuse(conn, token, no);
+        }
+        match (&handing.name, &self.seen) {
+            (Some(name), Some(seen)) => seen.find(self.wall(), self.name(client, name)),
+            _ => Verdict::New,
         }
     }
 
-    /// Takes a message on, or says why not. Nothing is counted before everything is known to be right.
-    fn accept(
-        &mut self,
-        conn: ConnId,
-        client: usize,
-        token: u32,
-        mut submission: Submission,
-    ) -> Result<(), No> {
-        let named = self.class_names.get(&submission.service).copied();
-        let class = named.or(submission.service.is_empty().then_some(0)).ok_or(No::Class)?;
-        let dest = self.routes.find(&submission.destination).ok_or(No::Address)?;
-        let settings = &self.cfg.settings.classes[class];
-        let span = submission.validity.map_or(settings.deadline, |v| v.min(settings.deadline));
-        if span <= 0 {
-            return Err(No::Time);
+    fn name(&self, client: usize, name: &str) -> Name {
+        let own = self.cfg.clients.get(client).map_or("", |c| c.system_id.as_str());
+        Name::new(own, name)
+    }
+
+    /// What a message leaves behind so that it is known again.
+    fn remember(&mut self, from: &From, handing: &Handing, id: MsgId) -> Option<Named> {
+        if let Some(handle) = handing.handle
+            && let Some(kept) = self.mailboxes.get_mut(from.mailbox).and_then(|m| m.kept.as_mut())
+        {
+            kept.recent.add(handle, id.0);
         }
-        if self.ledger.refuses(self.now, self.messages.len()) {
-            return Err(No::Room);
+        let (wall, span) = (self.wall(), self.cfg.mqtt.as_ref().map_or(0, |m| m.remember));
+        let name = handing.name.as_ref().map(|n| self.name(from.client, n))?;
+        let seen = self.seen.as_mut()?;
+        seen.add(wall, name, id.0, wall + span);
+        Some(Named { high: name.high, low: name.low, id: id.0, until: wall + span })
+    }
+
+    /// A refusal in a protocol that has no word for it: the message is acknowledged, and answered at once. It takes
+    /// room as any answer does; false where there is none.
+    fn answer_refusal(&mut self, from: From, submission: &Submission, handing: &Handing, no: No) -> bool {
+        let c = &self.clients[from.client];
+        let full = c.open + c.owed >= self.cfg.service.owed_room;
+        if full || self.leaving || self.ledger.refuses(self.now, self.messages.len()) {
+            return false;
         }
-        self.limits.admit(self.now, client, self.held(client, class)).map_err(|refusal| match refusal {
-            Refusal::Rate => No::Rate,
-            Refusal::Share => No::Share,
-            Refusal::Room | Refusal::Leaving => No::Room,
-        })?;
+        let retry_after = self.cfg.settings.max_retry_after;
+        let answer = match no {
+            No::Rate | No::Share | No::Room => Answer::Rejected { retry_after },
+            No::Unsure => Answer::Unknown { retry_after: None },
+            No::Time => Answer::Expired,
+            _ => Answer::Undeliverable,
+        };
+        let id = self.new_id();
+        // Its place in the session is kept, so that it isn't refused twice; its name is free to be tried again.
+        let unnamed = Handing { name: None, ..handing.clone() };
+        self.remember(&from, &unnamed, id);
+        let submission = Submission { body: Vec::new(), key: None, ..submission.clone() };
+        let (taken, class) = (self.wall(), submission.service.clone());
+        self.write_accepted(
+            &from,
+            &submission,
+            handing,
+            Accepted { id: id.0, class, deadline: taken, refused: true, ..Accepted::default() },
+        );
+        let message = self.message(&from, 0, submission, handing, self.now);
+        self.hold(id, message);
+        if let Some(conn) = from.conn {
+            self.once_durable(Effect::Accept { conn, token: from.token, id });
+        }
+        self.answer_with(id, answer);
+        true
+    }
+
+    pub(crate) fn new_id(&mut self) -> MsgId {
         let id = MsgId(self.next_id);
         self.next_id += 1 << ID_SENDER_BITS;
-        submission.key = submission.key.filter(|_| settings.ordered);
-        let key = submission.key.as_ref().map(|k| key_of(client, k));
-        self.stats.accepted += 1;
-        self.events.push(Event::Message {
-            id,
-            class,
-            tenant: client,
-            key,
-            dest,
-            time_left: span,
-            again: submission.again,
-        });
-        let reply = submission.forward.then_some((conn, token));
+        id
+    }
+
+    /// Writes the acceptance; `rest` has what is not the submission's own.
+    fn write_accepted(&mut self, from: &From, submission: &Submission, handing: &Handing, rest: Accepted) {
         let (taken, names) = (self.wall(), &self.cfg);
+        let mailbox = self.mailboxes.get(from.mailbox).map(|m| m.name.as_str()).unwrap_or_default();
         self.ledger.write(|| {
             What::Accepted(Accepted {
-                id: id.0,
-                client: names.clients.get(client).map(|c| c.system_id.clone()).unwrap_or_default(),
-                class: names.class_names[class].clone(),
+                client: names.clients.get(from.client).map(|c| c.system_id.clone()).unwrap_or_default(),
                 source: submission.source.clone(),
                 destination: submission.destination.clone(),
-                dest: dest.0,
                 key: submission.key.clone().unwrap_or_default(),
                 body: submission.body.clone(),
                 taken,
-                deadline: taken + span,
                 forward: submission.forward,
                 wanted: submission.wanted.code(),
                 again: submission.again,
                 coding: u32::from(submission.coding),
                 esm: u32::from(submission.esm),
+                mailbox: mailbox.to_string(),
+                reply: handing.reply.topic.clone(),
+                correlation: handing.reply.correlation.clone(),
+                packet: handing.handle.map_or(0, |h| u32::from(h.packet)),
+                digest: handing.handle.map_or(0, |h| h.digest),
+                ..rest
             })
         });
-        let message = Message {
-            client,
+    }
+
+    fn message(
+        &self,
+        from: &From,
+        class: usize,
+        submission: Submission,
+        handing: &Handing,
+        deadline: Micros,
+    ) -> Message {
+        let reply = submission.forward.then_some(from.conn.map(|c| (c, from.token))).flatten();
+        let speaks = match from.conn.and_then(|c| self.conns.get(&c)).map(|c| &c.what) {
+            Some(Use::Client { speaks, .. }) => *speaks,
+            _ => Speaks::Mqtt,
+        };
+        Message {
+            client: from.client,
+            mailbox: from.mailbox,
+            conn: from.conn.unwrap_or(0),
+            speaks,
             class,
             submission,
-            taken,
-            deadline: self.now + span,
+            to: handing.reply.clone(),
+            taken: self.wall(),
+            deadline,
             reply,
             attempts: 0,
             out: None,
             may_run: false,
-        };
+        }
+    }
+
+    /// A message is held from now on: it counts wherever room is shared.
+    pub(crate) fn hold(&mut self, id: MsgId, message: Message) {
+        self.clients[message.client].open += 1;
+        self.open_of[message.speaks as usize] += 1;
+        if let Some(m) = self.mailboxes.get_mut(message.mailbox) {
+            m.open += 1;
+        }
+        if let Some(Use::Client { open, .. }) = self.conns.get_mut(&message.conn).map(|c| &mut c.what) {
+            *open += 1;
+        }
         self.messages.insert(id, message);
-        self.clients[client].open += 1;
-        if reply.is_none() {
-            self.once_durable(Effect::Accept { conn, token, id });
+    }
+
+    /// It is held no more.
+    pub(crate) fn let_go(&mut self, message: &Message) {
+        self.clients[message.client].open -= 1;
+        self.open_of[message.speaks as usize] -= 1;
+        if let Some(m) = self.mailboxes.get_mut(message.mailbox) {
+            m.open -= 1;
+        }
+        if let Some(Use::Client { open, .. }) = self.conns.get_mut(&message.conn).map(|c| &mut c.what) {
+            *open -= 1;
+        }
+    }
+
+    /// Takes a message on, or says why not. Nothing is counted before everything is known to be right.
+    pub(crate) fn accept(
+        &mut self,
+        from: From,
+        submission: &Submission,
+        handing: &Handing,
+    ) -> Result<(), No> {
+        let named = self.class_names.get(&submission.service).copied();
+        let class = named.or(submission.service.is_empty().then_some(0)).ok_or(No::Class)?;
+        let dest = self.routes.find(&submission.destination).ok_or(No::Address)?;
+        let settings = &self.cfg.settings.classes[class];
+        let (ordered, deadline) = (settings.ordered, settings.deadline);
+        let span = submission.validity.map_or(deadline, |v| v.min(deadline));
+        if span <= 0 {
+            return Err(No::Time);
+        }
+        if self.ledger.refuses(self.now, self.messages.len()) {
+            return Err(No::Room);
+        }
+        self.admit(&from, class, handing.light)?;
+        let id = self.new_id();
+        let mut submission = submission.clone();
+        submission.key = submission.key.filter(|_| ordered);
+        let key = submission.key.as_ref().map(|k| key_of(from.client, k));
+        self.stats.accepted += 1;
+        self.events.push(Event::Message {
+            id,
+            class,
+            tenant: from.client,
+            key,
+            dest,
+            time_left: span,
+            again: submission.again,
+        });
+        let named = self.remember(&from, handing, id);
+        self.write_accepted(
+            &from,
+            &submission,
+            handing,
+            Accepted {
+                id: id.0,
+                class: self.cfg.class_names[class].clone(),
+                dest: dest.0,
+                deadline: self.wall() + span,
+                named,
+                ..Accepted::default()
+            },
+        );
+        let message = self.message(&from, class, submission, handing, self.now + span);
+        let waits = message.reply.is_some();
+        self.hold(id, message);
+        if let Some(conn) = from.conn.filter(|_| !waits) {
+            self.once_durable(Effect::Accept { conn, token: from.token, id });
         }
         Ok(())
     }
 
+    /// Whether there is room for one more of this client, front and session.
+    fn admit(&mut self, from: &From, class: usize, light: bool) -> Result<(), No> {
+        let mut held = self.held(from.client, class);
+        if light {
+            // What may be lost by its own protocol goes first.
+            held.worth *= LIGHT;
+        }
+        let conn = from.conn.and_then(|c| self.conns.get_mut(&c)).map(|c| &mut c.what);
+        let mut own = false;
+        let (front, session) = match conn {
+            Some(Use::Client { speaks, open, shedding, .. }) => (Some(*speaks), Some((*open, shedding))),
+            _ => (None, None),
+        };
+        if let Some(speaks) = front {
+            held.front = Some((speaks as usize, self.open_of[speaks as usize]));
+        }
+        let (of_session, shedding) = session.unwrap_or((0, &mut own));
+        held.of_session = of_session;
+        held.sessions = self.clients[from.client].conns;
+        let result = self.limits.admit(self.now, from.client, held, shedding);
+        result.map_err(|refusal| match refusal {
+            Refusal::Rate => No::Rate,
+            Refusal::Share => No::Share,
+            Refusal::Room | Refusal::Leaving => No::Room,
+        })
+    }
+
     /// The acceptance is told. A session that is gone by now will hear of its message by the receipt alone.
     pub(crate) fn tell_accepted(&mut self, conn: ConnId, token: u32, id: MsgId) {
         if let Some((front, out)) = self.front(conn) {
@@ -300,29 +502,35 @@
         self.answer(id, End::Withdrawn);
     }
 
-    /// Hands a client its receipts, as far as its sessions have room.
-    pub(crate) fn pump(&mut self, client: usize) {
-        let mut full = 0;
-        while let Some(conn) = self.clients[client].outbox.turn(self.now) {
-            let now = self.now;
-            let sessions = self.clients[client].outbox.sessions();
+    /// Hands out what is owed to a mailbox, as far as the sessions there have room.
+    pub(crate) fn pump(&mut self, mailbox: BoxId) {
+        let (mut full, now) = (0, self.now);
+        loop {
+            let Some(m) = self.mailboxes.get_mut(mailbox) else { return };
+            let Some(conn) = m.outbox.turn(now) else { break };
             let Some(c) = self.conns.get_mut(&conn) else { break };
             let Use::Client { front, .. } = &mut c.what else { break };
             if front.room() == 0 {
                 full += 1;
-                if full >= sessions {
+                if full >= m.outbox.sessions() {
                     break;
                 }
                 continue;
             }
             full = 0;
-            let Some(receipt) = self.clients[client].outbox.take() else { break };
-            let token = front.deliver(now, &receipt, &mut c.stream.out);
-            self.clients[client].outbox.went(conn, token, receipt);
+            let Some(owed) = m.outbox.take() else { break };
+            match front.deliver(now, &owed, &mut c.stream.out) {
+                Delivery::Out(token) => m.outbox.went(conn, token, owed),
+                Delivery::Unwanted => m.outbox.set_aside(owed),
+                Delivery::Done => {
+                    self.stats.receipts += 1;
+                    self.heard_of(mailbox, &owed.receipt.id);
+                }
+            }
             self.front_wake(conn);
         }
-        if let Some(at) = self.clients[client].outbox.wake() {
-            self.timers.set(Key::Outbox(client), at.max(self.now + 1));
+        if let Some(at) = self.mailboxes.get(mailbox).and_then(|m| m.outbox.wake()) {
+            self.timers.set(Key::Outbox(mailbox), at.max(self.now + 1));
         }
     }
 
@@ -335,7 +543,7 @@
             .collect();
         for conn in bound {
             let now = self.now;
-            self.with_front(conn, |f, out, _| f.leave(now, out));
+            self.with_front(conn, |f, out, asks| f.leave(now, out, asks));
         }
         // Those that never bound are owed nothing.
         let other: Vec<ConnId> = self
@@ -345,14 +553,14 @@
             .map(|(id, _)| *id)
             .collect();
         for conn in other {
-            self.sessions -= 1;
+            self.client_gone(conn);
             self.drop_conn(conn);
         }
     }
 }
 
 /// Compares without stopping at the first difference.
-fn same(a: &str, b: &str) -> bool {
+pub(crate) fn same(a: &str, b: &str) -> bool {
     let (a, b) = (a.as_bytes(), b.as_bytes());
     a.len() == b.len() && a.iter().zip(b).fold(0, |d, (x, y)| d | (x ^ y)) == 0
 }
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -5,16 +5,85 @@
 //! is taken on, whose it is and what it is told stands in `desk.rs`, the same for all fronts. Adding a protocol
 //! means adding a front here and a listener in the settings.
 
+mod mqtt;
 mod smpp;
 
+pub use mqtt::MqttFront;
 pub use smpp::SmppFront;
 
 use crate::Micros;
+use crate::outbox::{Owed, Reply};
 use bytes::BytesMut;
-use heronroute_smpp::receipt::{Answer, Receipt};
+use heronroute_seen::Handle;
+use heronroute_smpp::receipt::Answer;
 use heronroute_smpp::submission::Submission;
 use rusmpp_core::values::MessageState;
 
+/// The protocols that clients speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Speaks {
+    /// SMPP 3.4.
+    Smpp,
+    /// MQTT 5.0 and 3.1.1.
+    Mqtt,
+}
+
+/// How many there are.
+pub const FRONTS: usize = 2;
+
+/// A session with a name, which outlives its connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// Its name; empty where one is to be given.
+    pub name: String,
+    /// An earlier session of the name is over.
+    pub clean: bool,
+    /// For how long it is kept without a connection.
+    pub expiry: Micros,
+}
+
+/// What a client that is let in has there already.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Entered {
+    /// The name given to its session.
+    pub given: Option<String>,
+    /// An earlier session goes on, with these notes of the front.
+    pub notes: Option<Vec<u8>>,
+}
+
+/// What a protocol says of a message beside the submission itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Handing {
+    /// Where its answer goes.
+    pub reply: Reply,
+    /// What tells whether it came before in this session.
+    pub handle: Option<Handle>,
+    /// The client's own name for it: for a span there is one message of a name.
+    pub name: Option<String>,
+    /// It may be lost: it is turned away before others.
+    pub light: bool,
+}
+
+/// What is left of a connection that is gone.
+#[derive(Debug, Default)]
+pub struct Parting {
+    /// For how long its session is kept.
+    pub expiry: Micros,
+    /// A message to be handed in for the client, after a while.
+    pub will: Option<(Micros, Box<Submission>, Reply)>,
+}
+
+/// What became of an answer that was given to a front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// It is out, and will be heard under this token.
+    Out(u32),
+    /// It was told and needs no more.
+    Done,
+    /// The client did not ask for it.
+    Unwanted,
+}
+
 /// What a client asks for. A token is the front's own name for a request, given back with the answer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
@@ -26,6 +95,8 @@
         proof: String,
         /// See above.
         token: u32,
+        /// The session with a name that it wants.
+        session: Option<Wanted>,
     },
     /// To take a message on; to be answered with [`Front::accepted`] or [`Front::refused`], or, in forward mode, with
     /// [`Front::answered`].
@@ -34,6 +105,8 @@
         token: u32,
         /// The message.
         submission: Box<Submission>,
+        /// The rest.
+        handing: Box<Handing>,
     },
     /// What became of a message; to be answered with [`Front::queried`] or [`Front::refused`].
     Query {
@@ -60,7 +133,9 @@
         /// It took it; else it is to be told again.
         taken: bool,
     },
-    /// The session is over. Says why, where not in good order.
+    /// What its session keeps has changed to this.
+    Notes(Vec<u8>),
+    /// The connection is over. Says why, where not in good order.
     Over(Option<&'static str>),
 }
 
@@ -85,6 +160,8 @@
     Message,
     /// It has left already.
     TooLate,
+    /// It may have been handed in before; what would tell was forgotten.
+    Unsure,
 }
 
 /// Why a client is not let in.
@@ -96,6 +173,8 @@
     Proof,
     /// The sender is going out of service.
     Leaving,
+    /// It has all the sessions that it can hold.
+    Busy,
 }
 
 /// One client's connection.
@@ -107,7 +186,7 @@
     /// Acts on the protocol's own timers.
     fn tick(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>);
     /// Lets a client in, or not.
-    fn admitted(&mut self, now: Micros, token: u32, result: Result<(), Denied>, out: &mut BytesMut);
+    fn admitted(&mut self, now: Micros, token: u32, result: Result<Entered, Denied>, out: &mut BytesMut);
     /// Whether the client is in.
     fn entered(&self) -> bool;
     /// Whether it takes answers.
@@ -131,8 +210,23 @@
     fn withdrawn(&mut self, token: u32, out: &mut BytesMut);
     /// Answers that may be under way before one is heard.
     fn room(&self) -> usize;
-    /// Tells an answer; gives the token under which it will be heard.
-    fn deliver(&mut self, now: Micros, receipt: &Receipt, out: &mut BytesMut) -> u32;
+    /// Tells an answer.
+    fn deliver(&mut self, now: Micros, owed: &Owed, out: &mut BytesMut) -> Delivery;
     /// Asks the client to go.
-    fn leave(&mut self, now: Micros, out: &mut BytesMut);
+    fn leave(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>);
+    /// Another connection has taken its session: says so, where the protocol can.
+    fn supplanted(&mut self, _out: &mut BytesMut) {}
+    /// Whether the protocol has a word for refusing a single message. Where it has none, a message that is refused is
+    /// acknowledged, and its refusal told as its answer.
+    fn refuses(&self) -> bool {
+        true
+    }
+    /// Whether more may be read from the client.
+    fn listens(&self) -> bool {
+        true
+    }
+    /// The connection is gone.
+    fn parting(&mut self) -> Parting {
+        Parting::default()
+    }
 }
--- /dev/null
+++ b/crates/engine/src/front/mqtt.rs
@@ -0,0 +1,280 @@
+//! Clients that speak MQTT.
+
+use super::{Ask, Delivery, Denied, Entered, Front, Handing, No, Parting, Wanted};
+use crate::Micros;
+use crate::outbox::{Owed, Reply};
+use bytes::BytesMut;
+use heronroute_mqtt::session::{Event, Handed, Limits, Session, Telling, handed};
+use heronroute_seen::{Handle, digest};
+use heronroute_smpp::receipt::Answer;
+use heronroute_smpp::submission::{Submission, Wanted as Receipts};
+use rusmpp_core::values::MessageState;
+
+const SECOND: Micros = 1_000_000;
+
+/// One MQTT connection.
+#[derive(Debug)]
+pub struct MqttFront {
+    session: Session,
+    events: Vec<Event>,
+}
+
+impl MqttFront {
+    /// A session on a new connection.
+    pub fn new(now: Micros, limits: Limits) -> Self {
+        MqttFront { session: Session::new(now, limits), events: Vec::new() }
+    }
+
+    fn pass_on(&mut self, asks: &mut Vec<Ask>) {
+        for event in std::mem::take(&mut self.events) {
+            asks.push(match event {
+                Event::Connect(c) => Ask::Enter {
+                    name: c.user.unwrap_or_default(),
+                    proof: String::from_utf8(c.password.unwrap_or_default()).unwrap_or_default(),
+                    token: 0,
+                    session: Some(Wanted {
+                        name: c.client_id,
+                        clean: c.clean,
+                        expiry: Micros::from(self.session.expiry()) * SECOND,
+                    }),
+                },
+                Event::Submit(token, h) => {
+                    let (submission, handing) = message(*h);
+                    Ask::Submit { token, submission: Box::new(submission), handing: Box::new(handing) }
+                }
+                Event::Query(token, id) => Ask::Query { token, id, source: String::new() },
+                Event::Withdraw(token, id) => Ask::Withdraw { token, id, source: String::new() },
+                Event::Subscribed => Ask::Notes(write_filters(&self.session.filters())),
+                Event::Heard(packet) => Ask::Heard { token: u32::from(packet), taken: true },
+                Event::Over(why) => Ask::Over(why),
+            });
+        }
+    }
+}
+
+/// What a client handed in, in the words that all fronts share.
+fn message(h: Handed) -> (Submission, Handing) {
+    let key = h.key.as_deref().unwrap_or_default();
+    let name = h.name.as_deref().unwrap_or_default();
+    // What stays the same when it is sent again: not its expiry, which may have run on.
+    let parts = [
+        h.address.as_bytes(),
+        h.class.as_bytes(),
+        key.as_bytes(),
+        name.as_bytes(),
+        h.reply.as_bytes(),
+        &h.correlation,
+        &h.payload,
+    ];
+    let handle = Handle { packet: h.packet, digest: digest(u64::from(h.qos), &parts), again: h.duplicate };
+    let handing = Handing {
+        reply: Reply { topic: h.reply, correlation: h.correlation },
+        handle: (h.qos > 0).then_some(handle),
+        name: h.name,
+        light: h.qos == 0,
+    };
+    let submission = Submission {
+        service: h.class,
+        destination: h.address,
+        validity: h.expiry,
+        wanted: Receipts::Always,
+        key: h.key,
+        again: h.again,
+        body: h.payload,
+        ..Submission::default()
+    };
+    (submission, handing)
+}
+
+/// Subscriptions as the session's notes: quality, length, filter.
+fn write_filters(filters: &[(String, u8)]) -> Vec<u8> {
+    let mut notes = Vec::new();
+    for (filter, qos) in filters {
+        let length = u16::try_from(filter.len()).unwrap_or(0).to_be_bytes();
+        notes.extend_from_slice(&[*qos, length[0], length[1]]);
+        notes.extend_from_slice(filter.as_bytes());
+    }
+    notes
+}
+
+fn read_filters(mut notes: &[u8]) -> Vec<(String, u8)> {
+    let mut filters = Vec::new();
+    while let [qos, high, low, rest @ ..] = notes {
+        let Some((filter, rest)) = rest.split_at_checked(usize::from(u16::from_be_bytes([*high, *low])))
+        else {
+            break;
+        };
+        filters.push((String::from_utf8_lossy(filter).into_owned(), *qos));
+        notes = rest;
+    }
+    filters
+}
+
+/// What is said of a state, as text and as properties.
+fn words(id: &str, word: &str, answer: Option<Answer>) -> (String, Vec<(&'static str, String)>) {
+    let mut text = format!("id:{id} stat:{word}");
+    let mut said = vec![("message", id.to_string()), ("state", word.to_string())];
+    if let Some(wait) = answer.and_then(Answer::retry_after) {
+        let ms = (wait.max(0) / 1_000).to_string();
+        text = format!("{text} retry:{ms}");
+        said.push(("retry-after", ms));
+    }
+    (text, said)
+}
+
+impl Front for MqttFront {
+    fn receive(&mut self, now: Micros, _: Micros, octets: &[u8], out: &mut BytesMut, asks: &mut Vec<Ask>) {
+        self.session.receive(now, octets, out, &mut self.events);
+        self.pass_on(asks);
+    }
+
+    fn wake(&self) -> Micros {
+        self.session.wake()
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>) {
+        self.session.tick(now, out, &mut self.events);
+        self.pass_on(asks);
+    }
+
+    fn admitted(&mut self, _: Micros, _: u32, result: Result<Entered, Denied>, out: &mut BytesMut) {
+        match result {
+            Ok(entered) => {
+                let filters = entered.notes.as_deref().map(read_filters).unwrap_or_default();
+                self.session.admit(entered.given, entered.notes.is_some(), &filters, out);
+            }
+            Err(Denied::Name | Denied::Proof) => self.session.refuse(0x86, out),
+            Err(Denied::Leaving) => self.session.refuse(0x88, out),
+            Err(Denied::Busy) => self.session.refuse(0x89, out),
+        }
+    }
+
+    fn entered(&self) -> bool {
+        self.session.open()
+    }
+
+    fn receives(&self) -> bool {
+        self.session.open()
+    }
+
+    fn accepted(&mut self, token: u32, id: &str, out: &mut BytesMut) {
+        self.session.taken(token, id, out);
+    }
+
+    fn refused(&mut self, token: u32, no: No, out: &mut BytesMut) {
+        let told = match no {
+            No::Message => Some("NOTFOUND"),
+            No::TooLate => Some("TOOLATE"),
+            _ => None,
+        };
+        if let Some(state) = told {
+            return self.session.told(
+                token,
+                format!("stat:{state}"),
+                vec![("state", state.to_string())],
+                out,
+            );
+        }
+        let code = match no {
+            No::NotEntered => 0x87,
+            No::Rate | No::Share | No::Room | No::Unsure => 0x97,
+            No::Class | No::Address => 0x90,
+            No::Time | No::TooLate | No::Message => 0x83,
+        };
+        self.session.denied(token, code, out);
+    }
+
+    fn answered(&mut self, _: u32, _: &str, _: Answer, _: &mut BytesMut) -> bool {
+        // There is no forward mode: the acknowledgement says that a message is held, no more.
+        false
+    }
+
+    fn queried(&mut self, token: u32, id: &str, state: MessageState, _: Option<Micros>, out: &mut BytesMut) {
+        let (text, said) = words(id, word(state), None);
+        self.session.told(token, text, said, out);
+    }
+
+    fn withdrawn(&mut self, token: u32, out: &mut BytesMut) {
+        self.session.taken(token, "", out);
+    }
+
+    fn room(&self) -> usize {
+        self.session.room()
+    }
+
+    fn deliver(&mut self, _: Micros, owed: &Owed, out: &mut BytesMut) -> Delivery {
+        if self.session.wants(&owed.reply.topic).is_none() {
+            return Delivery::Unwanted;
+        }
+        let answer = owed.receipt.answer;
+        let (mut text, said) = words(&owed.receipt.id, answer.word(), Some(answer));
+        let plain = owed.reply.correlation.iter().all(u8::is_ascii_graphic);
+        if plain && !owed.reply.correlation.is_empty() {
+            text = format!("{text} ref:{}", String::from_utf8_lossy(&owed.reply.correlation));
+        }
+        let telling = Telling {
+            topic: &owed.reply.topic,
+            correlation: &owed.reply.correlation,
+            text,
+            said,
+            before: owed.before.and_then(|n| u16::try_from(n).ok()),
+        };
+        match self.session.deliver(&telling, out) {
+            Some(packet) => Delivery::Out(u32::from(packet)),
+            None => Delivery::Done,
+        }
+    }
+
+    fn leave(&mut self, _: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>) {
+        self.session.leave(0x8B, out);
+        asks.push(Ask::Over(None));
+    }
+
+    fn supplanted(&mut self, out: &mut BytesMut) {
+        self.session.leave(0x8E, out);
+    }
+
+    fn refuses(&self) -> bool {
+        self.session.refuses()
+    }
+
+    fn listens(&self) -> bool {
+        !self.session.full()
+    }
+
+    fn parting(&mut self) -> Parting {
+        let expiry = Micros::from(self.session.expiry()) * SECOND;
+        let will = self.session.will().and_then(|w| {
+            let (submission, handing) = message(handed(w.publish)?);
+            Some((Micros::from(w.delay) * SECOND, Box::new(submission), handing.reply))
+        });
+        Parting { expiry, will }
+    }
+}
+
+fn word(state: MessageState) -> &'static str {
+    match state {
+        MessageState::Enroute => "ENROUTE",
+        MessageState::Delivered => "DELIVRD",
+        MessageState::Expired => "EXPIRED",
+        MessageState::Deleted => "DELETED",
+        MessageState::Undeliverable => "UNDELIV",
+        MessageState::Rejected => "REJECTD",
+        _ => "UNKNOWN",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn subscriptions_are_kept_as_notes() {
+        let filters = vec![("answers/+".to_string(), 1), ("a/b".to_string(), 0)];
+        let notes = write_filters(&filters);
+        assert_eq!(read_filters(&notes), filters);
+        for n in 0..notes.len() {
+            read_filters(&notes[..n]);
+        }
+    }
+}
--- a/crates/engine/src/front/smpp.rs
+++ b/crates/engine/src/front/smpp.rs
@@ -1,10 +1,11 @@
 //! Clients that speak SMPP.
 
-use super::{Ask, Denied, Front, No};
+use super::{Ask, Delivery, Denied, Entered, Front, Handing, No};
 use crate::Micros;
 use crate::answers;
+use crate::outbox::Owed;
 use bytes::BytesMut;
-use heronroute_smpp::receipt::{Answer, Receipt};
+use heronroute_smpp::receipt::Answer;
 use heronroute_smpp::server::{Event, Limits, Mode, Session};
 use heronroute_smpp::tags;
 use rusmpp_core::CommandStatus;
@@ -32,9 +33,11 @@
         for event in self.events.drain(..) {
             asks.push(match event {
                 Event::Bind { system_id, password, sequence, .. } => {
-                    Ask::Enter { name: system_id, proof: password, token: sequence }
+                    Ask::Enter { name: system_id, proof: password, token: sequence, session: None }
+                }
+                Event::Submit { sequence, submission, .. } => {
+                    Ask::Submit { token: sequence, submission, handing: Box::new(Handing::default()) }
                 }
-                Event::Submit { sequence, submission, .. } => Ask::Submit { token: sequence, submission },
                 Event::Query { sequence, id, source } => Ask::Query { token: sequence, id, source },
                 Event::Cancel { sequence, id, source, .. } => Ask::Withdraw { token: sequence, id, source },
                 Event::Acknowledged { sequence, taken } => Ask::Heard { token: sequence, taken },
@@ -60,12 +63,14 @@
         self.pass_on(asks);
     }
 
-    fn admitted(&mut self, now: Micros, token: u32, result: Result<(), Denied>, out: &mut BytesMut) {
+    fn admitted(&mut self, now: Micros, token: u32, result: Result<Entered, Denied>, out: &mut BytesMut) {
         match result {
-            Ok(()) => self.session.accept(now, token, OWN_NAME, out),
+            Ok(_) => self.session.accept(now, token, OWN_NAME, out),
             Err(Denied::Name) => self.session.refuse(token, CommandStatus::EsmeRinvsysid, out),
             Err(Denied::Proof) => self.session.refuse(token, CommandStatus::EsmeRinvpaswd, out),
-            Err(Denied::Leaving) => self.session.refuse(token, CommandStatus::EsmeRbindfail, out),
+            Err(Denied::Leaving | Denied::Busy) => {
+                self.session.refuse(token, CommandStatus::EsmeRbindfail, out)
+            }
         }
     }
 
@@ -85,7 +90,7 @@
         let status = match no {
             No::NotEntered => CommandStatus::EsmeRinvbndsts,
             No::Rate | No::Share => CommandStatus::EsmeRthrottled,
-            No::Room => CommandStatus::EsmeRmsgqful,
+            No::Room | No::Unsure => CommandStatus::EsmeRmsgqful,
             No::Class => CommandStatus::EsmeRinvsertyp,
             No::Address => CommandStatus::EsmeRinvdstadr,
             No::Time => CommandStatus::EsmeRinvexpiry,
@@ -132,11 +137,11 @@
         self.session.room()
     }
 
-    fn deliver(&mut self, now: Micros, receipt: &Receipt, out: &mut BytesMut) -> u32 {
-        self.session.deliver(now, receipt, out)
+    fn deliver(&mut self, now: Micros, owed: &Owed, out: &mut BytesMut) -> Delivery {
+        Delivery::Out(self.session.deliver(now, &owed.receipt, out))
     }
 
-    fn leave(&mut self, now: Micros, out: &mut BytesMut) {
+    fn leave(&mut self, now: Micros, out: &mut BytesMut, _: &mut Vec<Ask>) {
         self.session.unbind(now, out);
     }
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,11 +1,12 @@
 //! The sender's core: one [`Node`] is one sender, with everything but the sockets.
 //!
-//! Does: takes connections, octets and a clock; speaks SMPP with clients and SMPP or HTTP with receivers; tells
+//! Does: takes connections, octets and a clock; speaks SMPP and MQTT with clients and SMPP or HTTP with receivers; tells
 //! the decision library all that happened and carries out its actions; hands each accepted message's final answer
 //! to its client. Holds messages, calls, connections, receipts owed, the directory's list.
 //! Decides (each in a module of its own): which submissions are taken on at all ([`limits`]), which destination an
 //! address belongs to ([`routes`]), on which connection a call goes ([`pool`]), what an end on the wire proves
-//! ([`calls`]), which answer a client is told ([`answers`]), in which order receipts go out ([`outbox`]), what
+//! ([`calls`]), which answer a client is told ([`answers`]), in which order answers go out ([`outbox`]), whose
+//! they are and which sessions outlive connections ([`mailboxes`]), how much is read from whom in a turn ([`turns`]), what
 //! becomes of a message after a restart ([`resume`]), what waits for the journal ([`ledger`]).
 //! Never: touches a socket or a file, reads a clock or a random source of the machine, or decides what
 //! the decision library decides: which message goes where and when, how long to wait, when to give up.
@@ -22,15 +23,18 @@
 pub mod ledger;
 pub mod limits;
 pub mod link;
+pub mod mailboxes;
 mod node;
 pub mod outbox;
 pub mod pool;
 mod restart;
 pub mod resume;
 pub mod routes;
+mod sessions;
 pub mod stats;
 mod stream;
 pub mod timers;
+pub mod turns;
 
 pub use node::{ConnId, Gone, Node, Output, Start};
 pub use restart::Restarted;
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -31,7 +31,7 @@
 }
 
 /// What a sender holds just now, and who asks.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Held {
     /// Messages without a final answer, in all.
     pub open: usize,
@@ -39,6 +39,12 @@
     pub of_client: usize,
     /// Worth of the message, 1 where it is the mean of the classes.
     pub worth: f64,
+    /// The front that it came by, by number, and messages without a final answer that came by it.
+    pub front: Option<(usize, usize)>,
+    /// Messages without a final answer that came by the same connection.
+    pub of_session: usize,
+    /// Connections of the client.
+    pub sessions: usize,
 }
 
 /// What a client is due.
@@ -56,14 +62,16 @@
 #[derive(Clone, Debug)]
 pub struct Limits {
     buckets: Vec<Bucket>,
+    /// Weight of each front, and whether it was refused last.
+    fronts: Vec<(f64, bool)>,
     room: usize,
     room_of_client: usize,
     leaving: bool,
 }
 
 impl Limits {
-    /// Limits with a rate and burst for each client.
-    pub fn new(now: Micros, rates: &[Part], room: usize, room_of_client: usize) -> Self {
+    /// Limits with a rate and burst for each client, and a weight for each front (none where there is one only).
+    pub fn new(now: Micros, rates: &[Part], fronts: &[f64], room: usize, room_of_client: usize) -> Self {
         let full = |p: &Part| Bucket {
             weight: p.weight,
             shedding: false,
@@ -72,13 +80,16 @@
             tokens: p.burst.max(1.0),
             filled: now,
         };
-        Limits { buckets: rates.iter().map(full).collect(), room, room_of_client, leaving: false }
+        let fronts = fronts.iter().map(|w| (*w, false)).collect();
+        Limits { buckets: rates.iter().map(full).collect(), fronts, room, room_of_client, leaving: false }
     }
 
     /// Takes over new figures; what was saved up or used up by a client that stays is kept.
     pub fn reload(&mut self, now: Micros, rates: &[Part]) {
         let old = std::mem::take(&mut self.buckets);
-        *self = Limits { leaving: self.leaving, ..Limits::new(now, rates, self.room, self.room_of_client) };
+        let fronts = std::mem::take(&mut self.fronts);
+        let new = Limits::new(now, rates, &[], self.room, self.room_of_client);
+        *self = Limits { leaving: self.leaving, fronts, ..new };
         for (new, old) in self.buckets.iter_mut().zip(old) {
             new.tokens = old.tokens.min(new.burst);
             new.filled = old.filled;
@@ -94,7 +105,13 @@
     ///
     /// # Errors
     /// Why not.
-    pub fn admit(&mut self, now: Micros, client: usize, held: Held) -> Result<(), Refusal> {
+    pub fn admit(
+        &mut self,
+        now: Micros,
+        client: usize,
+        held: Held,
+        session_shedding: &mut bool,
+    ) -> Result<(), Refusal> {
         if self.leaving {
             return Err(Refusal::Leaving);
         }
@@ -110,6 +127,27 @@
         if b.shedding {
             return Err(Refusal::Share);
         }
+        // The fronts share the room among each other in the same way; in the end the tightest of all parts holds.
+        if let Some((front, of_front)) = held.front
+            && let Some((weight, shedding)) = self.fronts.get_mut(front)
+        {
+            let party = Holding { held: of_front, weight: *weight, shedding: *shedding };
+            *shedding = !Share::new(self.room).admits(held.open, party, held.worth);
+            if *shedding {
+                return Err(Refusal::Share);
+            }
+        }
+        // And the connections of one client what that client may hold.
+        if held.sessions > 1 {
+            let part =
+                Share::new(self.room).threshold(held.open, if alone { 1.0 } else { b.weight }, held.worth);
+            let part = Share::new((part as usize).min(self.room).min(self.room_of_client));
+            let party = Holding { held: held.of_session, weight: 1.0, shedding: *session_shedding };
+            *session_shedding = !part.admits(held.of_client, party, 1.0);
+            if *session_shedding {
+                return Err(Refusal::Share);
+            }
+        }
         if b.rate.is_infinite() {
             return Ok(());
         }
@@ -131,20 +169,64 @@
     #[test]
     fn rate_burst_and_room() {
         let part = |rate, burst| Part { rate, burst, weight: 1.0 };
-        let mut l = Limits::new(0, &[part(10.0, 5.0), part(f64::INFINITY, 1.0)], 100, 50);
-        let held = |open, of_client| Held { open, of_client, worth: 1.0 };
+        let mut l = Limits::new(0, &[part(10.0, 5.0), part(f64::INFINITY, 1.0)], &[], 100, 50);
+        let held = |open, of_client| Held { open, of_client, worth: 1.0, ..Held::default() };
+        let s = &mut false;
         let none = held(0, 0);
-        let taken = (0..20).filter(|_| l.admit(0, 0, none).is_ok()).count();
+        let taken = (0..20).filter(|_| l.admit(0, 0, none, s).is_ok()).count();
         assert_eq!(taken, 5, "the burst");
-        assert_eq!(l.admit(0, 0, none), Err(Refusal::Rate));
-        assert_eq!(l.admit(0, 1, none), Ok(()), "another client is untouched");
-        let taken = (0..1000).filter(|i| l.admit(i * 10_000, 0, none).is_ok()).count();
+        assert_eq!(l.admit(0, 0, none, s), Err(Refusal::Rate));
+        assert_eq!(l.admit(0, 1, none, s), Ok(()), "another client is untouched");
+        let taken = (0..1000).filter(|i| l.admit(i * 10_000, 0, none, s).is_ok()).count();
         assert!((98..=105).contains(&taken), "ten a second for ten seconds: {taken}");
-        assert_eq!(l.admit(0, 1, held(100, 0)), Err(Refusal::Room));
-        assert_eq!(l.admit(0, 1, held(0, 50)), Err(Refusal::Room));
-        assert_eq!(l.admit(0, 1, held(80, 45)), Err(Refusal::Share), "20 are free, it may hold 40");
-        assert_eq!(l.admit(0, 0, held(80, 10)).err(), Some(Refusal::Rate), "another is within its part");
+        assert_eq!(l.admit(0, 1, held(100, 0), s), Err(Refusal::Room));
+        assert_eq!(l.admit(0, 1, held(0, 50), s), Err(Refusal::Room));
+        assert_eq!(l.admit(0, 1, held(80, 45), s), Err(Refusal::Share), "20 are free, it may hold 40");
+        assert_eq!(l.admit(0, 0, held(80, 10), s).err(), Some(Refusal::Rate), "another is within its part");
         l.leave();
-        assert_eq!(l.admit(0, 1, none), Err(Refusal::Leaving));
+        assert_eq!(l.admit(0, 1, none, s), Err(Refusal::Leaving));
+    }
+
+    #[test]
+    fn fronts_and_connections_share_too() {
+        let part = Part { rate: f64::INFINITY, burst: 1.0, weight: 1.0 };
+        let mut l = Limits::new(0, &[part, part, part], &[1.0, 1.0], 300, 300);
+        let by = |front, open, of_front| Held {
+            open,
+            of_client: 10,
+            worth: 1.0,
+            front: Some((front, of_front)),
+            ..Held::default()
+        };
+        assert_eq!(l.admit(0, 0, by(1, 200, 199), &mut false), Ok(()));
+        assert_eq!(
+            l.admit(0, 1, by(1, 201, 200), &mut false),
+            Err(Refusal::Share),
+            "one front has two thirds"
+        );
+        assert_eq!(
+            l.admit(0, 1, by(1, 201, 170), &mut false),
+            Err(Refusal::Share),
+            "it has to fall well below"
+        );
+        assert_eq!(l.admit(0, 1, by(0, 201, 2), &mut false), Ok(()), "the other has room");
+        assert_eq!(l.admit(0, 1, by(1, 201, 150), &mut false), Ok(()));
+        let among = |of_session, of_client| Held {
+            open: 150,
+            of_client,
+            worth: 1.0,
+            of_session,
+            sessions: 2,
+            ..Held::default()
+        };
+        let shedding = &mut false;
+        assert_eq!(l.admit(0, 0, among(150, 150), shedding), Ok(()));
+        assert_eq!(
+            l.admit(0, 0, among(240, 240), shedding),
+            Err(Refusal::Share),
+            "one connection has its part"
+        );
+        assert!(*shedding);
+        assert_eq!(l.admit(0, 0, among(0, 240), &mut false), Ok(()), "the other is let in");
     }
 }
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -5,22 +5,26 @@
 use crate::answers::{self, End};
 use crate::calls::Calls;
 use crate::directory::{Directory, Heard, Want};
-use crate::front::Front;
+use crate::front::{FRONTS, Front, Speaks};
 use crate::ledger::Ledger;
 use crate::limits::{Held, Limits, Part};
 use crate::link::{Link, LinkEvent};
-use crate::outbox::Outbox;
+use crate::mailboxes::{BoxId, Mailboxes};
+use crate::outbox::Reply;
 use crate::pool::Pool;
 use crate::routes::Trie;
 use crate::stats::Stats;
 use crate::stream::Stream;
 use crate::timers::Timers;
+use crate::turns::{self, Turns};
 use heronroute::{
     Action, DestId, Discovery, Dispatcher, EndpointEntry, EndpointId, Event, MsgId, SettingsError, Status,
 };
 use heronroute_config::{Config, Listing, parse_listing};
 use heronroute_journal::entry::{self, What};
 use heronroute_journal::{Book, Entry, Usage};
+use heronroute_mqtt::session as mqtt;
+use heronroute_seen::Seen;
 use heronroute_smpp::receipt::{Answer, Receipt};
 use heronroute_smpp::server;
 use heronroute_smpp::submission::Submission;
@@ -101,8 +105,10 @@
     Part(u64, usize),
     /// A probe must be answered by then.
     Probe(u32),
-    /// A client's receipts may go on.
-    Outbox(usize),
+    /// A mailbox's answers may go on.
+    Outbox(BoxId),
+    /// A session without a connection ends, or its client's will is due.
+    Mailbox(BoxId),
     /// The directory's timer.
     Directory,
     /// Leaving takes no longer than this.
@@ -125,7 +131,14 @@
 pub(crate) enum Use {
     Client {
         front: Box<dyn Front>,
+        speaks: Speaks,
         client: Option<usize>,
+        /// Where its answers go.
+        mailbox: Option<BoxId>,
+        /// Messages handed in here that have no answer.
+        open: usize,
+        /// It was refused last for its part of its client's room.
+        shedding: bool,
     },
     Receiver {
         endpoint: EndpointId,
@@ -148,8 +161,15 @@
 #[derive(Debug)]
 pub(crate) struct Message {
     pub client: usize,
+    /// Where its answer goes.
+    pub mailbox: BoxId,
+    /// The connection and front that it came by.
+    pub conn: ConnId,
+    pub speaks: Speaks,
     pub class: usize,
     pub submission: Submission,
+    /// Where in the client's protocol.
+    pub to: Reply,
     pub taken: Micros,
     pub deadline: Micros,
     /// Forward mode: the session and request that wait for the answer.
@@ -185,16 +205,22 @@
 }
 
 /// One client.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Client {
     pub open: usize,
-    pub outbox: Outbox,
+    /// Answers that were not taken yet, of all its mailboxes.
+    pub owed: usize,
+    /// Connections that are let in.
+    pub conns: usize,
+    /// The mailbox that its sessions without a name share.
+    pub mailbox: BoxId,
 }
 
 /// One sender, without its sockets.
 pub struct Node {
     pub(crate) cfg: Arc<Config>,
     pub(crate) session_limits: server::Limits,
+    pub(crate) mqtt_limits: Option<mqtt::Limits>,
     pub(crate) index: usize,
     pub(crate) now: Micros,
     /// What must be added to the clock to have the time of day.
@@ -206,7 +232,14 @@
     pub(crate) timers: Timers<Key>,
     pub(crate) conns: BTreeMap<ConnId, Conn>,
     next_conn: ConnId,
-    pub(crate) sessions: usize,
+    /// Connections of clients, by front.
+    pub(crate) sessions: [usize; FRONTS],
+    /// Messages without an answer, by front.
+    pub(crate) open_of: [usize; FRONTS],
+    pub(crate) mailboxes: Mailboxes,
+    /// Names that clients gave their messages.
+    pub(crate) seen: Option<Seen>,
+    pub(crate) turns: Turns,
     pub(crate) messages: BTreeMap<MsgId, Message>,
     pub(crate) ended: BTreeMap<MsgId, Ended>,
     ended_order: VecDeque<MsgId>,
@@ -244,13 +277,27 @@
             window: s.window,
             max_pdu: s.max_pdu,
         };
+        let mqtt_limits = cfg.mqtt.as_ref().map(|m| mqtt::Limits {
+            connect_within: m.connect_within,
+            keep_alive: m.keep_alive,
+            expiry: m.expiry,
+            window: m.window,
+            max_packet: m.max_packet,
+        });
         let now = start.now;
         let dispatcher = Dispatcher::new(now, start.seed, cfg.settings.clone())?;
         let follow = cfg.settings.discovery == Discovery::Push;
         let directory = Directory::new(now, cfg.directory.address, cfg.directory.poll, follow);
-        let limits = Limits::new(now, &rates(&cfg), cfg.settings.max_open as usize, cfg.service.owed_room);
+        let limits = Limits::new(
+            now,
+            &rates(&cfg),
+            &fronts(&cfg),
+            cfg.settings.max_open as usize,
+            cfg.service.owed_room,
+        );
         let mut node = Node {
             session_limits,
+            mqtt_limits,
             index: start.index,
             now,
             wall: start.wall - now,
@@ -261,7 +308,11 @@
             timers: Timers::default(),
             conns: BTreeMap::new(),
             next_conn: 0,
-            sessions: 0,
+            sessions: [0; FRONTS],
+            open_of: [0; FRONTS],
+            mailboxes: Mailboxes::default(),
+            seen: cfg.mqtt.as_ref().map(|m| Seen::new(m.remembered, start.wall, start.seed)),
+            turns: Turns::new(now),
             messages: BTreeMap::new(),
             ended: BTreeMap::new(),
             ended_order: VecDeque::new(),
@@ -312,7 +363,7 @@
             let next = self.clients.len();
             if !self.client_names.contains_key(&c.system_id) {
                 self.client_names.insert(c.system_id.clone(), next);
-                self.clients.push(Client::default());
+                self.add_client();
             }
         }
         self.routes = Trie::default();
@@ -321,6 +372,12 @@
         }
     }
 
+    /// A place for one more client.
+    pub(crate) fn add_client(&mut self) {
+        let mailbox = self.mailboxes.open(self.clients.len(), "");
+        self.clients.push(Client { open: 0, owed: 0, conns: 0, mailbox });
+    }
+
     /// Takes over new settings, as far as they can change in service: clients that were added, passwords, rates,
     /// routes and endpoints of the file. Gives the names of what differs and needs a restart.
     pub fn reload(&mut self, now: Micros, cfg: Arc<Config>) -> Vec<&'static str> {
@@ -334,6 +391,7 @@
         for (name, differs) in [
             ("service", old.service != cfg.service),
             ("smpp", old.smpp != cfg.smpp),
+            ("mqtt", old.mqtt != cfg.mqtt),
             ("directory", old.directory != cfg.directory),
             ("journal", old.journal != cfg.journal),
             ("class", old.settings.classes != cfg.settings.classes || old.class_names != cfg.class_names),
@@ -368,7 +426,7 @@
 
     /// Receipts that wait for their client.
     pub fn owed(&self) -> usize {
-        self.clients.iter().map(|c| c.outbox.owed()).sum()
+        self.clients.iter().map(|c| c.owed).sum()
     }
 
     /// The time of day.
@@ -394,11 +452,19 @@
     /// Whether more may be read from a connection now. Bounds what waits for a client that does not read.
     pub fn wants_read(&self, conn: ConnId) -> bool {
         self.conns.get(&conn).is_some_and(|c| match c.what {
-            Use::Client { .. } => c.stream.out.len() < CLIENT_BACKLOG,
+            Use::Client { ref front, .. } => c.stream.out.len() < CLIENT_BACKLOG && front.listens(),
             _ => true,
         })
     }
 
+    /// Octets to be read from a connection in one turn.
+    pub fn turn(&self, conn: ConnId) -> usize {
+        match self.conns.get(&conn).map(|c| &c.what) {
+            Some(Use::Client { client: Some(client), .. }) => self.turns.octets(*client),
+            _ => turns::MOST,
+        }
+    }
+
     /// The system took octets of a connection. True where it was being finished and all is written.
     pub fn wrote(&mut self, conn: ConnId, n: usize) -> bool {
         let Some(c) = self.conns.get_mut(&conn) else { return true };
@@ -582,7 +648,8 @@
             Key::Idle(conn) => self.link_idle(conn),
             Key::Part(call, part) => self.part_timed_out(call, part),
             Key::Probe(endpoint) => self.probe_timed_out(EndpointId(endpoint)),
-            Key::Outbox(client) => self.pump(client),
+            Key::Outbox(mailbox) => self.pump(mailbox),
+            Key::Mailbox(mailbox) => self.mailbox_due(mailbox),
             Key::Directory => {
                 let mut heard = Vec::new();
                 let want = self.directory.tick(self.now, &mut heard);
@@ -683,7 +750,8 @@
         let classes = &self.cfg.settings.classes;
         let mean = classes.iter().map(|c| c.worth).sum::<f64>() / classes.len().max(1) as f64;
         let worth = classes.get(class).map_or(1.0, |c| c.worth / mean.max(1e-9));
-        Held { open: self.messages.len(), of_client: c.open + c.outbox.owed(), worth }
+        let (open, of_client) = (self.messages.len(), c.open + c.owed);
+        Held { open, of_client, worth, ..Held::default() }
     }
 
     /// The final answer to a message: it is told once, here, and the message is over.
@@ -693,10 +761,16 @@
         if let Some((call, part)) = self.messages.get(&id).and_then(|m| m.out) {
             self.take_back(call, part);
         }
-        let Some(m) = self.messages.remove(&id) else { return };
+        let Some(m) = self.messages.get(&id) else { return };
         let may_run = m.may_run || m.out.is_some();
         let quantum = self.cfg.settings.quantum.max(1_000);
         let answer = answers::answer(end, may_run, self.now + 2 * quantum >= m.deadline);
+        self.answer_with(id, answer);
+    }
+
+    /// The same, with the answer's word.
+    pub(crate) fn answer_with(&mut self, id: MsgId, answer: Answer) {
+        let Some(m) = self.messages.remove(&id) else { return };
         let at = match answer {
             Answer::Delivered => 0,
             Answer::Rejected { .. } => 1,
@@ -719,7 +793,7 @@
     }
 
     fn tell(&mut self, id: MsgId, m: Message, answer: Answer, done: Micros) {
-        self.clients[m.client].open -= 1;
+        self.let_go(&m);
         let ended = Ended { client: m.client, source: m.submission.source.clone(), answer, done };
         self.ended.insert(id, ended);
         self.ended_order.push_back(id);
@@ -731,11 +805,15 @@
         if let Some((conn, sequence)) = m.reply
             && self.respond(conn, sequence, id, answer)
         {
-            return self.taken(id);
+            self.taken(id);
+            self.mailboxes.tidy(m.mailbox);
+            return;
         }
         // In forward mode the response is the answer; where its session is gone, a receipt stands in for it.
         if !m.submission.owes_receipt(answer == Answer::Delivered) {
-            return self.taken(id);
+            self.taken(id);
+            self.mailboxes.tidy(m.mailbox);
+            return;
         }
         let receipt = Receipt {
             id: show_id(id),
@@ -745,8 +823,15 @@
             source: m.submission.source,
             destination: m.submission.destination,
         };
-        self.clients[m.client].outbox.owe(receipt);
-        self.pump(m.client);
+        self.owe(m.mailbox, receipt, m.to);
+        self.pump(m.mailbox);
+    }
+
+    /// An answer is owed from now on.
+    pub(crate) fn owe(&mut self, mailbox: BoxId, receipt: Receipt, to: Reply) {
+        let Some(m) = self.mailboxes.get_mut(mailbox) else { return };
+        m.outbox.owe(receipt, to);
+        self.clients[m.client].owed += 1;
     }
 
     /// The answer was taken, or none is owed: nothing of the message is needed any more.
@@ -775,10 +860,9 @@
         if !self.messages.is_empty() || !self.ledger.settled() {
             return;
         }
-        let told = |c: &Client| c.outbox.out() == 0 && (c.outbox.owed() == 0 || c.outbox.sessions() == 0);
-        if self.clients.iter().all(told) {
+        if self.mailboxes.all().all(|(_, m)| m.outbox.rests()) {
             self.unbind_all();
-            self.left |= self.sessions == 0;
+            self.left |= self.sessions == [0; FRONTS];
         }
     }
 
@@ -811,6 +895,11 @@
     plain.then(|| u64::from_str_radix(text, 16).ok().map(MsgId)).flatten()
 }
 
+/// What the fronts are due beside each other; none where there is one only.
+fn fronts(cfg: &Config) -> Vec<f64> {
+    cfg.mqtt.as_ref().map(|m| vec![cfg.smpp.weight, m.weight]).unwrap_or_default()
+}
+
 fn rates(cfg: &Config) -> Vec<Part> {
     cfg.clients.iter().map(|c| Part { rate: c.rate, burst: c.burst, weight: c.weight }).collect()
 }
--- a/crates/engine/src/outbox.rs
+++ b/crates/engine/src/outbox.rs
@@ -1,6 +1,6 @@
-//! Receipts owed to clients, until each is taken. Free of I/O.
+//! Answers owed to a mailbox, until each is taken. Free of I/O.
 //!
-//! Guards against answers lost with a session: a receipt goes out on one session at a time, and where that
+//! Guards against answers lost with a session: an answer goes out on one session at a time, and where that
 //! session ends or refuses it, it is owed again, first in line. Room is bounded before acceptance (see `limits`):
 //! a client whose answers pile up is not accepted more from, so none is ever dropped.
 
@@ -11,42 +11,77 @@
 /// A session, by the number that the sender gives its connection.
 pub type SessionId = u64;
 
-/// The answers owed to one client.
+/// Where an answer goes, in protocols that let clients say so.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// The topic; empty for the usual one.
+    pub topic: String,
+    /// What comes back with it.
+    pub correlation: Vec<u8>,
+}
+
+/// An answer that is owed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Owed {
+    /// What is told.
+    pub receipt: Receipt,
+    /// Where.
+    pub reply: Reply,
+    /// The number under which it was out when a connection was lost.
+    pub before: Option<u32>,
+}
+
+/// The answers owed to one mailbox.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    waiting: VecDeque<Receipt>,
+    waiting: VecDeque<Owed>,
+    /// Those that the sessions there did not ask for.
+    aside: VecDeque<Owed>,
     /// Out on a session, by session and sequence number.
-    out: BTreeMap<(SessionId, u32), Receipt>,
-    /// Sessions that can take receipts, next one first.
+    out: BTreeMap<(SessionId, u32), Owed>,
+    /// Sessions that can take answers, next one first.
     sessions: VecDeque<SessionId>,
     not_before: Micros,
 }
 
 impl Outbox {
-    /// Receipts owed, those out included.
+    /// Answers owed, those out included.
     pub fn owed(&self) -> usize {
-        self.waiting.len() + self.out.len()
+        self.waiting.len() + self.aside.len() + self.out.len()
     }
 
-    /// Receipts out on sessions.
-    pub fn out(&self) -> usize {
-        self.out.len()
+    /// Whether nothing is out, and nothing waits that a session here would take.
+    pub fn rests(&self) -> bool {
+        self.out.is_empty() && (self.waiting.is_empty() || self.sessions.is_empty())
     }
 
-    /// Sessions that can take receipts.
+    /// Sessions that can take answers.
     pub fn sessions(&self) -> usize {
         self.sessions.len()
     }
 
-    /// A further receipt is owed.
-    pub fn owe(&mut self, receipt: Receipt) {
-        self.waiting.push_back(receipt);
+    /// A further answer is owed.
+    pub fn owe(&mut self, receipt: Receipt, reply: Reply) {
+        self.waiting.push_back(Owed { receipt, reply, before: None });
     }
 
-    /// A session that takes receipts was bound.
+    /// A session that takes answers is there.
     pub fn join(&mut self, session: SessionId) {
         self.sessions.push_back(session);
         self.not_before = 0;
+        self.ask_again();
+    }
+
+    /// What was set aside may be asked for now; it goes first, as it is older.
+    pub fn ask_again(&mut self) {
+        while let Some(owed) = self.aside.pop_back() {
+            self.waiting.push_front(owed);
+        }
+    }
+
+    /// Nobody here asked for this one.
+    pub fn set_aside(&mut self, owed: Owed) {
+        self.aside.push_back(owed);
     }
 
     /// A session ended: what was out on it is owed again, in its order.
@@ -55,12 +90,18 @@
         let keys: Vec<(SessionId, u32)> =
             self.out.range((session, 0)..=(session, u32::MAX)).map(|(k, _)| *k).collect();
         for key in keys.into_iter().rev() {
-            if let Some(receipt) = self.out.remove(&key) {
-                self.waiting.push_front(receipt);
+            if let Some(mut owed) = self.out.remove(&key) {
+                owed.before = Some(key.1);
+                self.waiting.push_front(owed);
             }
         }
     }
 
+    /// The numbers of lost connections mean nothing any more: their session is over.
+    pub fn forget_numbers(&mut self) {
+        self.waiting.iter_mut().chain(&mut self.aside).for_each(|o| o.before = None);
+    }
+
     /// The session to try next; sessions take turns.
     pub fn turn(&mut self, now: Micros) -> Option<SessionId> {
         if self.waiting.is_empty() || now < self.not_before {
@@ -76,18 +117,19 @@
             .then_some(self.not_before)
     }
 
-    /// The next receipt to go out; then say where it went with [`Outbox::went`].
-    pub fn take(&mut self) -> Option<Receipt> {
+    /// The next answer to go out; then say where it went with [`Outbox::went`].
+    pub fn take(&mut self) -> Option<Owed> {
         self.waiting.pop_front()
     }
 
-    /// A receipt went out on a session.
-    pub fn went(&mut self, session: SessionId, sequence: u32, receipt: Receipt) {
-        self.out.insert((session, sequence), receipt);
+    /// An answer went out on a session.
+    pub fn went(&mut self, session: SessionId, sequence: u32, owed: Owed) {
+        let before = self.out.insert((session, sequence), owed);
+        debug_assert!(before.is_none(), "a number in use was given out again");
     }
 
-    /// The peer answered; gives the receipt where it was taken. A receipt that it could not take now is owed again, after a pause: guards against a
-    /// peer that refuses at once being asked at once, for ever.
+    /// The peer answered; gives the answer where it was taken. One that it could not take now is owed again, after a
+    /// pause: guards against a peer that refuses at once being asked at once, for ever.
     pub fn answered(
         &mut self,
         now: Micros,
@@ -95,12 +137,12 @@
         sequence: u32,
         taken: bool,
         pause: Micros,
-    ) -> Option<Receipt> {
-        let receipt = self.out.remove(&(session, sequence))?;
+    ) -> Option<Owed> {
+        let owed = self.out.remove(&(session, sequence))?;
         if taken {
-            return Some(receipt);
+            return Some(owed);
         }
-        self.waiting.push_front(receipt);
+        self.waiting.push_front(owed);
         self.not_before = now + pause;
         None
     }
@@ -122,10 +164,14 @@
         }
     }
 
+    fn owe(o: &mut Outbox, id: usize) {
+        o.owe(receipt(id), Reply::default());
+    }
+
     #[test]
     fn what_a_session_did_not_take_is_owed_again_in_order() {
         let mut o = Outbox::default();
-        (0..4).for_each(|i| o.owe(receipt(i)));
+        (0..4).for_each(|i| owe(&mut o, i));
         assert_eq!(o.turn(0), None, "nobody to tell");
         o.join(7);
         for n in 1..=3 {
@@ -136,14 +182,31 @@
         assert!(o.answered(0, 7, 2, true, 100).is_some());
         assert!(o.answered(0, 7, 2, true, 100).is_none(), "only once");
         o.leave(7);
-        let rest: Vec<String> = std::iter::from_fn(|| o.take()).map(|r| r.id).collect();
-        assert_eq!(rest, ["0", "2", "3"]);
+        let rest: Vec<(String, Option<u32>)> =
+            std::iter::from_fn(|| o.take()).map(|r| (r.receipt.id, r.before)).collect();
+        assert_eq!(rest, [("0".into(), Some(1)), ("2".into(), Some(3)), ("3".into(), None)]);
+    }
+
+    #[test]
+    fn what_nobody_asked_for_stands_back_until_somebody_may() {
+        let mut o = Outbox::default();
+        (0..3).for_each(|i| owe(&mut o, i));
+        o.join(1);
+        let first = o.take().unwrap();
+        o.set_aside(first);
+        let second = o.take().unwrap();
+        o.set_aside(second);
+        assert_eq!((o.owed(), o.rests()), (3, false));
+        _ = o.take();
+        assert_eq!((o.turn(0), o.rests()), (None, true), "only what is set aside is left");
+        o.ask_again();
+        assert_eq!(o.take().map(|r| r.receipt.id), Some("0".into()));
     }
 
     #[test]
     fn a_refused_receipt_waits() {
         let mut o = Outbox::default();
-        o.owe(receipt(0));
+        owe(&mut o, 0);
         o.join(1);
         let r = o.take().unwrap();
         o.went(1, 1, r);
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -1,11 +1,15 @@
 //! After a restart: what the book says is taken up again. `resume.rs` decides; here it is carried out.
 
 use crate::answers::End;
-use crate::node::{Client, ID_SENDER_BITS, Message, Node, key_of, show_id};
+use crate::front::Speaks;
+use crate::mailboxes::{BoxId, Kept};
+use crate::node::{ID_SENDER_BITS, Key, Message, Node, key_of, show_id};
+use crate::outbox::Reply;
 use crate::resume::{Resume, resume};
 use heronroute::{DestId, Event, MsgId};
 use heronroute_journal::entry::{Accepted, Answer as Answered};
 use heronroute_journal::{Book, Open};
+use heronroute_seen::{Handle, Name, Recent};
 use heronroute_smpp::receipt::{Answer, Receipt};
 use heronroute_smpp::submission::{Submission, Wanted};
 
@@ -36,6 +40,10 @@
     }
 }
 
+fn reply(a: &Accepted) -> Reply {
+    Reply { topic: a.reply.clone(), correlation: a.correlation.clone() }
+}
+
 impl Node {
     /// Takes up the book. Messages come to the decision library in the order in which they were accepted, so that
     /// keys keep theirs; all of them before their class's deadline, or they are answered here.
@@ -54,18 +62,20 @@
             }
         }
         let mut done = Restarted::default();
+        self.take_up_sessions(&book);
         for open in book.open.into_values() {
             let a = &open.accepted;
             let client = self.client_named(&a.client);
+            let mailbox = self.mailboxes.open(client, &a.mailbox);
             let class = self.class_names.get(&a.class).copied();
             let settings = class.and_then(|c| self.cfg.settings.classes.get(c));
             match resume(&open, settings.map(|c| (c.effect, c.window)), wall) {
                 Resume::Answered => {
-                    done.owed += usize::from(self.owe(client, &open));
+                    done.owed += usize::from(self.owe_again(mailbox, &open));
                 }
                 Resume::GoesOn(ran) => {
                     done.go_on += 1;
-                    self.take_up(client, class.unwrap_or(0), &open, ran.is_some());
+                    self.take_up(client, mailbox, class.unwrap_or(0), &open, ran.is_some());
                     let may_run = ran.map(|i| {
                         let at = self.names.get(&i.endpoint).copied();
                         // An endpoint that is not known any more shares its memory with none that is.
@@ -77,7 +87,7 @@
                 Resume::Over { may_run } => {
                     done.over += 1;
                     let id = MsgId(a.id);
-                    self.hold_message(client, class.unwrap_or(0), &open, may_run);
+                    self.hold_message(client, mailbox, class.unwrap_or(0), &open, may_run);
                     self.answer(id, End::Failed);
                 }
             }
@@ -90,17 +100,50 @@
         let next = self.clients.len();
         let at = *self.client_names.entry(name.to_string()).or_insert(next);
         if at == next {
-            self.clients.push(Client::default());
+            self.add_client();
         }
         at
     }
 
-    fn hold_message(&mut self, client: usize, class: usize, open: &Open, may_run: bool) {
+    /// Sessions are kept from now on for as long as was agreed: when their clients left is not known.
+    fn take_up_sessions(&mut self, book: &Book) {
+        let (now, wall) = (self.now, self.wall());
+        if self.cfg.mqtt.is_none() {
+            return;
+        }
+        for kept in book.sessions.values() {
+            let s = &kept.session;
+            let client = self.client_named(&s.client);
+            let mailbox = self.mailboxes.open(client, &s.name);
+            let mut recent = Recent::new(s.window as usize);
+            for r in &kept.latest {
+                let packet = u16::try_from(r.packet).unwrap_or(0);
+                recent.add(Handle { packet, digest: r.digest, again: false }, r.id);
+            }
+            let notes = s.notes.clone();
+            let ends = now.saturating_add(s.expiry);
+            let session = Kept { began: s.began, expiry: s.expiry, notes, recent };
+            self.mailboxes.restore(mailbox, session, ends);
+            self.timers.set(Key::Mailbox(mailbox), ends);
+        }
+        if let Some(seen) = &mut self.seen {
+            seen.forgot(book.forgot);
+            for n in &book.names {
+                seen.add(wall, Name { high: n.high, low: n.low }, n.id, n.until);
+            }
+        }
+    }
+
+    fn hold_message(&mut self, client: usize, mailbox: BoxId, class: usize, open: &Open, may_run: bool) {
         let a = &open.accepted;
         let message = Message {
             client,
+            mailbox,
+            conn: 0,
+            speaks: if a.mailbox.is_empty() { Speaks::Smpp } else { Speaks::Mqtt },
             class,
             submission: submission(a),
+            to: reply(a),
             taken: a.taken,
             deadline: self.now + (a.deadline - self.wall()),
             reply: None,
@@ -108,12 +151,11 @@
             out: None,
             may_run,
         };
-        self.clients[client].open += 1;
-        self.messages.insert(MsgId(a.id), message);
+        self.hold(MsgId(a.id), message);
     }
 
-    fn take_up(&mut self, client: usize, class: usize, open: &Open, may_run: bool) {
-        self.hold_message(client, class, open, may_run);
+    fn take_up(&mut self, client: usize, mailbox: BoxId, class: usize, open: &Open, may_run: bool) {
+        self.hold_message(client, mailbox, class, open, may_run);
         let a = &open.accepted;
         let ordered = self.cfg.settings.classes.get(class).is_some_and(|c| c.ordered);
         self.events.push(Event::Message {
@@ -129,7 +171,7 @@
     }
 
     /// An answer that was not taken is told again, the same.
-    fn owe(&mut self, client: usize, open: &Open) -> bool {
+    fn owe_again(&mut self, mailbox: BoxId, open: &Open) -> bool {
         let a = &open.accepted;
         let Some(Answered { word, retry_after, at, .. }) = &open.answer else { return false };
         let wait = Some(*retry_after).filter(|w| *w >= 0);
@@ -138,14 +180,15 @@
             self.taken(MsgId(a.id));
             return false;
         }
-        self.clients[client].outbox.owe(Receipt {
+        let receipt = Receipt {
             id: show_id(MsgId(a.id)),
             answer,
             taken: a.taken,
             done: *at,
             source: a.source.clone(),
             destination: a.destination.clone(),
-        });
+        };
+        self.owe(mailbox, receipt, reply(a));
         true
     }
 }
--- a/crates/engine/src/resume.rs
+++ b/crates/engine/src/resume.rs
@@ -31,7 +31,8 @@
     let ran = open.may_run.clone().or(open.out.clone());
     let may_run = ran.is_some();
     let Some((effect, window)) = class else { return Resume::Over { may_run } };
-    if now >= open.accepted.deadline {
+    // What was refused from the start is never sent.
+    if now >= open.accepted.deadline || open.accepted.refused {
         return Resume::Over { may_run };
     }
     match (effect, &ran) {
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -8,6 +8,8 @@
     pub refused_rate: u64,
     pub refused_room: u64,
     pub refused_other: u64,
+    /// Requests that were the same as one before, and were told so.
+    pub repeated: u64,
     /// Final answers by state, in the order delivered, rejected, undeliverable, unknown, expired, deleted.
     pub answers: [u64; 6],
     /// Receipts that a client took.
@@ -41,6 +43,7 @@
         self.refused_rate += other.refused_rate;
         self.refused_room += other.refused_room;
         self.refused_other += other.refused_other;
+        self.repeated += other.repeated;
         self.answers.iter_mut().zip(other.answers).for_each(|(a, b)| *a += b);
         self.receipts += other.receipts;
         self.attempts.iter_mut().zip(other.attempts).for_each(|(a, b)| *a += b);
--- a/crates/engine/tests/crash.rs
+++ b/crates/engine/tests/crash.rs
@@ -5,6 +5,7 @@
 
 use bytes::BytesMut;
 use heronroute_config::{Config, parse};
+use heronroute_engine::front::Speaks;
 use heronroute_engine::{ConnId, Gone, Node, Output, Start};
 use heronroute_journal::disk::{Disk, Faults};
 use heronroute_journal::{Entry, Journal, Limits as JournalLimits};
@@ -90,7 +91,7 @@
         if self.client.is_none() {
             let mut out = BytesMut::new();
             let session = Client::bind(now, LIMITS, Mode::Transceiver, "c", "p", &mut out);
-            let conn = self.node.accepted(now, &out).unwrap();
+            let conn = self.node.accepted(now, Speaks::Smpp, &out).unwrap();
             self.client = Some((conn, session, BTreeMap::new()));
         } else if handing_in && dice.below(3) == 0 {
             self.submit(now, world, dice);
--- /dev/null
+++ b/crates/engine/tests/mqtt.rs
@@ -0,0 +1,770 @@
+//! The MQTT front on a node with its journal on a faulty disk, on a virtual clock: connections are cut in the middle
+//! of packets, power is lost at steps of the disk, and clients (another's state machine) resume and send again. What
+//! is handed in once must be one message, whatever is lost on the way.
+
+use bytes::BytesMut;
+use heronroute_config::{Config, parse};
+use heronroute_engine::front::Speaks;
+use heronroute_engine::{ConnId, Gone, Node, Output, Start};
+use heronroute_journal::disk::{Disk, Faults};
+use heronroute_journal::{Entry, Journal, Limits as JournalLimits};
+use heronroute_smpp::client::Session as SmppClient;
+use heronroute_smpp::server::{self, Limits, Mode, Session};
+use heronroute_smpp::submission::{Submission, Wanted};
+use heronroute_standins::mqtt::{Hand, Heard, MqttClient, Who, field};
+use rusmpp_core::CommandStatus;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const MS: i64 = 1_000;
+const SMALL: JournalLimits = JournalLimits { segment: 2_000, growth: 2, least: 6_000, most: 1 << 20 };
+const LIMITS: Limits = Limits {
+    session_init: 1 << 50,
+    enquire_every: 1 << 50,
+    inactivity: 1 << 50,
+    response: 1 << 50,
+    window: 1_000,
+    max_pdu: 70_000,
+};
+
+fn settings(more: &str) -> Arc<Config> {
+    let text = format!(
+        "service {{ slots: 16 room: 500 max_attempts: 6 quantum: \"1ms\" }} \
+        smpp {{ enquire_every: \"1h\" inactivity: \"8h\" response: \"1h\" }} \
+        mqtt {{ listen: \"127.0.0.1:0\" window: 8 keep_alive: \"0s\" {more} }} \
+        rules {{ order_settle: \"100ms\" warm_up: \"1s\" }} \
+        client {{ system_id: \"c\" password: \"secret\" }} client {{ system_id: \"d\" password: \"secret\" }} \
+        class {{ name: \"PAY\" effect: \"single_shot\" deadline: \"4s\" }} \
+        class {{ name: \"RESP\" effect: \"guarded\" window: \"2s\" deadline: \"4s\" }} \
+        kind {{ name: \"k\" protocol: \"smpp\" window: 4 }} \
+        route {{ prefix: \"1\" destination: 1 }} \
+        endpoint {{ name: \"a\" address: \"127.0.0.1:1001\" destination: 1 kind: \"k\" }}"
+    );
+    Arc::new(parse("mqtt", &text).unwrap())
+}
+
+struct Dice(u64);
+
+impl Dice {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) % n
+    }
+}
+
+/// One client and what it knows; it survives the sender.
+struct Client {
+    core: MqttClient,
+    conn: Option<ConnId>,
+    /// Heard since the last look.
+    heard: Vec<Heard>,
+    /// Let in on this connection.
+    inside: bool,
+    subscribed: bool,
+    /// It acknowledges no answer.
+    deaf: bool,
+    /// Messages by packet identifier.
+    asked: BTreeMap<u16, u64>,
+    acked: BTreeSet<u64>,
+    /// Answers by message, with the identity.
+    answers: BTreeMap<u64, Vec<(String, String)>>,
+}
+
+impl Client {
+    fn new(five: bool, user: &str, id: &str) -> Self {
+        let who = Who { five, user: user.into(), id: id.into(), clean: false, expiry: 3_600, window: 5 };
+        Client {
+            core: MqttClient::new(who),
+            conn: None,
+            heard: Vec::new(),
+            inside: false,
+            subscribed: false,
+            deaf: false,
+            asked: BTreeMap::new(),
+            acked: BTreeSet::new(),
+            answers: BTreeMap::new(),
+        }
+    }
+
+    fn digest(&mut self, heard: Vec<Heard>) {
+        for h in &heard {
+            match h {
+                Heard::In(present) => {
+                    self.inside = true;
+                    if !present {
+                        self.asked.clear();
+                        self.subscribed = false;
+                    }
+                }
+                Heard::Acked(packet, code, _) if *code < 0x80 => {
+                    self.acked.extend(self.asked.get(packet));
+                }
+                Heard::Told(_, text, correlation, ..) => {
+                    let id = field(text, "id").unwrap_or_default().to_string();
+                    let stat = field(text, "stat").unwrap_or_default().to_string();
+                    let own = String::from_utf8_lossy(correlation).into_owned();
+                    let n = if own.is_empty() { field(text, "ref").map(str::to_string) } else { Some(own) };
+                    if let Some(n) = n.and_then(|n| n.parse().ok()) {
+                        self.answers.entry(n).or_default().push((id, stat));
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.heard.extend(heard);
+    }
+}
+
+/// One life of a sender, with its receivers.
+struct Life {
+    node: Node,
+    journal: Journal<Disk>,
+    count: u64,
+    waiting: Vec<Vec<Entry>>,
+    receivers: BTreeMap<ConnId, Session>,
+    due: BTreeSet<(i64, ConnId, u32)>,
+    /// Of a hundred exchanges of a client so many are cut.
+    cuts: u64,
+    /// The connection is cut before this kind of packet is carried, up (from a client) or down.
+    lose: Option<(bool, u8)>,
+    /// One in so many steps commits.
+    commits: u64,
+    /// Receivers answer.
+    answering: bool,
+}
+
+/// What the world outside knows: bodies that ran, with the identities under which they came.
+type Ran = BTreeMap<u64, Vec<String>>;
+
+fn start(cfg: &Arc<Config>, disk: Disk, now: i64, cuts: u64) -> Option<Life> {
+    let journal = Journal::open(disk, SMALL).ok()?;
+    let start = Start { index: 0, seed: 9, now, wall: now, kept: None, book: Some(journal.book().clone()) };
+    let node = Node::new(cfg.clone(), start).unwrap();
+    let (receivers, due) = (BTreeMap::new(), BTreeSet::new());
+    Some(Life {
+        node,
+        journal,
+        count: 0,
+        waiting: Vec::new(),
+        receivers,
+        due,
+        cuts,
+        lose: None,
+        commits: 3,
+        answering: false,
+    })
+}
+
+impl Life {
+    fn cut(&mut self, now: i64, c: &mut Client) {
+        if let Some(conn) = c.conn.take() {
+            self.node.closed(now, conn, Gone::Broken);
+            c.core.closed();
+            // What was not heard of a subscription is asked for again.
+            (c.inside, c.subscribed) = (false, false);
+        }
+    }
+
+    /// Octets of a client, of which some may be lost with the connection.
+    fn send(&mut self, now: i64, c: &mut Client, octets: &[u8], dice: &mut Dice) {
+        let Some(conn) = c.conn else { return };
+        if octets.is_empty() {
+            return;
+        }
+        if self.lose == Some((true, octets[0] >> 4)) {
+            self.lose = None;
+            return self.cut(now, c);
+        }
+        if dice.below(100) < self.cuts {
+            let some = dice.below(octets.len() as u64 + 1) as usize;
+            self.node.received(now, conn, &octets[..some]);
+            return self.cut(now, c);
+        }
+        self.node.received(now, conn, octets);
+    }
+
+    fn connect(&mut self, now: i64, c: &mut Client) -> bool {
+        let mut out = BytesMut::new();
+        c.core.connect(&mut out);
+        c.conn = self.node.accepted(now, Speaks::Mqtt, &out);
+        if c.conn.is_none() {
+            c.core.closed();
+        }
+        c.conn.is_some()
+    }
+
+    fn subscribe(&mut self, now: i64, c: &mut Client, dice: &mut Dice) {
+        let mut out = BytesMut::new();
+        c.core.subscribe("answers/#", 1, &mut out);
+        c.subscribed = true;
+        self.send(now, c, &out, dice);
+    }
+
+    fn publish(&mut self, now: i64, c: &mut Client, n: u64, hand: &Hand, dice: &mut Dice) -> u16 {
+        let mut out = BytesMut::new();
+        let packet = c.core.publish(hand, &mut out);
+        c.asked.insert(packet, n);
+        self.send(now, c, &out, dice);
+        packet
+    }
+
+    /// A millisecond passes. False once power is lost.
+    fn step(&mut self, now: i64, clients: &mut [Client], ran: &mut Ran, dice: &mut Dice) -> bool {
+        while let Some((_, conn, sequence)) = self.due.first().copied().filter(|d| d.0 <= now) {
+            self.due.pop_first();
+            let mut out = BytesMut::new();
+            if let Some(session) = self.receivers.get_mut(&conn) {
+                session.submitted(sequence, "r", CommandStatus::EsmeRok, vec![], &mut out);
+                self.node.received(now, conn, &out);
+            }
+        }
+        self.node.settle(now);
+        for _ in 0..50 {
+            let outputs = self.node.outputs();
+            if outputs.is_empty() {
+                break;
+            }
+            for output in outputs {
+                match output {
+                    Output::Connect { conn, .. } => {
+                        self.receivers.insert(conn, Session::new(0, LIMITS));
+                        self.node.connected(now, conn);
+                    }
+                    Output::Write(conn) => self.carry(now, conn, clients, ran, dice),
+                    Output::Finish(conn) | Output::Drop(conn) => {
+                        self.carry(now, conn, clients, ran, dice);
+                        self.receivers.remove(&conn);
+                        if let Some(c) = clients.iter_mut().find(|c| c.conn == Some(conn)) {
+                            c.core.closed();
+                            (c.conn, c.inside) = (None, false);
+                        }
+                        self.node.closed(now, conn, Gone::Ended);
+                    }
+                    Output::Keep(_) => {}
+                    Output::Journal(entries) => self.waiting.push(entries),
+                }
+            }
+            self.node.settle(now);
+        }
+        // The journal comes last and not always, and takes all that waits in one commit.
+        if dice.below(self.commits) > 0 {
+            return true;
+        }
+        let entries: Vec<Entry> = std::mem::take(&mut self.waiting).into_iter().flatten().collect();
+        if !entries.is_empty() {
+            if self.journal.commit(&entries).is_err() {
+                return false;
+            }
+            self.count += entries.len() as u64;
+            self.node.durable(now, self.count, self.journal.usage());
+        }
+        true
+    }
+
+    fn carry(&mut self, now: i64, conn: ConnId, clients: &mut [Client], ran: &mut Ran, dice: &mut Dice) {
+        let octets = self.node.pending(conn).to_vec();
+        self.node.wrote(conn, octets.len());
+        let mut back = BytesMut::new();
+        if let Some(c) = clients.iter_mut().find(|c| c.conn == Some(conn)) {
+            let named = !octets.is_empty() && self.lose == Some((false, octets[0] >> 4));
+            let lost = named || dice.below(100) < self.cuts;
+            let some = if named {
+                self.lose = None;
+                0
+            } else if lost {
+                dice.below(octets.len() as u64 + 1) as usize
+            } else {
+                octets.len()
+            };
+            let mut heard = Vec::new();
+            c.core.receive(&octets[..some], &mut back, &mut heard);
+            assert!(!heard.iter().any(|h| matches!(h, Heard::Wrong(_))), "{heard:?}");
+            c.digest(heard);
+            if lost {
+                return self.cut(now, c);
+            }
+            if c.deaf {
+                back.clear();
+            }
+            return self.send(now, c, &back, dice);
+        }
+        if let Some(session) = self.receivers.get_mut(&conn) {
+            let mut events = Vec::new();
+            session.receive(now, 0, &octets, &mut back, &mut events);
+            for event in events {
+                match event {
+                    server::Event::Bind { sequence, .. } => session.accept(now, sequence, "r", &mut back),
+                    server::Event::Submit { sequence, submission, .. } => {
+                        let n = String::from_utf8_lossy(&submission.body).parse().unwrap();
+                        ran.entry(n).or_default().push(submission.identity.clone().unwrap());
+                        // A few answers of receivers are lost, too.
+                        if self.answering || dice.below(20) > 0 {
+                            self.due.insert((now + (1 + dice.below(20) as i64) * MS, conn, sequence));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        if !back.is_empty() {
+            self.node.received(now, conn, &back);
+        }
+    }
+}
+
+fn hand(n: u64, five: bool, qos: u8, class: &str) -> Hand {
+    let address = format!("1{n:06}");
+    // Version 3.1.1 tells its answers apart by the name it gave.
+    let topic = if five { format!("to/{address}/{class}") } else { format!("to/{address}/{class}//{n}") };
+    let correlation = if five { n.to_string().into_bytes() } else { Vec::new() };
+    Hand { topic, payload: n.to_string().into_bytes(), qos, correlation, ..Hand::default() }
+}
+
+fn verdict(clients: &[Client], ran: &Ran) -> Result<(), String> {
+    for c in clients {
+        for n in &c.acked {
+            let answers = c.answers.get(n).ok_or(format!("{n} was acknowledged and never answered"))?;
+            if answers.iter().any(|a| a != &answers[0]) {
+                return Err(format!("{n} got different answers: {answers:?}"));
+            }
+            let none = Vec::new();
+            let arrived = ran.get(n).unwrap_or(&none);
+            match answers[0].1.as_str() {
+                "DELIVRD" if arrived.is_empty() => {
+                    return Err(format!("{n} is told delivered and never ran"));
+                }
+                "DELIVRD" | "UNKNOWN" => {}
+                other if !arrived.is_empty() => return Err(format!("{n} is told {other} and ran")),
+                _ => {}
+            }
+        }
+    }
+    for (n, ids) in ran {
+        // Unsafe messages have odd numbers.
+        if ids.iter().any(|id| id != &ids[0]) || (n % 2 == 1 && ids.len() > 1) {
+            return Err(format!("{n} was handed in once and ran as {ids:?}"));
+        }
+    }
+    Ok(())
+}
+
+fn run(seed: u64, power: u64, cuts: u64) -> Result<(u64, Vec<Client>), String> {
+    let cfg = settings("");
+    let mut dice = Dice(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
+    let mut clients =
+        vec![Client::new(true, "c", "one"), Client::new(true, "c", "two"), Client::new(false, "d", "one")];
+    let mut ran = Ran::new();
+    let mut disk = Disk::new(Faults { power, ..Faults::default() });
+    let (mut now, mut losses, mut steps, mut next) = (1 << 40, 0, 0, 0);
+    let end = now + 6_000 * MS;
+    while now < end {
+        let Some(mut life) = start(&cfg, disk.clone(), now, cuts) else {
+            disk = disk.after_loss(seed + losses);
+            losses += 1;
+            continue;
+        };
+        let mut alive = true;
+        while now < end && alive {
+            let handing_in = now < end - 5_500 * MS;
+            if !handing_in {
+                life.cuts = 0;
+            }
+            now += if handing_in { MS } else { 4 * MS };
+            for c in &mut clients {
+                if c.conn.is_none() && dice.below(4) == 0 {
+                    life.connect(now, c);
+                } else if c.inside && !c.subscribed {
+                    life.subscribe(now, c, &mut dice);
+                } else if c.inside && handing_in && dice.below(6) == 0 && c.core.room() > 0 {
+                    next += 1;
+                    let five = c.core.who().five;
+                    let qos = 1 + dice.below(2) as u8;
+                    let class = if next % 2 == 1 { "PAY" } else { "RESP" };
+                    life.publish(now, c, next, &hand(next, five, qos, class), &mut dice);
+                }
+            }
+            alive = life.step(now, &mut clients, &mut ran, &mut dice);
+        }
+        disk = life.journal.into_storage();
+        steps = disk.steps;
+        if now < end {
+            losses += 1;
+            disk = disk.after_loss(seed * 31 + power);
+            now += 20 * MS;
+            for c in &mut clients {
+                if c.conn.take().is_some() {
+                    c.core.closed();
+                    (c.inside, c.subscribed) = (false, false);
+                }
+            }
+        }
+    }
+    verdict(&clients, &ran).map(|()| (steps, clients))
+}
+
+#[test]
+fn what_is_handed_in_once_is_one_message_through_cuts_and_losses_of_power() {
+    let mut runs = 0;
+    for seed in 1..=4 {
+        let cuts = 5 * (seed - 1);
+        let (steps, clients) = run(seed, 0, cuts).unwrap();
+        let acked: usize = clients.iter().map(|c| c.acked.len()).sum();
+        assert!(acked > 60, "{acked}");
+        for power in (1..steps.min(1_200)).step_by(37) {
+            if let Err(e) = run(seed, power, cuts) {
+                panic!("seed {seed}, power lost at step {power}, {cuts} % cut: {e}");
+            }
+            runs += 1;
+        }
+    }
+    assert!(runs > 50, "{runs}");
+}
+
+/// A sender with its clients, to be led by hand.
+struct Rig {
+    cfg: Arc<Config>,
+    life: Option<Life>,
+    clients: Vec<Client>,
+    ran: Ran,
+    dice: Dice,
+    now: i64,
+}
+
+impl Rig {
+    fn new(more: &str, clients: Vec<Client>) -> Self {
+        let cfg = settings(more);
+        let now = 1 << 40;
+        let mut life = start(&cfg, Disk::new(Faults::default()), now, 0).unwrap();
+        (life.commits, life.answering) = (1, true);
+        Rig { cfg, life: Some(life), clients, ran: Ran::new(), dice: Dice(5), now }
+    }
+
+    fn life(&mut self) -> &mut Life {
+        self.life.as_mut().unwrap()
+    }
+
+    /// Milliseconds pass.
+    fn pass(&mut self, ms: i64) {
+        for _ in 0..ms {
+            self.now += MS;
+            let life = self.life.as_mut().unwrap();
+            assert!(life.step(self.now, &mut self.clients, &mut self.ran, &mut self.dice));
+        }
+    }
+
+    /// A client connects and subscribes; gives whether its session goes on.
+    fn enter(&mut self, i: usize) -> Option<bool> {
+        let now = self.now;
+        self.clients[i].heard.clear();
+        self.life.as_mut().unwrap().connect(now, &mut self.clients[i]);
+        self.pass(3);
+        let present = self.clients[i].heard.iter().find_map(|h| match h {
+            Heard::In(present) => Some(*present),
+            _ => None,
+        })?;
+        if !present {
+            self.life.as_mut().unwrap().subscribe(now, &mut self.clients[i], &mut self.dice);
+            self.pass(3);
+        }
+        Some(present)
+    }
+
+    fn hand_in(&mut self, i: usize, n: u64, hand: &Hand) -> u16 {
+        let now = self.now;
+        self.life.as_mut().unwrap().publish(now, &mut self.clients[i], n, hand, &mut self.dice)
+    }
+
+    fn cut(&mut self, i: usize) {
+        let now = self.now;
+        self.life.as_mut().unwrap().cut(now, &mut self.clients[i]);
+    }
+
+    /// The process dies, and starts again from its journal.
+    fn crash(&mut self) {
+        let life = self.life.take().unwrap();
+        let disk = life.journal.into_storage().after_loss(1);
+        self.clients.iter_mut().for_each(|c| {
+            if c.conn.take().is_some() {
+                c.core.closed();
+                c.inside = false;
+            }
+        });
+        self.now += 20 * MS;
+        let mut life = start(&self.cfg, disk, self.now, 0).unwrap();
+        (life.commits, life.answering) = (1, true);
+        self.life = Some(life);
+    }
+
+    fn stats(&mut self) -> heronroute_engine::Stats {
+        self.life().node.stats().clone()
+    }
+}
+
+#[test]
+fn a_qos_2_exchange_cut_at_each_step_is_one_message() {
+    // PUBLISH up, PUBREC down, PUBREL up, PUBCOMP down.
+    for (up, kind) in [(true, 3), (false, 5), (true, 6), (false, 7)] {
+        for crash in [false, true] {
+            for five in [true, false] {
+                let mut r = Rig::new("", vec![Client::new(five, "c", "one")]);
+                assert_eq!(r.enter(0), Some(false));
+                r.life().lose = Some((up, kind));
+                let h = hand(1, five, 2, "PAY");
+                r.hand_in(0, 1, &h);
+                r.pass(30);
+                assert_eq!(r.life().lose, None, "the step {kind} was cut");
+                assert!(r.clients[0].conn.is_none());
+                if crash {
+                    r.crash();
+                }
+                assert_eq!(r.enter(0), Some(true), "its session goes on");
+                r.pass(60);
+                let ran = r.ran.get(&1).cloned().unwrap_or_default();
+                assert_eq!(ran.len(), 1, "step {kind}, crash {crash}, version 5 {five}: {ran:?}");
+                assert!(r.clients[0].acked.contains(&1));
+                let answers = r.clients[0].answers[&1].clone();
+                assert!(answers.iter().all(|a| a.1 == "DELIVRD"), "{answers:?}");
+                assert!(r.clients[0].heard.contains(&Heard::Completed(1)), "{:?}", r.clients[0].heard);
+            }
+        }
+    }
+}
+
+#[test]
+fn answers_that_were_not_heard_come_again_under_their_number() {
+    let mut r = Rig::new("", vec![Client::new(true, "c", "one")]);
+    r.enter(0);
+    // Its PUBACKs to the answers are lost with its connection.
+    r.life().lose = Some((true, 4));
+    r.hand_in(0, 1, &hand(1, true, 1, "RESP"));
+    r.pass(60);
+    assert!(r.clients[0].conn.is_none());
+    assert_eq!(r.clients[0].answers[&1].len(), 1);
+    r.enter(0);
+    r.pass(10);
+    let again: Vec<bool> = r.clients[0]
+        .heard
+        .iter()
+        .filter_map(|h| if let Heard::Told(.., dup) = h { Some(*dup) } else { None })
+        .collect();
+    assert_eq!((again, r.life().node.owed()), (vec![true], 0));
+    // A clean start has new numbers, and the answers that are still owed.
+    r.life().lose = Some((true, 4));
+    r.hand_in(0, 2, &hand(2, true, 1, "RESP"));
+    r.pass(60);
+    r.clients[0].core.who().clean = true;
+    assert_eq!(r.enter(0), Some(false));
+    r.pass(10);
+    let again: Vec<bool> = r.clients[0]
+        .heard
+        .iter()
+        .filter_map(|h| if let Heard::Told(.., dup) = h { Some(*dup) } else { None })
+        .collect();
+    assert_eq!((again, r.life().node.owed()), (vec![false], 0));
+}
+
+#[test]
+fn the_same_client_from_two_places_in_turns() {
+    let (a, b) = (Client::new(true, "c", "one"), Client::new(true, "c", "one"));
+    let mut r = Rig::new("", vec![a, b, Client::new(true, "d", "one")]);
+    r.enter(0);
+    r.enter(2);
+    for n in 1..=10 {
+        let (here, there) = (n as usize % 2, (n as usize + 1) % 2);
+        assert_eq!(r.enter(here), Some(true), "the session goes over");
+        assert!(r.clients[there].conn.is_none());
+        assert!(r.clients[there].heard.contains(&Heard::Bye(0x8E)), "{:?}", r.clients[there].heard);
+        r.hand_in(here, n, &hand(n, true, 1, "RESP"));
+        if n % 3 == 0 {
+            // The other place takes over before the answer is there.
+            r.enter(there);
+            r.enter(here);
+        }
+        r.pass(60);
+    }
+    let told: usize = r.clients.iter().map(|c| c.answers.len()).sum();
+    assert_eq!((told, r.life().node.owed()), (10, 0));
+    assert!(r.clients[2].conn.is_some(), "another client of the same name has nothing to do with it");
+}
+
+#[test]
+fn a_message_handed_in_over_smpp_is_asked_about_over_mqtt() {
+    let mut r = Rig::new("", vec![Client::new(true, "c", "one"), Client::new(true, "d", "two")]);
+    let mut out = BytesMut::new();
+    let mut smpp = SmppClient::bind(r.now, LIMITS, Mode::Transceiver, "c", "secret", &mut out);
+    let now = r.now;
+    let conn = r.life().node.accepted(now, Speaks::Smpp, &out).unwrap();
+    out.clear();
+    let s = Submission {
+        service: "PAY".into(),
+        destination: "1000001".into(),
+        wanted: Wanted::Never,
+        body: b"7".to_vec(),
+        ..Submission::default()
+    };
+    smpp.request(now, s.submit(None), &mut out);
+    r.life().node.received(now, conn, &out);
+    r.pass(2);
+    let octets = r.life().node.pending(conn).to_vec();
+    let mut events = Vec::new();
+    smpp.receive(now, &octets, &mut BytesMut::new(), &mut events);
+    let id = events.iter().find_map(|e| match e {
+        heronroute_smpp::client::Event::Response { id, .. } if !id.is_empty() => Some(id.clone()),
+        _ => None,
+    });
+    let id = id.unwrap_or_else(|| r.ran[&7][0].clone());
+    r.enter(0);
+    r.enter(1);
+    let ask = |topic: &str| Hand {
+        topic: format!("{topic}/{id}"),
+        qos: 1,
+        response: Some("answers/of/mine".into()),
+        correlation: b"q".to_vec(),
+        ..Hand::default()
+    };
+    for i in [0, 1] {
+        r.hand_in(i, 0, &ask("ask"));
+    }
+    r.pass(40);
+    r.hand_in(0, 0, &ask("ask"));
+    r.hand_in(0, 0, &ask("withdraw"));
+    r.pass(5);
+    let told = |c: &Client| -> Vec<String> {
+        let each = |h: &Heard| match h {
+            Heard::Told(topic, text, c, ..) if topic == "answers/of/mine" && c == b"q" => Some(text.clone()),
+            _ => None,
+        };
+        c.heard.iter().filter_map(each).collect()
+    };
+    let mine = told(&r.clients[0]);
+    assert_eq!(mine[1..], [format!("id:{id} stat:DELIVRD"), "stat:NOTFOUND".to_string()], "{mine:?}");
+    assert!(mine[0].ends_with("stat:ENROUTE") || mine[0].ends_with("stat:DELIVRD"));
+    assert_eq!(told(&r.clients[1]), ["stat:NOTFOUND"], "another's message does not exist");
+}
+
+#[test]
+fn what_is_refused_is_said_in_the_words_of_the_version() {
+    let mut r = Rig::new("", vec![Client::new(true, "c", "five"), Client::new(false, "c", "three")]);
+    r.enter(0);
+    r.enter(1);
+    // Class and address are unknown.
+    let wrong = |five: bool, qos: u8| Hand { topic: "to/9/WHAT//9".into(), ..hand(9, five, qos, "") };
+    for qos in [1, 2] {
+        r.hand_in(0, 9, &wrong(true, qos));
+        r.hand_in(1, 9, &wrong(false, qos));
+        r.pass(5);
+    }
+    let five: Vec<&Heard> = r.clients[0].heard.iter().filter(|h| matches!(h, Heard::Acked(..))).collect();
+    assert!(five.iter().all(|h| matches!(h, Heard::Acked(_, 0x90, None))) && five.len() == 2, "{five:?}");
+    assert!(r.clients[0].answers.is_empty());
+    // Version 3.1.1 has no refusal: it is acknowledged and answered; each was handed in as a message of its own.
+    assert_eq!(r.clients[1].answers[&9].len(), 2);
+    assert!(r.clients[1].answers[&9].iter().all(|a| a.1 == "UNDELIV"), "{:?}", r.clients[1].answers);
+    // And stays refused after a restart, under the same identity.
+    r.life().lose = Some((false, 4));
+    r.hand_in(1, 9, &wrong(false, 1));
+    r.pass(5);
+    r.crash();
+    r.enter(1);
+    r.pass(10);
+    let ids: BTreeSet<&String> = r.clients[1].answers[&9].iter().map(|a| &a.0).collect();
+    assert_eq!((ids.len(), r.life().node.owed()), (3, 0));
+    assert!(r.ran.is_empty());
+}
+
+#[test]
+fn a_client_that_takes_no_answers_is_held_to_its_room_and_harms_nobody() {
+    let (mute, old, well) =
+        (Client::new(true, "c", "mute"), Client::new(false, "c", "old"), Client::new(true, "d", "well"));
+    let mut r = Rig::new("", vec![mute, old, well]);
+    let mut cfg = r.cfg.as_ref().clone();
+    cfg.service.owed_room = 20;
+    r.cfg = Arc::new(cfg);
+    r.crash();
+    (0..3).for_each(|i| _ = r.enter(i));
+    // Two that never acknowledge an answer, of one client; and one of another client beside them.
+    for i in [0, 1] {
+        r.clients[i].deaf = true;
+    }
+    let mut refused = 0;
+    for n in 1..=40 {
+        for (i, from) in [(0, 0), (1, 1_000), (2, 2_000)] {
+            if r.clients[i].conn.is_some() {
+                let five = i != 1;
+                r.hand_in(i, from + 2 * n, &hand(from + 2 * n, five, 1, "RESP"));
+            }
+        }
+        r.pass(20);
+        assert!(r.life().node.owed() + r.life().node.open() <= 22);
+        refused += r.clients[0].heard.drain(..).filter(|h| matches!(h, Heard::Acked(_, 0x97, _))).count();
+    }
+    assert!(refused > 10, "{refused}");
+    assert!(r.clients[1].conn.is_none(), "what can be neither refused nor answered ends the connection");
+    assert_eq!(r.clients[2].answers.len(), 40, "the other client is served as ever");
+    // Once they listen, all that was acknowledged is answered.
+    for i in [0, 1] {
+        r.clients[i].deaf = false;
+        r.cut(i);
+        r.enter(i);
+    }
+    r.pass(60);
+    r.pass(300);
+    assert_eq!(r.life().node.owed(), 0);
+    for i in [0, 1] {
+        let c = &r.clients[i];
+        assert!(c.acked.iter().all(|n| c.answers.contains_key(n)));
+    }
+}
+
+#[test]
+fn a_name_given_twice_is_one_message_also_from_another_session() {
+    let mut r = Rig::new(
+        "remember: \"1s\"",
+        vec![Client::new(true, "c", "one"), Client::new(false, "c", "two"), Client::new(true, "d", "x")],
+    );
+    (0..3).for_each(|i| _ = r.enter(i));
+    let named = |five: bool| Hand { topic: "to/1000001/PAY//order-7".into(), ..hand(7, five, 1, "PAY") };
+    r.hand_in(0, 7, &named(true));
+    r.hand_in(1, 7, &named(false));
+    r.crash();
+    // Not everything was durable; what is handed in again now is one message again.
+    (0..3).for_each(|i| _ = r.enter(i));
+    r.hand_in(0, 7, &named(true));
+    r.hand_in(1, 7, &named(false));
+    r.pass(40);
+    assert_eq!(r.ran[&7].len(), 1, "{:?}", r.ran);
+    r.crash();
+    (0..3).for_each(|i| _ = r.enter(i));
+    r.hand_in(1, 7, &named(false));
+    r.hand_in(2, 7, &named(true));
+    r.pass(40);
+    assert_eq!(r.ran[&7].len(), 2, "another client's name is another message");
+    r.pass(1_100);
+    r.hand_in(0, 7, &named(true));
+    r.pass(40);
+    assert_eq!(r.ran[&7].len(), 3, "its span is over");
+}
+
+#[test]
+fn sessions_end_in_time_and_make_room() {
+    let many = (0..4).map(|i| Client::new(true, "c", &format!("s{i}"))).collect();
+    let mut r = Rig::new("sessions: 3 expiry: \"2s\"", many);
+    for i in 0..3 {
+        assert_eq!(r.enter(i), Some(false));
+    }
+    r.enter(3);
+    assert!(r.clients[3].conn.is_none(), "all are here: there is no room for a fourth connection");
+    r.cut(1);
+    r.pass(5);
+    r.cut(0);
+    assert_eq!(r.enter(3), Some(false), "the one left longest ago gives way");
+    r.cut(3);
+    assert_eq!(r.enter(0), Some(true));
+    assert_eq!(r.enter(1), Some(false));
+    r.cut(0);
+    r.pass(2_100);
+    assert_eq!(r.enter(0), Some(false), "its time is up");
+    assert_eq!(r.stats().accepted, 0);
+}
--- a/crates/engine/tests/node.rs
+++ b/crates/engine/tests/node.rs
@@ -2,6 +2,7 @@
 
 use bytes::BytesMut;
 use heronroute_config::parse;
+use heronroute_engine::front::Speaks;
 use heronroute_engine::{ConnId, Gone, Node, Output, Start};
 use heronroute_http::write_response;
 use heronroute_smpp::client::{Event, Session};
@@ -36,7 +37,7 @@
 fn hand_in(node: &mut Node) -> (ConnId, Session) {
     let mut out = BytesMut::new();
     let mut session = Session::bind(0, LIMITS, Mode::Transceiver, "c", "p", &mut out);
-    let conn = node.accepted(0, &out).unwrap();
+    let conn = node.accepted(0, Speaks::Smpp, &out).unwrap();
     out.clear();
     let s = Submission {
         service: "PAY".into(),
--- a/crates/journal/src/book.rs
+++ b/crates/journal/src/book.rs
@@ -1,7 +1,10 @@
 //! The book: what the entries add up to. Open messages, answers not yet taken, what is known of places.
 
-use crate::entry::{Accepted, Answer, Entry, Intent, Place, Taken, What};
-use std::collections::BTreeMap;
+use crate::entry::{Accepted, Answer, Entry, Intent, Named, Place, Request, Session, Taken, What};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Names that are kept at most; beyond them the oldest are forgotten, and that is known.
+const NAMES: usize = 1 << 20;
 
 /// A message whose answer was not taken yet.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +30,21 @@
     pub places: BTreeMap<String, Place>,
     /// Above all numbers given so far.
     pub next_id: u64,
+    /// Sessions by client and name.
+    pub sessions: BTreeMap<(String, String), Kept>,
+    /// Names that clients gave their messages, oldest first.
+    pub names: VecDeque<Named>,
+    /// Names that would count until then may have been forgotten.
+    pub forgot: i64,
+}
+
+/// A session that outlives connections.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    /// As it was written last.
+    pub session: Session,
+    /// The latest requests, at most a window.
+    pub latest: VecDeque<Request>,
 }
 
 impl Book {
@@ -35,7 +53,20 @@
         match &entry.what {
             Some(What::Accepted(a)) => {
                 self.next_id = self.next_id.max(a.id + 1);
-                let open = Open { accepted: a.clone(), attempts: 0, may_run: None, out: None, answer: None };
+                if a.packet > 0
+                    && let Some(kept) = self.sessions.get_mut(&(a.client.clone(), a.mailbox.clone()))
+                {
+                    kept.latest.push_back(Request { packet: a.packet, digest: a.digest, id: a.id });
+                    while kept.latest.len() > kept.session.window as usize {
+                        kept.latest.pop_front();
+                    }
+                }
+                if let Some(named) = a.named {
+                    self.name(named, a.taken);
+                }
+                // Its place in its session and its name stand on their own from here on.
+                let accepted = Accepted { packet: 0, digest: 0, named: None, ..a.clone() };
+                let open = Open { accepted, attempts: 0, may_run: None, out: None, answer: None };
                 self.open.insert(a.id, open);
             }
             Some(What::Intent(i)) => {
@@ -68,10 +99,42 @@
                     self.places.insert(p.endpoint.clone(), p.clone());
                 }
             }
+            Some(What::Session(s)) => self.session(s),
+            Some(What::Named(n)) => self.name(*n, i64::MIN),
             None => {}
         }
     }
 
+    fn session(&mut self, s: &Session) {
+        let key = (s.client.clone(), s.name.clone());
+        if s.expiry == 0 {
+            self.sessions.remove(&key);
+            return;
+        }
+        let kept = self.sessions.entry(key).or_default();
+        if kept.session.began != s.began || !s.latest.is_empty() {
+            kept.latest = s.latest.iter().copied().collect();
+        }
+        kept.session = Session { latest: Vec::new(), ..s.clone() };
+    }
+
+    fn name(&mut self, named: Named, now: i64) {
+        if named.id == 0 {
+            // No message: what was forgotten.
+            self.forgot = self.forgot.max(named.until);
+            return;
+        }
+        self.names.push_back(named);
+        while let Some(first) = self.names.front().copied() {
+            if self.names.len() > NAMES {
+                self.forgot = self.forgot.max(first.until);
+            } else if first.until >= now {
+                break;
+            }
+            self.names.pop_front();
+        }
+    }
+
     /// Entries that make the same book anew.
     pub fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
         let messages = self.open.values().flat_map(|o| {
@@ -96,6 +159,14 @@
             }
             list
         });
-        messages.chain(self.places.values().map(|p| What::Place(p.clone()).into()))
+        let sessions = self.sessions.values().map(|k| {
+            let latest = k.latest.iter().copied().collect();
+            What::Session(Session { latest, ..k.session.clone() }).into()
+        });
+        let forgot = Named { until: self.forgot, ..Named::default() };
+        let forgot = Some(forgot).filter(|f| f.until > 0);
+        let names = forgot.into_iter().chain(self.names.iter().copied()).map(|n| What::Named(n).into());
+        let places = self.places.values().map(|p| What::Place(p.clone()).into());
+        sessions.chain(names).chain(messages).chain(places)
     }
 }
--- a/crates/journal/src/entry.rs
+++ b/crates/journal/src/entry.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Entry {
     /// What it tells.
-    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub what: Option<What>,
 }
 
@@ -29,6 +29,12 @@
     /// What was learnt of an endpoint, as far as the rules need it after a restart.
     #[prost(message, tag = "6")]
     Place(Place),
+    /// A client's session that outlives connections, as it is from now on.
+    #[prost(message, tag = "7")]
+    Session(Session),
+    /// A name that a client gave a message that is over.
+    #[prost(message, tag = "8")]
+    Named(Named),
 }
 
 impl From<What> for Entry {
@@ -76,6 +82,27 @@
     pub coding: u32,
     #[prost(uint32, tag = "15")]
     pub esm: u32,
+    /// The client's session that is owed the answer; empty where any of its sessions is.
+    #[prost(string, tag = "16")]
+    pub mailbox: String,
+    /// Where the answer goes in the client's protocol.
+    #[prost(string, tag = "17")]
+    pub reply: String,
+    /// What comes back with it.
+    #[prost(bytes = "vec", tag = "18")]
+    pub correlation: Vec<u8>,
+    /// The protocol's number of the request, 0 for none.
+    #[prost(uint32, tag = "19")]
+    pub packet: u32,
+    /// A digest of the request.
+    #[prost(fixed64, tag = "20")]
+    pub digest: u64,
+    /// The client's own name of the message.
+    #[prost(message, optional, tag = "21")]
+    pub named: Option<Named>,
+    /// It was never to be sent: only its refusal was.
+    #[prost(bool, tag = "22")]
+    pub refused: bool,
 }
 
 /// An attempt that may leave from now on.
@@ -135,3 +162,54 @@
     #[prost(int64, tag = "3")]
     pub bad_since: i64,
 }
+
+/// A session that outlives connections.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Session {
+    /// The client, by system_id.
+    #[prost(string, tag = "1")]
+    pub client: String,
+    /// The session's name among the client's.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// When it began; another time is another session.
+    #[prost(int64, tag = "3")]
+    pub began: i64,
+    /// Kept so long without a connection; 0: it is over.
+    #[prost(int64, tag = "4")]
+    pub expiry: i64,
+    /// What its protocol keeps with it.
+    #[prost(bytes = "vec", tag = "5")]
+    pub notes: Vec<u8>,
+    /// Requests that its client may send again.
+    #[prost(uint32, tag = "6")]
+    pub window: u32,
+    /// The latest of them, oldest first. In snapshots only.
+    #[prost(message, repeated, tag = "7")]
+    pub latest: Vec<Request>,
+}
+
+/// A request of a session.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Request {
+    #[prost(uint32, tag = "1")]
+    pub packet: u32,
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    #[prost(uint64, tag = "3")]
+    pub id: u64,
+}
+
+/// A client's own name of a message, as a digest.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Named {
+    #[prost(fixed64, tag = "1")]
+    pub high: u64,
+    #[prost(fixed64, tag = "2")]
+    pub low: u64,
+    #[prost(uint64, tag = "3")]
+    pub id: u64,
+    /// It counts until then.
+    #[prost(int64, tag = "4")]
+    pub until: i64,
+}
--- a/crates/journal/src/tool.rs
+++ b/crates/journal/src/tool.rs
@@ -85,6 +85,7 @@
         What::Outcome(o) => o.id,
         What::Answer(a) => a.id,
         What::Taken(t) => t.id,
-        What::Place(_) => return None,
+        What::Place(_) | What::Session(_) => return None,
+        What::Named(n) => n.id,
     })
 }
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -20,12 +20,19 @@
             if open.is_empty() || below(3) == 0 {
                 next += 1;
                 let body = vec![7; below(60) as usize];
-                batch.push(What::Accepted(Accepted { id: next, body, ..Accepted::default() }).into());
+                let (client, mailbox) = ("c".to_string(), format!("s{}", below(3)));
+                let taken = next as i64;
+                let named =
+                    (below(2) == 0).then_some(Named { high: next, low: 1, id: next, until: taken + 20 });
+                let packet = below(4) as u32;
+                let accepted =
+                    Accepted { id: next, body, client, mailbox, taken, packet, named, ..Accepted::default() };
+                batch.push(What::Accepted(accepted).into());
                 open.push(next);
             }
             let at = below(open.len() as u64) as usize;
             let id = open[at];
-            let what = match below(6) {
+            let what = match below(8) {
                 0 | 1 => What::Intent(Intent { id, endpoint: format!("e{}", below(3)), at: 5 }),
                 2 => What::Outcome(Outcome { id, never_ran: below(2) == 0 }),
                 3 => What::Answer(Answer { id, word: "DELIVRD".into(), retry_after: -1, at: 9 }),
@@ -33,6 +40,15 @@
                     open.swap_remove(at);
                     What::Taken(Taken { id })
                 }
+                5 | 6 => What::Session(Session {
+                    client: "c".into(),
+                    name: format!("s{}", below(3)),
+                    began: below(3) as i64,
+                    expiry: below(3) as i64,
+                    notes: vec![1; below(9) as usize],
+                    window: 4,
+                    latest: Vec::new(),
+                }),
                 _ => What::Place(Place {
                     endpoint: format!("e{}", below(3)),
                     wait_until: below(3) as i64,
@@ -58,7 +74,7 @@
 }
 
 fn same(a: &Book, b: &Book) -> bool {
-    a.open == b.open && a.places == b.places
+    a.open == b.open && a.places == b.places && a.sessions == b.sessions && a.names == b.names
 }
 
 /// Runs a workload until the disk goes dark; gives how many batches were called durable, and the disk.
--- a/crates/net/src/door.rs
+++ b/crates/net/src/door.rs
@@ -3,7 +3,9 @@
 use crate::clock::Clock;
 use crate::reactor::Command;
 use crate::socket::{Progress, read_some};
+use heronroute_engine::front::Speaks;
 use heronroute_engine::home::home;
+use heronroute_mqtt::peek::user_name;
 use heronroute_smpp::server::peek_system_id;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -39,8 +41,9 @@
     octets: Vec<u8>,
 }
 
-/// The door's thread.
+/// The door's thread: one for each front.
 pub struct Door {
+    speaks: Speaks,
     listener: TcpListener,
     poll: Poll,
     ways: Vec<Way>,
@@ -55,6 +58,7 @@
 
 impl Door {
     pub fn new(
+        speaks: Speaks,
         mut listener: TcpListener,
         ways: Vec<Way>,
         init: i64,
@@ -65,7 +69,7 @@
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKE)?);
         let (unknown, due) = (BTreeMap::new(), VecDeque::new());
-        Ok((Door { listener, poll, ways, unknown, due, next: FIRST, init, clock, closing }, waker))
+        Ok((Door { speaks, listener, poll, ways, unknown, due, next: FIRST, init, clock, closing }, waker))
     }
 
     /// Runs until the service closes its door.
@@ -138,14 +142,18 @@
             self.unknown.remove(&n);
             return;
         }
-        let Some(system_id) = peek_system_id(&u.octets, FIRST_READ) else { return };
+        let named = match self.speaks {
+            Speaks::Smpp => peek_system_id(&u.octets, FIRST_READ),
+            Speaks::Mqtt => user_name(&u.octets, FIRST_READ),
+        };
+        let Some(name) = named else { return };
         let Some(mut u) = self.unknown.remove(&n) else { return };
         self.due.retain(|(_, other)| *other != n);
         if self.poll.registry().deregister(&mut u.stream).is_err() {
             return;
         }
-        // One that does not begin with a bind goes to a sender all the same: there it is answered properly.
-        let way = &self.ways[home(&system_id, self.ways.len())];
-        way.tell(Command::Client(u.stream, u.octets));
+        // One that does not say who it is goes to a sender all the same: there it is answered properly.
+        let way = &self.ways[home(&name, self.ways.len())];
+        way.tell(Command::Client(self.speaks, u.stream, u.octets));
     }
 }
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::socket::{Progress, read_some, write_some};
 use heronroute_config::Config;
+use heronroute_engine::front::Speaks;
 use heronroute_engine::{ConnId, Gone, Node, Output, Stats};
 use heronroute_journal::{Entry, Usage};
 use mio::net::TcpStream;
@@ -22,7 +23,7 @@
 /// What a sender's thread is told from outside.
 pub enum Command {
     /// A client, with what it sent so far.
-    Client(TcpStream, Vec<u8>),
+    Client(Speaks, TcpStream, Vec<u8>),
     /// New settings; the answer names what could not be taken over.
     Reload(Arc<Config>, Sender<Vec<&'static str>>),
     /// Go out of service.
@@ -147,8 +148,8 @@
                 }
             };
             match command {
-                Command::Client(stream, octets) => {
-                    if let Some(conn) = self.node.accepted(self.clock.now(), &octets) {
+                Command::Client(speaks, stream, octets) => {
+                    if let Some(conn) = self.node.accepted(self.clock.now(), speaks, &octets) {
                         self.register(conn, stream, false);
                     }
                 }
@@ -212,7 +213,9 @@
         if socket.finishing || !self.node.wants_read(conn) {
             return;
         }
-        let progress = read_some(&mut socket.stream, &mut self.buffer, socket.ending);
+        // A client that floods is read in smaller pieces, so that others' turns come soon.
+        let turn = self.node.turn(conn).min(self.buffer.len());
+        let progress = read_some(&mut socket.stream, &mut self.buffer[..turn], socket.ending);
         let now = self.clock.now();
         let (n, gone) = match progress {
             Progress::Blocked(n) => {
--- a/crates/net/src/service.rs
+++ b/crates/net/src/service.rs
@@ -5,6 +5,7 @@
 use crate::reactor::{Command, Reactor};
 use crate::scribe;
 use heronroute_config::Config;
+use heronroute_engine::front::Speaks;
 use heronroute_engine::{Node, Start, Stats};
 use heronroute_journal::Journal;
 use heronroute_journal::dir::Dir;
@@ -44,11 +45,11 @@
 /// A running service.
 pub struct Service {
     address: SocketAddr,
+    mqtt: Option<SocketAddr>,
     ways: Vec<Way>,
     shown: Vec<Arc<Mutex<Stats>>>,
     threads: Vec<JoinHandle<io::Result<()>>>,
-    door: Option<JoinHandle<io::Result<()>>>,
-    door_waker: Arc<Waker>,
+    doors: Vec<(JoinHandle<io::Result<()>>, Arc<Waker>)>,
     closing: Arc<AtomicBool>,
 }
 
@@ -72,9 +73,13 @@
     ) -> Result<Self, StartError> {
         let clock = Clock::start();
         let journals = journals(&cfg)?;
-        let listener =
-            TcpListener::bind(cfg.smpp.listen).map_err(|e| StartError::Listen(cfg.smpp.listen, e))?;
-        let address = listener.local_addr()?;
+        let listen = |at: SocketAddr| TcpListener::bind(at).map_err(|e| StartError::Listen(at, e));
+        let mut listeners = vec![(Speaks::Smpp, listen(cfg.smpp.listen)?, cfg.smpp.session_init)];
+        if let Some(m) = &cfg.mqtt {
+            listeners.push((Speaks::Mqtt, listen(m.listen)?, m.connect_within));
+        }
+        let address = listeners[0].1.local_addr()?;
+        let mqtt = listeners.get(1).map(|l| l.1.local_addr()).transpose()?;
         let keep = cfg.directory.keep.as_ref().map(PathBuf::from);
         let kept = keep.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
         let (mut ways, mut shown, mut threads) = (Vec::new(), Vec::new(), Vec::new());
@@ -115,18 +120,26 @@
             );
         }
         let closing = Arc::new(AtomicBool::new(false));
-        let init = cfg.smpp.session_init;
-        let (door, door_waker) = Door::new(listener, ways.clone(), init, clock, closing.clone())?;
-        let door = Some(std::thread::Builder::new().name("door".into()).spawn(move || door.run())?);
+        let mut doors = Vec::new();
+        for (speaks, listener, init) in listeners {
+            let (door, waker) = Door::new(speaks, listener, ways.clone(), init, clock, closing.clone())?;
+            let name = format!("door-{speaks:?}").to_lowercase();
+            doors.push((std::thread::Builder::new().name(name).spawn(move || door.run())?, waker));
+        }
         threads.extend(scribes);
-        Ok(Service { address, ways, shown, threads, door, door_waker, closing })
+        Ok(Service { address, mqtt, ways, shown, threads, doors, closing })
     }
 
-    /// Where clients connect.
+    /// Where clients that speak SMPP connect.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Where clients that speak MQTT connect, if it is spoken.
+    pub fn mqtt_address(&self) -> Option<SocketAddr> {
+        self.mqtt
+    }
+
     /// Counts of all senders together.
     pub fn stats(&self) -> Stats {
         let mut all = Stats::default();
@@ -162,7 +175,9 @@
     /// Begins to go out of service: no new clients; what is held is answered, then sessions are unbound.
     pub fn leave(&self) {
         self.closing.store(true, Ordering::Release);
-        _ = self.door_waker.wake();
+        for (_, waker) in &self.doors {
+            _ = waker.wake();
+        }
         for way in &self.ways {
             way.tell(Command::Leave);
         }
@@ -177,7 +192,7 @@
         for thread in self.threads.drain(..) {
             thread.join().map_err(panicked)??;
         }
-        if let Some(door) = self.door.take() {
+        for (door, _) in self.doors.drain(..) {
             door.join().map_err(panicked)??;
         }
         Ok(self.stats())
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod farm;
 pub mod model;
+pub mod mqtt;
 pub mod run;
 
 /// Time in microseconds on the one clock of a run.
