--- a/crates/drill/src/bad_day.rs
+++ b/crates/drill/src/bad_day.rs
@@ -8,7 +8,9 @@
 use heronroute_standins::Micros;
 use heronroute_standins::clients::{Plan, Step};
 use heronroute_standins::farm::Speaks;
+use heronroute_standins::flock::{self, Letter, MqttPlan};
 use heronroute_standins::model::{Shape, Strike, Trouble};
+use heronroute_standins::mqtt::Who;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng as _, SeedableRng as _};
 
@@ -84,6 +86,17 @@
     }
 }
 
+/// The same for MQTT.
+fn letter(class: (&ClassSpec, usize), destination: i64, n: usize, key: Option<String>) -> flock::Step {
+    flock::Step::Submit(Letter {
+        address: format!("{destination:06}{n:06}"),
+        class: (class.0.name, class.1),
+        key,
+        body: format!("message {n}").into_bytes(),
+        qos: 1 + (n % 2) as u8,
+    })
+}
+
 /// A day of `length` with destinations of both kinds and steady traffic.
 fn plain(seed: u64, destinations: usize, rate: f64, length: Micros) -> (Day, Dice) {
     let mut dice = Dice(ChaCha8Rng::seed_from_u64(seed));
@@ -125,6 +138,15 @@
             });
         }
     }
+    // Beside them one of each version of MQTT for each client.
+    let mut mqtt: Vec<MqttPlan> = Vec::new();
+    for c in &clients {
+        for five in [true, false] {
+            let id = if five { "five" } else { "three" };
+            let who = Who::new(five, &c.system_id, id);
+            mqtt.push(MqttPlan { who, returns: true, steps: vec![(S / 5, flock::Step::Connect)] });
+        }
+    }
     let mut at = S / 2;
     let mut n = 0;
     while at < length {
@@ -134,7 +156,12 @@
         // A few destinations get much of the traffic.
         let destination = 1 + (dice.part().powi(2) * destinations as f64) as i64;
         let key = classes[class].ordered.then(|| format!("k{}", dice.below(6)));
-        let plan = dice.below(plans.len());
+        let plan = dice.below(plans.len() + mqtt.len());
+        if let Some(plan) = plan.checked_sub(plans.len()) {
+            let key = key.map(|k| format!("m{k}"));
+            mqtt[plan].steps.push((at, letter((&classes[class], class), destination, n, key)));
+            continue;
+        }
         // Keys are in order within one session; several sessions race before they are accepted.
         let plan = if key.is_some() { plan / 2 * 2 } else { plan };
         let mut s = submission(&classes[class], destination, n, key);
@@ -150,6 +177,7 @@
         clients,
         destinations: list,
         plans,
+        mqtt,
         directory_errors: Vec::new(),
         stalls: Vec::new(),
         until: length + 12 * S,
@@ -259,6 +287,9 @@
     for p in &mut day.plans {
         p.steps.sort_by_key(|s| s.0);
     }
+    for p in &mut day.mqtt {
+        p.steps.sort_by_key(|s| s.0);
+    }
     let classes = names(&day);
     Ok(BadDay { day, troubles, classes })
 }
@@ -342,6 +373,12 @@
                 let burst = kind == "burst";
                 let destination = if burst { number } else { 1 + dice.below(day.destinations.len()) as i64 };
                 let plan = if burst { dice.below(day.plans.len()) } else { hot };
+                if burst && dice.part() < 0.4 {
+                    let plan = dice.below(day.mqtt.len());
+                    let class = (&day.classes[class], class);
+                    day.mqtt[plan].steps.push((at, letter(class, destination, n, None)));
+                    continue;
+                }
                 let s = submission(&day.classes[class], destination, n, None);
                 day.plans[plan].steps.push((at, Step::Submit(Box::new(s), class)));
             }
@@ -353,6 +390,13 @@
             format!("pause: sender {sender} stands still, {span}")
         }
         "unbind" | "cut" => {
+            // An MQTT client goes and comes back.
+            let plan = dice.below(day.mqtt.len());
+            let back = to.min(length);
+            let p = &mut day.mqtt[plan];
+            p.steps.push((from, if kind == "unbind" { flock::Step::Leave } else { flock::Step::Cut }));
+            p.steps.push((back, flock::Step::Connect));
+            let other = format!("{}/{}", p.who.user, p.who.id);
             // The transceiver of a client goes and comes back.
             let plan = dice.below(day.plans.len() / 2) * 2;
             let back = to.min(length);
@@ -360,7 +404,7 @@
             p.steps.retain(|s| s.0 < from || s.0 > back + S / 10);
             p.steps.push((from, if kind == "unbind" { Step::Unbind } else { Step::Cut }));
             p.steps.push((back, Step::Bind(Mode::Transceiver)));
-            format!("{kind}: {} is away, {span}", p.system_id)
+            format!("{kind}: {} and {other} are away, {span}", p.system_id)
         }
         _ => return None,
     })
--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -52,6 +52,9 @@
         outcome.refused.len(),
         outcome.record.unheard
     );
+    for (at, what) in outcome.wrong.iter().take(10) {
+        _ = writeln!(t, "{:.3} s: {what}", *at as f64 / 1e6);
+    }
     let list = |names: &[&str], counts: &[u64]| {
         let pairs = names.iter().zip(counts).filter(|(_, c)| **c > 0);
         pairs.map(|(n, c)| format!("{n} {c}")).collect::<Vec<_>>().join(", ")
--- a/crates/drill/tests/hard_cases.rs
+++ b/crates/drill/tests/hard_cases.rs
@@ -49,6 +49,7 @@
         clients: vec![ClientSpec { system_id: "oduya".into(), rate: 0.0 }],
         destinations,
         plans,
+        mqtt: Vec::new(),
         directory_errors: Vec::new(),
         stalls: Vec::new(),
         until: 15 * S,
--- /dev/null
+++ b/crates/standins/src/flock.rs
@@ -0,0 +1,414 @@
+//! Clients that speak MQTT: sessions with scripted steps, and a record of what they were told.
+
+use crate::Micros;
+use crate::actor::{Actor, Ask, Conn};
+use crate::clients::Refused;
+use crate::mqtt::{Hand, Heard, MqttClient, Who, field};
+use bytes::BytesMut;
+use heronroute_audit::{Away, Submission, Told};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// A message of a client.
+#[derive(Clone, Debug)]
+pub struct Letter {
+    /// The destination address.
+    pub address: String,
+    /// Name of its class, and its index.
+    pub class: (&'static str, usize),
+    /// Its key.
+    pub key: Option<String>,
+    /// Its payload.
+    pub body: Vec<u8>,
+    /// The quality of service, 1 or 2.
+    pub qos: u8,
+}
+
+/// What a client does.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Connects, and subscribes where its session is new.
+    Connect,
+    /// Hands in a message.
+    Submit(Letter),
+    /// Takes its leave.
+    Leave,
+    /// Drops its connection.
+    Cut,
+    /// Writes octets as they are.
+    Raw(Vec<u8>),
+}
+
+/// One client.
+#[derive(Clone, Debug)]
+pub struct MqttPlan {
+    /// Who it is.
+    pub who: Who,
+    /// Where its connection is lost it connects again, as often as need be.
+    pub returns: bool,
+    /// What it does when, in order of time.
+    pub steps: Vec<(Micros, Step)>,
+}
+
+struct Run {
+    plan: MqttPlan,
+    at: usize,
+    core: MqttClient,
+    conn: Option<Conn>,
+    inside: bool,
+    /// It has subscribed on this connection, or its session has.
+    ready: bool,
+    /// Publications without an acknowledgement: letter by packet identifier.
+    asked: BTreeMap<u16, usize>,
+    /// What waits for the connection, or for room in its window.
+    held: VecDeque<(Micros, Letter)>,
+}
+
+struct Sent {
+    letter: Letter,
+    at: Micros,
+    client: usize,
+    /// Its place among the accepted.
+    accepted: Option<usize>,
+}
+
+/// All MQTT clients of a run.
+pub struct Flock {
+    address: SocketAddr,
+    runs: Vec<Run>,
+    by_conn: BTreeMap<Conn, usize>,
+    agenda: BTreeSet<(Micros, usize)>,
+    asks: Vec<Ask>,
+    deadlines: Vec<Micros>,
+    until: Micros,
+    sent: Vec<Sent>,
+    /// What was accepted, and how it was answered.
+    pub accepted: Vec<Submission>,
+    /// What was turned away.
+    pub refused: Vec<Refused>,
+    /// Publications whose acknowledgement never came.
+    pub unheard: usize,
+    /// Answers to what nobody handed in.
+    pub strays: Vec<(Micros, String)>,
+    /// Spans in which clients were away.
+    pub away: Vec<Away>,
+    /// Errors of the clients' state machines, and connections ended by the service with a code.
+    pub wrong: Vec<(Micros, String)>,
+    gone: BTreeMap<usize, Micros>,
+    now: Micros,
+    waiting: usize,
+    started: usize,
+}
+
+impl Flock {
+    /// Clients of a service; `deadlines`: of the classes, by index. They wait for answers until a time.
+    pub fn new(address: SocketAddr, plans: Vec<MqttPlan>, deadlines: Vec<Micros>, until: Micros) -> Self {
+        let make = |plan: MqttPlan| Run {
+            core: MqttClient::new(plan.who.clone()),
+            plan,
+            at: 0,
+            conn: None,
+            inside: false,
+            ready: false,
+            asked: BTreeMap::new(),
+            held: VecDeque::new(),
+        };
+        let runs: Vec<Run> = plans.into_iter().map(make).collect();
+        let first = |(i, r): (usize, &Run)| r.plan.steps.first().map(|s| (s.0, i));
+        let agenda = runs.iter().enumerate().filter_map(first).collect();
+        let gone = (0..runs.len()).map(|i| (i, 0)).collect();
+        Flock {
+            address,
+            runs,
+            by_conn: BTreeMap::new(),
+            agenda,
+            asks: Vec::new(),
+            deadlines,
+            until,
+            sent: Vec::new(),
+            accepted: Vec::new(),
+            refused: Vec::new(),
+            unheard: 0,
+            strays: Vec::new(),
+            away: Vec::new(),
+            wrong: Vec::new(),
+            gone,
+            now: 0,
+            waiting: 0,
+            started: 0,
+        }
+    }
+
+    fn name(&self, i: usize) -> String {
+        let who = &self.runs[i].plan.who;
+        format!("{}/{}", who.user, who.id)
+    }
+
+    fn step(&mut self, now: Micros, i: usize, step: Step) {
+        let run = &mut self.runs[i];
+        match step {
+            Step::Connect => {
+                self.started += 1;
+                self.asks.push(Ask::Connect { tag: i, address: self.address });
+            }
+            Step::Submit(letter) => {
+                run.held.push_back((now, letter));
+                self.hand_in(now, i);
+            }
+            Step::Leave => {
+                let mut out = BytesMut::new();
+                run.core.disconnect(&mut out);
+                if let Some(conn) = run.conn {
+                    self.write(conn, &out);
+                    self.asks.push(Ask::Close(conn));
+                }
+                self.lost(now, i);
+            }
+            Step::Cut => {
+                if let Some(conn) = run.conn {
+                    self.asks.push(Ask::Drop(conn));
+                }
+                self.lost(now, i);
+            }
+            Step::Raw(octets) => {
+                if let Some(conn) = run.conn {
+                    self.asks.push(Ask::Write(conn, octets));
+                }
+            }
+        }
+    }
+
+    /// Hands in what waits, as far as the window allows.
+    fn hand_in(&mut self, now: Micros, i: usize) {
+        let run = &mut self.runs[i];
+        let mut out = BytesMut::new();
+        while run.ready && run.core.room() > 0 {
+            let Some((planned, letter)) = run.held.pop_front() else { break };
+            let n = self.sent.len();
+            let five = run.plan.who.five;
+            let key = letter.key.clone().unwrap_or_default();
+            let name = if five { String::new() } else { format!("{}-{n}", run.plan.who.id) };
+            let topic = format!("to/{}/{}/{key}/{name}", letter.address, letter.class.0);
+            let hand = Hand {
+                topic: topic.trim_end_matches('/').to_string(),
+                payload: letter.body.clone(),
+                qos: letter.qos,
+                correlation: if five { n.to_string().into_bytes() } else { Vec::new() },
+                ..Hand::default()
+            };
+            let packet = run.core.publish(&hand, &mut out);
+            if packet == 0 {
+                run.held.push_front((planned, letter));
+                break;
+            }
+            run.asked.insert(packet, n);
+            self.sent.push(Sent { letter, at: now, client: i, accepted: None });
+        }
+        if let Some(conn) = run.conn {
+            self.write(conn, &out);
+        }
+    }
+
+    fn write(&mut self, conn: Conn, out: &BytesMut) {
+        if !out.is_empty() {
+            self.asks.push(Ask::Write(conn, out.to_vec()));
+        }
+    }
+
+    /// The connection is gone.
+    fn lost(&mut self, now: Micros, i: usize) {
+        let run = &mut self.runs[i];
+        if let Some(conn) = run.conn.take() {
+            self.by_conn.remove(&conn);
+            run.core.closed();
+        }
+        (run.inside, run.ready) = (false, false);
+        self.gone.entry(i).or_insert(now);
+    }
+
+    fn ready(&mut self, now: Micros, i: usize) {
+        self.runs[i].ready = true;
+        if let Some(from) = self.gone.remove(&i) {
+            self.away.push(Away { client: self.name(i), from, to: now });
+        }
+        self.hand_in(now, i);
+    }
+
+    fn heard(&mut self, now: Micros, i: usize, heard: Heard) {
+        match heard {
+            Heard::In(present) => {
+                let run = &mut self.runs[i];
+                run.inside = true;
+                if present {
+                    return self.ready(now, i);
+                }
+                self.unheard += run.asked.len();
+                run.asked.clear();
+                let mut out = BytesMut::new();
+                run.core.subscribe("answers/#", 1, &mut out);
+                if let Some(conn) = run.conn {
+                    self.write(conn, &out);
+                }
+            }
+            Heard::Subscribed(_) => self.ready(now, i),
+            Heard::Acked(packet, code, id) => {
+                if let Some(n) = self.runs[i].asked.remove(&packet) {
+                    if code < 0x80 {
+                        self.accept(now, n, id);
+                    } else {
+                        self.refused.push(Refused { at: now, status: u32::from(code) });
+                    }
+                }
+                self.hand_in(now, i);
+            }
+            Heard::Completed(_) => self.hand_in(now, i),
+            Heard::Told(_, text, correlation, ..) => self.told(now, i, &text, &correlation),
+            Heard::Refused(code) => {
+                self.wrong.push((now, format!("{} was turned away: {code}", self.name(i))))
+            }
+            Heard::Bye(code) if code != 0x8B => {
+                self.wrong.push((now, format!("{} was sent away: {code}", self.name(i))))
+            }
+            Heard::Bye(_) => {}
+            Heard::Wrong(what) => self.wrong.push((now, format!("{}: {what}", self.name(i)))),
+        }
+    }
+
+    fn accept(&mut self, now: Micros, n: usize, id: Option<String>) -> usize {
+        let client = self.name(self.sent[n].client);
+        let sent = &mut self.sent[n];
+        if let Some(at) = sent.accepted {
+            return at;
+        }
+        let at = self.accepted.len();
+        sent.accepted = Some(at);
+        let id = id.unwrap_or_default();
+        self.accepted.push(Submission {
+            order: u64::from_str_radix(&id, 16).unwrap_or(0),
+            message: id,
+            client,
+            class: sent.letter.class.1,
+            key: sent.letter.key.clone(),
+            sent: sent.at,
+            accepted: now,
+            deadline: self.deadlines[sent.letter.class.1],
+            answers: Vec::new(),
+        });
+        self.waiting += 1;
+        at
+    }
+
+    fn told(&mut self, now: Micros, i: usize, text: &str, correlation: &[u8]) {
+        let id = field(text, "id").unwrap_or_default().to_string();
+        let name = field(text, "ref").unwrap_or_default();
+        let n = match std::str::from_utf8(correlation).ok().filter(|c| !c.is_empty()) {
+            Some(c) => c.parse::<usize>().ok(),
+            None => name.strip_prefix(&format!("{}-", self.runs[i].plan.who.id)).and_then(|n| n.parse().ok()),
+        };
+        let told = match field(text, "stat") {
+            Some("DELIVRD") => Told::Delivered,
+            Some("UNKNOWN") => Told::Unknown,
+            _ => Told::NotRun,
+        };
+        let Some(n) = n.filter(|n| self.sent.get(*n).is_some_and(|s| s.client == i)) else {
+            return self.strays.push((now, id));
+        };
+        // An answer says that the message was accepted, also where its acknowledgement was lost.
+        let at = self.accept(now, n, Some(id.clone()));
+        let a = &mut self.accepted[at];
+        if a.message.is_empty() {
+            a.order = u64::from_str_radix(&id, 16).unwrap_or(0);
+            a.message = id;
+        } else if a.message != id {
+            self.strays.push((now, id));
+            return;
+        }
+        self.waiting -= usize::from(a.answers.is_empty());
+        a.answers.push((now, told));
+    }
+
+    /// Ends the record.
+    pub fn close(&mut self) {
+        self.unheard += self.runs.iter().map(|r| r.asked.len()).sum::<usize>();
+        let now = self.now;
+        for (i, from) in std::mem::take(&mut self.gone) {
+            self.away.push(Away { client: self.name(i), from, to: now });
+        }
+    }
+
+    fn again(&mut self, now: Micros, i: usize) {
+        let run = &mut self.runs[i];
+        run.plan.steps.push((now + 50_000, Step::Connect));
+        run.plan.steps[run.at..].sort_by_key(|s| s.0);
+        self.agenda.insert((now + 50_000, i));
+    }
+}
+
+impl Actor for Flock {
+    fn accepted(&mut self, _: Micros, _: usize, _: Conn) {}
+
+    fn connected(&mut self, now: Micros, tag: usize, conn: Conn) {
+        self.now = now;
+        let run = &mut self.runs[tag];
+        let mut out = BytesMut::new();
+        run.core.connect(&mut out);
+        run.conn = Some(conn);
+        self.by_conn.insert(conn, tag);
+        self.write(conn, &out);
+    }
+
+    fn refused(&mut self, now: Micros, tag: usize) {
+        self.again(now, tag);
+    }
+
+    fn received(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
+        self.now = now;
+        let Some(i) = self.by_conn.get(&conn).copied() else { return };
+        let (mut out, mut heard) = (BytesMut::new(), Vec::new());
+        self.runs[i].core.receive(octets, &mut out, &mut heard);
+        self.write(conn, &out);
+        for h in heard {
+            self.heard(now, i, h);
+        }
+    }
+
+    fn closed(&mut self, now: Micros, conn: Conn) {
+        self.now = now;
+        if let Some(i) = self.by_conn.get(&conn).copied() {
+            self.lost(now, i);
+            if self.runs[i].plan.returns {
+                self.again(now, i);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Micros) {
+        self.now = now;
+        while let Some((at, i)) = self.agenda.first().copied().filter(|a| a.0 <= now) {
+            self.agenda.pop_first();
+            while let Some((_, step)) =
+                self.runs[i].plan.steps.get(self.runs[i].at).filter(|s| s.0 <= now).cloned()
+            {
+                self.runs[i].at += 1;
+                self.step(now, i, step);
+            }
+            if let Some((next, _)) = self.runs[i].plan.steps.get(self.runs[i].at) {
+                self.agenda.insert(((*next).max(at), i));
+            }
+        }
+    }
+
+    fn wake(&self) -> Micros {
+        self.agenda.first().map_or(self.until, |a| a.0.min(self.until))
+    }
+
+    fn asks(&mut self) -> Vec<Ask> {
+        std::mem::take(&mut self.asks)
+    }
+
+    fn finished(&self) -> bool {
+        let asked = self.runs.iter().any(|r| !r.asked.is_empty() || !r.held.is_empty());
+        let done = self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0;
+        done || self.now >= self.until
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clients;
 pub mod directory;
 pub mod farm;
+pub mod flock;
 pub mod model;
 pub mod mqtt;
 pub mod run;
