Messages that end undelivered are held: trails, listing, handing in again and giving up by MQTT

Need: what ended UNDELIV, UNKNOWN or EXPIRED is kept with its history for the client that handed it in, who alone may see it, hand it in again or give it up.

A hand-in goes under its old identity where it surely never ran or receivers still remember it, as a new one where the owner says so, and not at all where an unsafe message may have run; what went before goes along as an attempt that may have run. The audit compares trails line by line with what receivers recorded.

--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -8,8 +8,10 @@
 #![forbid(unsafe_code)]
 
 mod rules;
+mod trails;
 
 pub use rules::{Breach, RULES, Slack, check};
+pub use trails::trails;
 
 /// Time in microseconds on the one clock of all records.
 pub type Micros = i64;
--- a/crates/cli/src/days.rs
+++ b/crates/cli/src/days.rs
@@ -11,7 +11,7 @@
 }
 
 fn verdict(outcome: &Outcome) -> ExitCode {
-    if outcome.breaches.is_empty() && !outcome.record.submissions.is_empty() {
+    if outcome.breaches.is_empty() && outcome.lies.is_empty() && !outcome.record.submissions.is_empty() {
         ExitCode::SUCCESS
     } else {
         ExitCode::from(1)
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -23,6 +23,8 @@
     pub smpp: SmppConfig,
     /// The MQTT front, where it is spoken.
     pub mqtt: Option<MqttConfig>,
+    /// Messages held for their clients, where any are.
+    pub held: Option<HeldConfig>,
     /// The directory.
     pub directory: DirectoryConfig,
     /// The journal.
@@ -67,6 +69,19 @@
     pub weight: f64,
 }
 
+/// Messages held for their clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldConfig {
+    /// Kept so long.
+    pub age: i64,
+    /// Of each client.
+    pub count: usize,
+    /// Octets of each client.
+    pub octets: u64,
+    /// Trails of other messages.
+    pub trails: usize,
+}
+
 /// The front that speaks MQTT.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MqttConfig {
@@ -242,6 +257,7 @@
     let mut c = Check::default();
     let smpp = smpp(&mut c, raw.smpp.unwrap_or_default());
     let mqtt = mqtt(&mut c, &raw.mqtt.unwrap_or_default());
+    let held = raw.held.map(|h| held(&mut c, &h));
     let directory = raw.directory.unwrap_or_default();
     let mut settings = Settings::default();
     let service = service(&mut c, raw.service.clone().unwrap_or_default(), &mut settings);
@@ -307,6 +323,7 @@
         service,
         smpp,
         mqtt,
+        held,
         directory,
         journal,
         clients,
@@ -382,6 +399,19 @@
     }
 }
 
+fn held(c: &mut Check, h: &raw::Held) -> HeldConfig {
+    let octets = if h.octets.is_empty() { Ok(64 << 20) } else { parse_size(&h.octets) };
+    HeldConfig {
+        age: c.span("held.age", &h.age, 86_400_000_000, 1_000_000),
+        count: c.count("held.count", h.count, 100_000, 1 << 24) as usize,
+        octets: octets.unwrap_or_else(|e| {
+            c.say("held.octets", e);
+            0
+        }),
+        trails: c.count("held.trails", h.trails, 100_000, 1 << 24) as usize,
+    }
+}
+
 fn mqtt(c: &mut Check, m: &raw::Mqtt) -> Option<MqttConfig> {
     let keep_alive = c.span("mqtt.keep_alive", &m.keep_alive, 300_000_000, 0);
     let seconds = u16::try_from(keep_alive / 1_000_000).unwrap_or_else(|_| {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,8 +13,8 @@
 mod units;
 
 pub use check::{
-    ClientConfig, Config, DirectoryConfig, EndpointConfig, JournalConfig, KindConfig, Listing, MqttConfig,
-    Protocol, RouteConfig, ServiceConfig, SmppConfig,
+    ClientConfig, Config, DirectoryConfig, EndpointConfig, HeldConfig, JournalConfig, KindConfig, Listing,
+    MqttConfig, Protocol, RouteConfig, ServiceConfig, SmppConfig,
 };
 pub use heronroute::SettingsError;
 pub use units::{parse_size, parse_span, show_span};
--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -55,6 +55,10 @@
     for (at, what) in outcome.wrong.iter().take(10) {
         _ = writeln!(t, "{:.3} s: {what}", *at as f64 / 1e6);
     }
+    _ = writeln!(t, "trails {}, of them untrue {}", outcome.trails, outcome.lies.len());
+    for lie in outcome.lies.iter().take(5) {
+        _ = writeln!(t, "{lie}");
+    }
     let list = |names: &[&str], counts: &[u64]| {
         let pairs = names.iter().zip(counts).filter(|(_, c)| **c > 0);
         pairs.map(|(n, c)| format!("{n} {c}")).collect::<Vec<_>>().join(", ")
--- a/crates/drill/src/setup.rs
+++ b/crates/drill/src/setup.rs
@@ -1,6 +1,6 @@
 //! Sets a day up, lets it pass, collects what was recorded.
 
-use heronroute_audit::{Breach, Class, Effect, Record, Slack, check};
+use heronroute_audit::{Breach, Class, Effect, Record, Slack, check, trails};
 use heronroute_config::{Config, parse, raw, show_span};
 use heronroute_engine::Stats;
 use heronroute_net::{Clock, Service, StartError};
@@ -11,6 +11,7 @@
 use heronroute_standins::flock::{Flock, MqttPlan};
 use heronroute_standins::model::{Shape, Strike};
 use heronroute_standins::run::Running;
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
 use std::net::SocketAddr;
@@ -151,6 +152,10 @@
     pub refused: Vec<Refused>,
     /// What MQTT clients' state machines called wrong, and clients that were sent away.
     pub wrong: Vec<(Micros, String)>,
+    /// Trails that were told, and what of them does not fit what receivers recorded.
+    pub trails: usize,
+    /// See `trails`.
+    pub lies: Vec<String>,
 }
 
 /// A day under way.
@@ -216,7 +221,9 @@
         let flock = match service.mqtt_address().filter(|_| !self.day.mqtt.is_empty()) {
             Some(address) => {
                 let (plans, deadlines) = (self.day.mqtt.clone(), deadlines.clone());
-                Some(Running::start(&[], self.clock, move |_| Flock::new(address, plans, deadlines, until))?)
+                let flock =
+                    move |_: &[SocketAddr]| Flock::new(address, plans, deadlines, until).with_trails();
+                Some(Running::start(&[], self.clock, flock)?)
             }
             None => None,
         };
@@ -249,6 +256,7 @@
             ..Record::default()
         };
         let (mut refused, mut wrong) = (Vec::new(), Vec::new());
+        let mut told = BTreeMap::new();
         if let Some(h) = &mut herd {
             h.close();
             record.submissions.append(&mut h.accepted);
@@ -265,6 +273,7 @@
             record.strays.append(&mut f.strays);
             refused.append(&mut f.refused);
             wrong.append(&mut f.wrong);
+            told = std::mem::take(&mut f.trails);
         }
         let classes: Vec<Class> =
             self.day.classes.iter().map(|c| Class { effect: c.effect, ordered: c.ordered }).collect();
@@ -277,7 +286,8 @@
             least_timeout: 100_000,
         };
         let breaches = check(&record, &classes, slack);
-        Ok(Outcome { record, breaches, stats, refused, wrong })
+        let lies = trails(&record, &told);
+        Ok(Outcome { record, breaches, stats, refused, wrong, trails: told.len(), lies })
     }
 }
 
@@ -327,7 +337,7 @@
     );
     _ = writeln!(t, "smpp {{ listen: \"127.0.0.1:0\" window: 1000 sessions: 20000 }}");
     if !day.mqtt.is_empty() {
-        _ = writeln!(t, "mqtt {{ listen: \"127.0.0.1:0\" window: 1000 sessions: 20000 }}");
+        _ = writeln!(t, "mqtt {{ listen: \"127.0.0.1:0\" window: 1000 sessions: 20000 }} held {{}}");
     }
     _ = writeln!(
         t,
--- a/crates/drill/tests/mqtt.rs
+++ b/crates/drill/tests/mqtt.rs
@@ -130,6 +130,8 @@
     let o = Drill::start(day).unwrap().run().unwrap();
     _ = std::fs::remove_dir_all(folder);
     assert_eq!((o.breaches, o.wrong), (vec![], vec![]));
+    assert_eq!(o.lies, [""; 0], "trails say what receivers recorded");
+    assert_eq!(o.trails, 200);
     assert_eq!(o.record.submissions.len(), 600);
     let unknown = o.record.submissions.iter().filter(|s| s.answers[0].1 == Told::Unknown).count();
     assert!((5..80).contains(&unknown), "unsafe messages whose answer was lost: {unknown}");
--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -6,6 +6,7 @@
 use crate::node::{ConnId, Effect as Durably, Gone, Key, LinkEvents, Node, Output, Use, show_id};
 use crate::stream::Stream;
 use heronroute::{Action, Effect, EndpointId, Event, MsgId, Outcome};
+use heronroute_held::{Known, What as Trailed};
 use heronroute_journal::entry::{self, What};
 use std::collections::BTreeMap;
 
@@ -60,6 +61,11 @@
                 let intent = || entry::Intent { id: p.msg.0, endpoint: name.clone(), at };
                 self.ledger.write(|| What::Intent(intent()));
             }
+            let parts: Vec<MsgId> = c.parts.iter().filter(|p| p.open).map(|p| p.msg).collect();
+            if self.held.is_some() {
+                let number = self.trail_number(&self.remotes[endpoint.0 as usize].name.clone());
+                parts.into_iter().for_each(|id| self.step(id, Trailed::Began(number)));
+            }
             self.stats.calls += 1;
             self.once_durable(Durably::Place { call, endpoint });
         }
@@ -134,6 +140,13 @@
             Outcome::Skipped => 7,
         };
         self.stats.attempts[at] += 1;
+        let known = match reply.outcome {
+            Outcome::Done => Known::Took,
+            o if !o.never_ran() => Known::Written,
+            Outcome::Busy | Outcome::Error => Known::Refused,
+            _ => Known::NeverWritten,
+        };
+        self.step(p.msg, Trailed::Ended(known));
         let mut last = true;
         if let Some(m) = self.messages.get_mut(&p.msg) {
             m.out = None;
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -7,6 +7,7 @@
 use crate::mailboxes::BoxId;
 use crate::node::{ConnId, Effect, ID_SENDER_BITS, Key, Message, Node, Use, key_of, read_id, show_id};
 use heronroute::{Event, MsgId};
+use heronroute_held::Trail;
 use heronroute_journal::entry::{Accepted, Named, What};
 use heronroute_seen::{Name, Verdict};
 use heronroute_smpp::receipt::Answer;
@@ -128,6 +129,7 @@
                 }
                 self.pump(mailbox);
             }
+            Ask::Held { token, words } => self.asked_of_held(conn, token, &words),
             Ask::Notes(notes) => self.noted(conn, notes),
             Ask::Over(why) => {
                 if let Some(why) = why {
@@ -260,7 +262,9 @@
             handing,
             Accepted { id: id.0, class, deadline: taken, refused: true, ..Accepted::default() },
         );
-        let message = self.message(&from, 0, submission, handing, self.now);
+        let mut message = self.message(&from, 0, submission, handing, self.now);
+        // It was never held, and leaves no trail.
+        message.trail = None;
         self.hold(id, message);
         if let Some(conn) = from.conn {
             self.once_durable(Effect::Accept { conn, token: from.token, id });
@@ -276,7 +280,13 @@
     }
 
     /// Writes the acceptance; `rest` has what is not the submission's own.
-    fn write_accepted(&mut self, from: &From, submission: &Submission, handing: &Handing, rest: Accepted) {
+    pub(crate) fn write_accepted(
+        &mut self,
+        from: &From,
+        submission: &Submission,
+        handing: &Handing,
+        rest: Accepted,
+    ) {
         let (taken, names) = (self.wall(), &self.cfg);
         let mailbox = self.mailboxes.get(from.mailbox).map(|m| m.name.as_str()).unwrap_or_default();
         self.ledger.write(|| {
@@ -302,7 +312,7 @@
         });
     }
 
-    fn message(
+    pub(crate) fn message(
         &self,
         from: &From,
         class: usize,
@@ -329,6 +339,7 @@
             attempts: 0,
             out: None,
             may_run: false,
+            trail: self.held.is_some().then(|| Box::new(Trail::new(self.wall(), 0))),
         }
     }
 
@@ -408,6 +419,7 @@
         let message = self.message(&from, class, submission, handing, self.now + span);
         let waits = message.reply.is_some();
         self.hold(id, message);
+        self.trail_by(id);
         if let Some(conn) = from.conn.filter(|_| !waits) {
             self.once_durable(Effect::Accept { conn, token: from.token, id });
         }
@@ -415,7 +427,7 @@
     }
 
     /// Whether there is room for one more of this client, front and session.
-    fn admit(&mut self, from: &From, class: usize, light: bool) -> Result<(), No> {
+    pub(crate) fn admit(&mut self, from: &From, class: usize, light: bool) -> Result<(), No> {
         let mut held = self.held(from.client, class);
         if light {
             // What may be lost by its own protocol goes first.
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -126,6 +126,13 @@
         /// The source address that must fit, if any.
         source: String,
     },
+    /// About what is held for it, in words; to be answered with [`Front::told`].
+    Held {
+        /// See above.
+        token: u32,
+        /// `list`, `show`, `again` or `drop`, and what about.
+        words: Vec<String>,
+    },
     /// It has heard an answer that [`Front::deliver`] gave this token.
     Heard {
         /// See above.
@@ -206,6 +213,8 @@
         done: Option<Micros>,
         out: &mut BytesMut,
     );
+    /// The answer to a question in words.
+    fn told(&mut self, _token: u32, _text: String, _state: &'static str, _out: &mut BytesMut) {}
     /// A message was withdrawn.
     fn withdrawn(&mut self, token: u32, out: &mut BytesMut);
     /// Answers that may be under way before one is heard.
--- a/crates/engine/src/front/mqtt.rs
+++ b/crates/engine/src/front/mqtt.rs
@@ -44,6 +44,7 @@
                 }
                 Event::Query(token, id) => Ask::Query { token, id, source: String::new() },
                 Event::Withdraw(token, id) => Ask::Withdraw { token, id, source: String::new() },
+                Event::Held(token, words) => Ask::Held { token, words },
                 Event::Subscribed => Ask::Notes(write_filters(&self.session.filters())),
                 Event::Heard(packet) => Ask::Heard { token: u32::from(packet), taken: true },
                 Event::Over(why) => Ask::Over(why),
@@ -194,6 +195,10 @@
         self.session.told(token, text, said, out);
     }
 
+    fn told(&mut self, token: u32, text: String, state: &'static str, out: &mut BytesMut) {
+        self.session.told(token, text, vec![("state", state.to_string())], out);
+    }
+
     fn withdrawn(&mut self, token: u32, out: &mut BytesMut) {
         self.session.taken(token, "", out);
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -19,6 +19,7 @@
 mod desk;
 pub mod directory;
 pub mod front;
+mod hold;
 pub mod home;
 pub mod ledger;
 pub mod limits;
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -21,6 +21,7 @@
     Action, DestId, Discovery, Dispatcher, EndpointEntry, EndpointId, Event, MsgId, SettingsError, Status,
 };
 use heronroute_config::{Config, Listing, parse_listing};
+use heronroute_held::{Room, Store, Trail};
 use heronroute_journal::entry::{self, What};
 use heronroute_journal::{Book, Entry, Usage};
 use heronroute_mqtt::session as mqtt;
@@ -179,6 +180,8 @@
     pub out: Option<(u64, usize)>,
     /// Some attempt began to leave and was not proved to have had no effect.
     pub may_run: bool,
+    /// What happened to it, where trails are kept.
+    pub trail: Option<Box<Trail>>,
 }
 
 /// A final answer, kept for those who ask.
@@ -240,6 +243,11 @@
     /// Names that clients gave their messages.
     pub(crate) seen: Option<Seen>,
     pub(crate) turns: Turns,
+    /// What is held for clients, and trails.
+    pub(crate) held: Option<Store>,
+    /// Names that trails have by number.
+    pub(crate) trail_names: Vec<String>,
+    pub(crate) trail_numbers: BTreeMap<String, u32>,
     pub(crate) messages: BTreeMap<MsgId, Message>,
     pub(crate) ended: BTreeMap<MsgId, Ended>,
     ended_order: VecDeque<MsgId>,
@@ -313,6 +321,12 @@
             mailboxes: Mailboxes::default(),
             seen: cfg.mqtt.as_ref().map(|m| Seen::new(m.remembered, start.wall, start.seed)),
             turns: Turns::new(now),
+            held: cfg.held.map(|h| {
+                let trails = Room { age: i64::MAX, count: h.trails, octets: u64::MAX };
+                Store::new(trails, Room { age: h.age, count: h.count, octets: h.octets })
+            }),
+            trail_names: Vec::new(),
+            trail_numbers: BTreeMap::new(),
             messages: BTreeMap::new(),
             ended: BTreeMap::new(),
             ended_order: VecDeque::new(),
@@ -392,6 +406,7 @@
             ("service", old.service != cfg.service),
             ("smpp", old.smpp != cfg.smpp),
             ("mqtt", old.mqtt != cfg.mqtt),
+            ("held", old.held != cfg.held),
             ("directory", old.directory != cfg.directory),
             ("journal", old.journal != cfg.journal),
             ("class", old.settings.classes != cfg.settings.classes || old.class_names != cfg.class_names),
@@ -789,6 +804,8 @@
                 at: done,
             })
         });
+        let mut m = m;
+        self.file(id, &mut m, answer);
         self.once_durable(Effect::Tell { id, message: Box::new(m), answer, done });
     }
 
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -24,7 +24,7 @@
     pub owed: usize,
 }
 
-fn submission(a: &Accepted) -> Submission {
+pub(crate) fn submission(a: &Accepted) -> Submission {
     Submission {
         service: a.class.clone(),
         source: a.source.clone(),
@@ -63,6 +63,7 @@
         }
         let mut done = Restarted::default();
         self.take_up_sessions(&book);
+        self.take_up_held(&book);
         for open in book.open.into_values() {
             let a = &open.accepted;
             let client = self.client_named(&a.client);
@@ -96,7 +97,7 @@
     }
 
     /// The client's place; one that is not in the settings any more has no session, and is owed all the same.
-    fn client_named(&mut self, name: &str) -> usize {
+    pub(crate) fn client_named(&mut self, name: &str) -> usize {
         let next = self.clients.len();
         let at = *self.client_names.entry(name.to_string()).or_insert(next);
         if at == next {
@@ -150,8 +151,10 @@
             attempts: open.attempts,
             out: None,
             may_run,
+            trail: None,
         };
         self.hold(MsgId(a.id), message);
+        self.trail_again(open);
     }
 
     fn take_up(&mut self, client: usize, mailbox: BoxId, class: usize, open: &Open, may_run: bool) {
--- a/crates/engine/tests/mqtt.rs
+++ b/crates/engine/tests/mqtt.rs
@@ -28,7 +28,11 @@
 };
 
 fn settings(more: &str) -> Arc<Config> {
-    let text = format!(
+    Arc::new(parse("mqtt", &text(more)).unwrap())
+}
+
+fn text(more: &str) -> String {
+    format!(
         "service {{ slots: 16 room: 500 max_attempts: 6 quantum: \"1ms\" }} \
         smpp {{ enquire_every: \"1h\" inactivity: \"8h\" response: \"1h\" }} \
         mqtt {{ listen: \"127.0.0.1:0\" window: 8 keep_alive: \"0s\" {more} }} \
@@ -39,8 +43,7 @@
         kind {{ name: \"k\" protocol: \"smpp\" window: 4 }} \
         route {{ prefix: \"1\" destination: 1 }} \
         endpoint {{ name: \"a\" address: \"127.0.0.1:1001\" destination: 1 kind: \"k\" }}"
-    );
-    Arc::new(parse("mqtt", &text).unwrap())
+    )
 }
 
 struct Dice(u64);
@@ -133,6 +136,9 @@
     commits: u64,
     /// Receivers answer.
     answering: bool,
+    /// They take messages and never answer; they can't be reached.
+    silent: bool,
+    down: bool,
 }
 
 /// What the world outside knows: bodies that ran, with the identities under which they came.
@@ -154,6 +160,8 @@
         lose: None,
         commits: 3,
         answering: false,
+        silent: false,
+        down: false,
     })
 }
 
@@ -228,6 +236,9 @@
             }
             for output in outputs {
                 match output {
+                    Output::Connect { conn, .. } if self.down => {
+                        self.node.closed(now, conn, Gone::Broken);
+                    }
                     Output::Connect { conn, .. } => {
                         self.receivers.insert(conn, Session::new(0, LIMITS));
                         self.node.connected(now, conn);
@@ -300,6 +311,9 @@
                         let n = String::from_utf8_lossy(&submission.body).parse().unwrap();
                         ran.entry(n).or_default().push(submission.identity.clone().unwrap());
                         // A few answers of receivers are lost, too.
+                        if self.silent {
+                            continue;
+                        }
                         if self.answering || dice.below(20) > 0 {
                             self.due.insert((now + (1 + dice.below(20) as i64) * MS, conn, sequence));
                         }
@@ -848,3 +862,158 @@
     assert_eq!(r.clients[0].answers.len(), 20);
     assert!(r.clients[0].conn.is_some());
 }
+
+impl Rig {
+    /// Asks about what is held, and gives the answer.
+    fn ask(&mut self, i: usize, topic: &str) -> String {
+        self.clients[i].heard.clear();
+        let topic = format!("held/{topic}");
+        self.hand_in(i, 0, &Hand { topic, qos: 1, correlation: b"held".to_vec(), ..Hand::default() });
+        self.pass(3);
+        let each = |h: &Heard| match h {
+            Heard::Told(_, text, c, ..) if c == b"held" => Some(text.clone()),
+            _ => None,
+        };
+        self.clients[i].heard.iter().find_map(each).expect("an answer")
+    }
+
+    /// Starts anew with messages held, and three clients: two sessions of one, one of another.
+    fn holding(more: &str) -> Rig {
+        let all =
+            vec![Client::new(true, "c", "one"), Client::new(true, "c", "two"), Client::new(true, "d", "x")];
+        let mut r = Rig::new("", all);
+        let mut cfg = r.cfg.as_ref().clone();
+        let other = parse("held", &format!("{} held {{ {more} }}", text(""))).unwrap();
+        cfg.held = other.held;
+        r.cfg = Arc::new(cfg);
+        r.back();
+        r
+    }
+
+    /// After a crash all come back.
+    fn back(&mut self) {
+        self.crash();
+        (0..3).for_each(|i| _ = self.enter(i));
+    }
+}
+
+#[test]
+fn what_may_have_run_is_held_and_not_handed_in_again() {
+    let mut r = Rig::holding("");
+    r.life().silent = true;
+    r.hand_in(0, 1, &hand(1, true, 1, "PAY"));
+    r.pass(4_500);
+    let (id, word) = r.clients[0].answers[&1][0].clone();
+    assert_eq!(word, "UNKNOWN");
+    for crash in [false, true] {
+        if crash {
+            r.back();
+        }
+        assert!(r.ask(1, "list").ends_with(&format!("\n{id}")), "any session of its client sees it");
+        let trail = r.ask(0, &format!("show/{id}"));
+        for part in ["by:mqtt/one", "attempt at a", "answer UNKNOWN", "\nmay have taken effect"] {
+            assert!(trail.contains(part), "{part} in {trail}");
+        }
+        assert_eq!(r.ask(0, &format!("again/{id}")), format!("id:{id} stat:MAYHAVERUN"));
+        assert_eq!(r.ask(0, &format!("again/{id}/new")), format!("id:{id} stat:MAYHAVERUN"));
+        for deed in ["show", "again", "drop"] {
+            let strange = r.ask(2, &format!("{deed}/{id}"));
+            assert_eq!(strange, "stat:NOTFOUND", "a stranger hears the same as of what does not exist");
+            assert_eq!(r.ask(2, &format!("{deed}/00000000000000ff")), strange);
+        }
+    }
+    assert_eq!(r.ask(1, &format!("drop/{id}")), format!("id:{id} stat:DROPPED"));
+    assert!(r.ask(0, "list").starts_with("held:0 "));
+    r.back();
+    assert!(r.ask(0, "list").starts_with("held:0 "), "given up is given up, after a crash too");
+    assert_eq!(r.ran[&1].len(), 1);
+}
+
+#[test]
+fn what_never_ran_goes_again_once_however_often_it_is_asked_for() {
+    let mut r = Rig::holding("");
+    r.life().down = true;
+    for n in 0..8 {
+        r.hand_in(0, 2 * n + 1, &hand(2 * n + 1, true, 1, "PAY"));
+        r.pass(5);
+    }
+    r.pass(4_500);
+    // Some were turned away at once, as their destination was down; one of those that waited in vain it is.
+    let waited = |a: &(&u64, &Vec<(String, String)>)| matches!(a.1[0].1.as_str(), "EXPIRED" | "UNDELIV");
+    let found = r.clients[0].answers.iter().find(waited).map(|(n, a)| (*n, a[0].0.clone()));
+    let (n, id) = found.expect("one that waited");
+    assert!(r.ask(0, "list").contains(&id));
+    assert!(!r.ask(0, &format!("show/{id}")).contains("may have"));
+    // Asked for while all is still down: it is held as before.
+    assert_eq!(r.ask(0, &format!("again/{id}")), format!("id:{id} stat:ENROUTE"));
+    assert_eq!(r.ask(1, &format!("again/{id}")), format!("id:{id} stat:UNDERWAY"));
+    assert_eq!(r.ask(1, &format!("drop/{id}")), "stat:UNDERWAY");
+    r.pass(4_500);
+    assert!(r.ask(0, "list").contains(&id));
+    // A crash with a hand-in that was not durable: none; with one that was: one.
+    r.back();
+    r.hand_in(0, 0, &Hand { topic: format!("held/again/{id}"), qos: 1, ..Hand::default() });
+    r.back();
+    assert!(r.ask(0, "list").contains(&id), "the hand-in was lost with the crash, the message was not");
+    let again = format!("held/again/{id}");
+    for i in [0, 1] {
+        r.hand_in(i, 0, &Hand { topic: again.clone(), qos: 1, ..Hand::default() });
+    }
+    r.pass(2);
+    r.back();
+    let said = r.ask(1, &format!("again/{id}"));
+    assert!(!said.contains("ENROUTE"), "it is under way after the crash as well: {said}");
+    r.pass(300);
+    assert_eq!(
+        r.ran[&n],
+        std::slice::from_ref(&id),
+        "two sessions and a crash: it ran once, under its identity"
+    );
+    assert!(!r.ask(0, "list").contains(&id));
+    let trail = r.ask(0, &format!("show/{id}"));
+    for part in ["handed in again by client c", "restart", "answer DELIVRD"] {
+        assert!(trail.contains(part), "{part} in {trail}");
+    }
+    assert_eq!(r.ask(0, &format!("again/{id}")), format!("id:{id} stat:DELIVRD"));
+    r.back();
+    assert!(!r.ask(0, "list").contains(&id));
+}
+
+#[test]
+fn a_guarded_message_goes_again_while_it_is_remembered_and_then_only_as_a_new_one() {
+    let mut r = Rig::holding("");
+    r.life().silent = true;
+    r.hand_in(0, 2, &hand(2, true, 1, "RESP"));
+    r.pass(4_500);
+    let (id, word) = r.clients[0].answers[&2][0].clone();
+    assert_eq!(word, "UNKNOWN");
+    let before = r.ran[&2].len();
+    assert_eq!(r.ask(0, &format!("again/{id}")), format!("id:{id} stat:WINDOWOVER"));
+    r.life().silent = false;
+    let said = r.ask(0, &format!("again/{id}/new"));
+    let own = field(&said, "id").unwrap().to_string();
+    assert!(own != id && said.ends_with("stat:ENROUTE"), "{said}");
+    r.pass(300);
+    assert_eq!(r.ran[&2].len(), before + 1);
+    assert_eq!(r.ran[&2].last(), Some(&own), "receivers can't take it for the old one");
+    assert!(r.ask(0, "list").starts_with("held:0 "));
+    r.back();
+    assert!(r.ask(0, "list").starts_with("held:0 "));
+}
+
+#[test]
+fn an_owner_keeps_no_more_than_its_room() {
+    let mut r = Rig::holding("count: 5");
+    r.life().down = true;
+    for n in 1..=8 {
+        r.hand_in(0, 2 * n + 1, &hand(2 * n + 1, true, 1, "PAY"));
+        r.pass(5);
+    }
+    r.hand_in(2, 99, &hand(99, true, 1, "PAY"));
+    r.pass(4_500);
+    let list = r.ask(0, "list");
+    assert!(list.starts_with("held:5 ") && list.contains("dropped-many:3"), "{list}");
+    assert!(r.ask(2, "list").starts_with("held:1 "), "another's is another's");
+    r.back();
+    assert!(r.ask(0, "list").starts_with("held:5 "));
+}
--- a/crates/held/src/trail.rs
+++ b/crates/held/src/trail.rs
@@ -148,6 +148,14 @@
         })
     }
 
+    /// Puts other numbers in the place of the endpoints', sessions' and parties'.
+    pub fn rename(&mut self, mut number: impl FnMut(u32) -> u32) {
+        self.by = number(self.by);
+        for s in self.steps.iter_mut().filter(|s| matches!(s.what, 1 | 6 | 7)) {
+            s.who = number(s.who);
+        }
+    }
+
     /// When the first attempt began that may have taken effect; one without an end counts.
     pub fn may_have_run(&self) -> Option<Micros> {
         let mut began = None;
--- a/crates/journal/src/book.rs
+++ b/crates/journal/src/book.rs
@@ -1,6 +1,6 @@
 //! The book: what the entries add up to. Open messages, answers not yet taken, what is known of places.
 
-use crate::entry::{Accepted, Answer, Entry, Intent, Named, Place, Request, Session, Taken, What};
+use crate::entry::{Accepted, Answer, Entry, Held, Intent, Named, Place, Request, Session, Taken, What};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Names that are kept at most; beyond them the oldest are forgotten, and that is known.
@@ -34,6 +34,8 @@
     pub sessions: BTreeMap<(String, String), Kept>,
     /// Names that clients gave their messages, oldest first.
     pub names: VecDeque<Named>,
+    /// Messages held for their clients.
+    pub held: BTreeMap<u64, Held>,
     /// Names that would count until then may have been forgotten.
     pub forgot: i64,
 }
@@ -64,8 +66,12 @@
                 if let Some(named) = a.named {
                     self.name(named, a.taken);
                 }
+                // Both or neither: guards against a crash between the two handing it in twice.
+                if a.replaces > 0 {
+                    self.held.remove(&a.replaces);
+                }
                 // Its place in its session and its name stand on their own from here on.
-                let accepted = Accepted { packet: 0, digest: 0, named: None, ..a.clone() };
+                let accepted = Accepted { packet: 0, digest: 0, named: None, replaces: 0, ..a.clone() };
                 let open = Open { accepted, attempts: 0, may_run: None, out: None, answer: None };
                 self.open.insert(a.id, open);
             }
@@ -89,6 +95,9 @@
                     o.answer = Some(a.clone());
                     // What only served delivery is not needed any more.
                     o.accepted.body = Vec::new();
+                    if a.word == "DELIVRD" {
+                        self.held.remove(&a.id);
+                    }
                 }
             }
             Some(What::Taken(Taken { id })) => _ = self.open.remove(id),
@@ -99,6 +108,12 @@
                     self.places.insert(p.endpoint.clone(), p.clone());
                 }
             }
+            Some(What::Held(h)) => {
+                if let Some(a) = &h.accepted {
+                    self.held.insert(a.id, h.clone());
+                }
+            }
+            Some(What::Released(r)) => _ = self.held.remove(&r.id),
             Some(What::Session(s)) => self.session(s),
             Some(What::Named(n)) => self.name(*n, i64::MIN),
             None => {}
@@ -167,6 +182,8 @@
         let forgot = Some(forgot).filter(|f| f.until > 0);
         let names = forgot.into_iter().chain(self.names.iter().copied()).map(|n| What::Named(n).into());
         let places = self.places.values().map(|p| What::Place(p.clone()).into());
-        sessions.chain(names).chain(messages).chain(places)
+        // Before the messages: an answer among those takes a message out again.
+        let held = self.held.values().map(|h| What::Held(h.clone()).into());
+        sessions.chain(names).chain(held).chain(messages).chain(places)
     }
 }
--- a/crates/journal/src/entry.rs
+++ b/crates/journal/src/entry.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Entry {
     /// What it tells.
-    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "What", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub what: Option<What>,
 }
 
@@ -35,6 +35,12 @@
     /// A name that a client gave a message that is over.
     #[prost(message, tag = "8")]
     Named(Named),
+    /// A message that ended undelivered is held for its client.
+    #[prost(message, tag = "9")]
+    Held(Held),
+    /// A message is held no more.
+    #[prost(message, tag = "10")]
+    Released(Released),
 }
 
 impl From<What> for Entry {
@@ -103,6 +109,9 @@
     /// It was never to be sent: only its refusal was.
     #[prost(bool, tag = "22")]
     pub refused: bool,
+    /// The held message that this one is handed in for, as a new effect; it is held no more.
+    #[prost(uint64, tag = "23")]
+    pub replaces: u64,
 }
 
 /// An attempt that may leave from now on.
@@ -213,3 +222,24 @@
     #[prost(int64, tag = "4")]
     pub until: i64,
 }
+
+/// A message held for its client.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Held {
+    /// As it was handed in.
+    #[prost(message, optional, tag = "1")]
+    pub accepted: Option<Accepted>,
+    /// All that happened to it; see the package for trails.
+    #[prost(bytes = "vec", tag = "2")]
+    pub trail: Vec<u8>,
+    /// Names that the trail has by number, from 0.
+    #[prost(string, repeated, tag = "3")]
+    pub names: Vec<String>,
+}
+
+/// A message is held no more: its client gave it up, or there was no room.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Released {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+}
--- a/crates/journal/src/tool.rs
+++ b/crates/journal/src/tool.rs
@@ -87,5 +87,7 @@
         What::Taken(t) => t.id,
         What::Place(_) | What::Session(_) => return None,
         What::Named(n) => n.id,
+        What::Held(h) => h.accepted.as_ref()?.id,
+        What::Released(r) => r.id,
     })
 }
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -32,7 +32,7 @@
             }
             let at = below(open.len() as u64) as usize;
             let id = open[at];
-            let what = match below(8) {
+            let what = match below(10) {
                 0 | 1 => What::Intent(Intent { id, endpoint: format!("e{}", below(3)), at: 5 }),
                 2 => What::Outcome(Outcome { id, never_ran: below(2) == 0 }),
                 3 => What::Answer(Answer { id, word: "DELIVRD".into(), retry_after: -1, at: 9 }),
@@ -49,6 +49,12 @@
                     window: 4,
                     latest: Vec::new(),
                 }),
+                7 => What::Held(Held {
+                    accepted: Some(Accepted { id, ..Accepted::default() }),
+                    trail: vec![1; below(5) as usize],
+                    names: Vec::new(),
+                }),
+                8 => What::Released(Released { id }),
                 _ => What::Place(Place {
                     endpoint: format!("e{}", below(3)),
                     wait_until: below(3) as i64,
@@ -74,7 +80,11 @@
 }
 
 fn same(a: &Book, b: &Book) -> bool {
-    a.open == b.open && a.places == b.places && a.sessions == b.sessions && a.names == b.names
+    a.open == b.open
+        && a.places == b.places
+        && a.sessions == b.sessions
+        && a.names == b.names
+        && a.held == b.held
 }
 
 /// Runs a workload until the disk goes dark; gives how many batches were called durable, and the disk.
--- a/crates/mqtt/src/session.rs
+++ b/crates/mqtt/src/session.rs
@@ -72,6 +72,8 @@
     Query(u32, String),
     /// To withdraw a message; to be answered with [`Session::told`] or [`Session::denied`].
     Withdraw(u32, String),
+    /// About what is held, in words; to be answered with [`Session::told`].
+    Held(u32, Vec<String>),
     /// The subscriptions changed.
     Subscribed,
     /// An answer was heard, by its packet identifier.
@@ -474,7 +476,7 @@
         let reply = p.response.clone().unwrap_or_default();
         let correlation = p.correlation.clone().unwrap_or_default();
         let to = target(&p.topic);
-        let question = matches!(to, Some(Target::Ask(_) | Target::Withdraw(_)));
+        let question = matches!(to, Some(Target::Ask(_) | Target::Withdraw(_) | Target::Held(_)));
         if p.qos > 0 || question {
             let reply = Some((reply.clone(), correlation.clone())).filter(|_| question);
             self.pending.push_back(Pending { token, packet: p.packet, qos: p.qos, done: None, reply });
@@ -495,6 +497,7 @@
             (Some(code), _) => Err(code),
             (None, Some(Target::Ask(id))) => Ok(Event::Query(token, id)),
             (None, Some(Target::Withdraw(id))) => Ok(Event::Withdraw(token, id)),
+            (None, Some(Target::Held(words))) => Ok(Event::Held(token, words)),
             (None, Some(Target::Message { .. })) => {
                 Ok(Event::Submit(token, Box::new(handed(p).ok_or(PROTOCOL)?)))
             }
--- a/crates/mqtt/src/topics.rs
+++ b/crates/mqtt/src/topics.rs
@@ -21,6 +21,8 @@
     Ask(String),
     /// To withdraw a message: `withdraw/<message>`.
     Withdraw(String),
+    /// What is held: `held/list[/<after>]`, `held/show/<message>`, `held/again/<message>[/new]`, `held/drop/<message>`.
+    Held(Vec<String>),
 }
 
 /// Reads a topic; none where it leads nowhere.
@@ -36,6 +38,7 @@
         "to" => Target::Message { address: level(), class: level(), key: some(level()), name: some(level()) },
         "ask" => Target::Ask(level()),
         "withdraw" => Target::Withdraw(level()),
+        "held" => Target::Held(levels.by_ref().take(3).map(str::to_string).collect()),
         _ => return None,
     };
     let named = match &target {
@@ -43,6 +46,7 @@
             !address.is_empty() && key.as_ref().is_none_or(|k| k.len() <= 64)
         }
         Target::Ask(id) | Target::Withdraw(id) => !id.is_empty(),
+        Target::Held(words) => !words.is_empty(),
     };
     (named && levels.next().is_none()).then_some(target)
 }
--- a/crates/standins/src/flock.rs
+++ b/crates/standins/src/flock.rs
@@ -94,6 +94,12 @@
     pub away: Vec<Away>,
     /// Errors of the clients' state machines, and connections ended by the service with a code.
     pub wrong: Vec<(Micros, String)>,
+    /// Trails as the service tells them, by message; asked for once all is answered, where wanted.
+    pub trails: BTreeMap<String, String>,
+    wants_trails: bool,
+    /// Trails still to be asked for, by client.
+    shows: Vec<VecDeque<String>>,
+    showing: usize,
     gone: BTreeMap<usize, Micros>,
     now: Micros,
     waiting: usize,
@@ -132,6 +138,10 @@
             strays: Vec::new(),
             away: Vec::new(),
             wrong: Vec::new(),
+            trails: BTreeMap::new(),
+            wants_trails: false,
+            shows: Vec::new(),
+            showing: 0,
             gone,
             now: 0,
             waiting: 0,
@@ -139,6 +149,50 @@
         }
     }
 
+    /// Asks for the trails of what clients of version 5.0 handed in, once all is answered.
+    pub fn with_trails(mut self) -> Self {
+        self.wants_trails = true;
+        self
+    }
+
+    /// Whether all is answered, and if so begins to ask for trails.
+    fn settle(&mut self, now: Micros) {
+        let asked = self.runs.iter().any(|r| !r.asked.is_empty() || !r.held.is_empty());
+        let done = self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0;
+        if !self.wants_trails || !done {
+            return;
+        }
+        self.wants_trails = false;
+        self.shows = vec![VecDeque::new(); self.runs.len()];
+        for s in &self.sent {
+            let id = s.accepted.map(|at| self.accepted[at].message.clone()).unwrap_or_default();
+            if self.runs[s.client].plan.who.five && !id.is_empty() {
+                self.shows[s.client].push_back(id);
+                self.showing += 1;
+            }
+        }
+        (0..self.runs.len()).for_each(|i| self.show(now, i));
+    }
+
+    fn show(&mut self, _now: Micros, i: usize) {
+        let Some(list) = self.shows.get_mut(i) else { return };
+        let run = &mut self.runs[i];
+        let mut out = BytesMut::new();
+        while run.ready && run.core.room() > 0 {
+            let Some(id) = list.pop_front() else { break };
+            let hand = Hand {
+                topic: format!("held/show/{id}"),
+                qos: 1,
+                correlation: format!("t{id}").into_bytes(),
+                ..Hand::default()
+            };
+            run.core.publish(&hand, &mut out);
+        }
+        if let Some(conn) = run.conn {
+            self.write(conn, &out);
+        }
+    }
+
     fn name(&self, i: usize) -> String {
         let who = &self.runs[i].plan.who;
         format!("{}/{}", who.user, who.id)
@@ -261,6 +315,7 @@
                     }
                 }
                 self.hand_in(now, i);
+                self.show(now, i);
             }
             Heard::Completed(_) => self.hand_in(now, i),
             Heard::Told(_, text, correlation, ..) => self.told(now, i, &text, &correlation),
@@ -300,6 +355,11 @@
     }
 
     fn told(&mut self, now: Micros, i: usize, text: &str, correlation: &[u8]) {
+        if let Some(id) = correlation.strip_prefix(b"t") {
+            let id = String::from_utf8_lossy(id).into_owned();
+            self.showing -= usize::from(self.trails.insert(id, text.to_string()).is_none());
+            return;
+        }
         let id = field(text, "id").unwrap_or_default().to_string();
         let name = field(text, "ref").unwrap_or_default();
         let n = match std::str::from_utf8(correlation).ok().filter(|c| !c.is_empty()) {
@@ -397,6 +457,7 @@
                 self.agenda.insert(((*next).max(at), i));
             }
         }
+        self.settle(now);
     }
 
     fn wake(&self) -> Micros {
@@ -410,6 +471,6 @@
     fn finished(&self) -> bool {
         let asked = self.runs.iter().any(|r| !r.asked.is_empty() || !r.held.is_empty());
         let done = self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0;
-        done || self.now >= self.until
+        (done && !self.wants_trails && self.showing == 0) || self.now >= self.until
     }
 }
