heronroute held and trail; backlogs are let go at a pace that spares live traffic

Need: an owner looks after what is held without a program of its own, and an outage's backlog must not starve live traffic.

Change: held list, show, resubmit, drop, release, stop and trail on the command line, over MQTT as the client; a release begins at 5 a second, grows by a quarter a second while what went came through, halves where a twentieth was not delivered or live traffic was refused, with a tenth of the room out at most. The answer to a hand-in goes where the first one went.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod days;
+mod held;
 mod journal;
 mod serve;
 mod standin;
@@ -72,6 +73,10 @@
         #[command(subcommand)]
         look: journal::Look,
     },
+    /// Messages of a client that ended undelivered: list, show, resubmit, drop, release.
+    Held(held::HeldArgs),
+    /// Everything that happened to a message.
+    Trail(held::TrailArgs),
     /// Hand in messages over SMPP and print their final answers.
     Client(client::ClientArgs),
 }
@@ -94,6 +99,8 @@
         }
         Command::Standin { what } => standin::run(&what),
         Command::Journal { look } => journal::run(&look),
+        Command::Held(args) => held::held(&args),
+        Command::Trail(args) => held::trail(&args),
         Command::Client(args) => client::run(&args),
     }
 }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -219,3 +219,66 @@
     drop(receiver.stdin.take());
     assert_eq!(receiver.wait().unwrap().code(), Some(0));
 }
+
+#[test]
+fn a_held_message_is_listed_shown_and_given_up_by_its_client_alone() {
+    let (mut receiver, at, _lines) =
+        start(&["standin", "receiver", "--pace", "100ms", "--trouble", "hang", "0", "60"]);
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("held-{}", std::process::id()));
+    _ = std::fs::remove_dir_all(&folder);
+    let more = format!(
+        "journal {{ folder: \"{}\" }} mqtt {{ listen: \"127.0.0.1:0\" }} held {{ }}\n\
+         client {{ system_id: \"other\" password: \"secret\" }}",
+        folder.display()
+    );
+    let path = file("held.txt", &settings(&at, &more).replace("\"5s\"", "\"800ms\""));
+    let config = path.to_str().unwrap();
+    let (mut service, address, mut out) = start(&["serve", "--config", config]);
+    let mut line = String::new();
+    out.read_line(&mut line).unwrap();
+    let mqtt = line.trim().strip_prefix("listening for MQTT at ").unwrap().to_string();
+    let who = ["--system-id", "oduya", "--password", "secret"];
+    let client = [&["client", "--connect", &address, "--to", "2341", "--class", "PAY"][..], &who].concat();
+    let told = String::from_utf8_lossy(&run(&client).stdout).into_owned();
+    let id = told.split(' ').next().unwrap().to_string();
+    assert!(told.contains("Unknown"), "{told}");
+    let ask = |who: &[&str], words: &[&str]| {
+        let out = run(&[&["held", "--connect", &mqtt][..], who, words].concat());
+        (out.status.code().unwrap(), String::from_utf8_lossy(&out.stdout).into_owned())
+    };
+    let (code, list) = ask(&who, &["list"]);
+    assert!(code == 0 && list.starts_with("held:1 ") && list.contains(&id), "{list}");
+    let trail = run(&[&["trail", "--connect", &mqtt, &id][..], &who].concat());
+    let trail = String::from_utf8_lossy(&trail.stdout).into_owned();
+    assert!(
+        trail.contains("by:smpp/") && trail.contains("attempt at a") && trail.contains("answer UNKNOWN"),
+        "{trail}"
+    );
+    assert_eq!(ask(&who, &["resubmit", &id]), (1, format!("id:{id} stat:MAYHAVERUN\n")));
+    let other = ["--system-id", "other", "--password", "secret"];
+    for words in [["show", &id], ["resubmit", &id], ["drop", &id]] {
+        assert_eq!(ask(&other, &words), (1, "stat:NOTFOUND\n".to_string()));
+    }
+    let wrong = ["--system-id", "other", "--password", "guess"];
+    assert_eq!(ask(&wrong, &["list"]).0, 1);
+    assert_eq!(run(&["held", "list"]).status.code(), Some(2));
+    // Held over a kill, and given up.
+    service.kill().unwrap();
+    service.wait().unwrap();
+    let (mut service, _, mut out) = start(&["serve", "--config", config]);
+    line.clear();
+    out.read_line(&mut line).unwrap();
+    let mqtt = line.trim().strip_prefix("listening for MQTT at ").unwrap().to_string();
+    let ask = |words: &[&str]| {
+        let out = run(&[&["held", "--connect", &mqtt][..], &who, words].concat());
+        String::from_utf8_lossy(&out.stdout).into_owned()
+    };
+    assert!(ask(&["list"]).contains(&id));
+    assert_eq!(ask(&["drop", &id]), format!("id:{id} stat:DROPPED\n"));
+    assert!(ask(&["list"]).starts_with("held:0 "));
+    service.kill().unwrap();
+    service.wait().unwrap();
+    receiver.kill().unwrap();
+    receiver.wait().unwrap();
+    _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -185,6 +185,9 @@
             }
         };
         let Err(no) = result else { return };
+        if matches!(no, No::Room | No::Share) {
+            self.crowded();
+        }
         match no {
             No::Rate | No::Share => self.stats.refused_rate += 1,
             No::Room | No::Unsure => self.stats.refused_room += 1,
--- a/crates/engine/src/hold.rs
+++ b/crates/engine/src/hold.rs
@@ -5,13 +5,15 @@
 //! have run, to the decision library as `Resumed`), so that a crash or a new attempt finds it as if it had never been
 //! answered.
 
+use crate::Micros;
 use crate::desk::From;
 use crate::front::Handing;
-use crate::node::{ConnId, Message, Node, key_of, read_id, show_id};
+use crate::node::{ConnId, Key, Message, Node, key_of, read_id, show_id};
 use crate::outbox::Reply;
 use heronroute::{DestId, Event, MsgId};
 use heronroute_held::{
-    Ask, Decision, Deed, Effect, Filed, Grants, Known, Party, Past, Query, Refusal, Trail, What, decide,
+    Ask, Decision, Deed, Effect, Filed, Grants, Known, Pace, Party, Past, Query, Refusal, Release, Trail,
+    What, decide,
 };
 use heronroute_journal::entry::{self, Accepted, Held, Released};
 use heronroute_journal::{Book, Open};
@@ -26,7 +28,84 @@
 /// States by number in trails.
 const STATES: [&str; 6] = ["DELIVRD", "REJECTD", "UNDELIV", "UNKNOWN", "EXPIRED", "DELETED"];
 
+/// How often a release looks whether it may let something go.
+const LOOK: Micros = 20_000;
+
+/// A client's backlog that is being let go.
+#[derive(Debug)]
+pub(crate) struct Releasing {
+    release: Release,
+    destination: Option<i64>,
+    /// All up to here was asked for once.
+    after: Option<u64>,
+    went: u64,
+    passed_over: u64,
+}
+
 impl Node {
+    /// Begins to let a client's backlog go, of one destination or all.
+    fn release(&mut self, client: usize, destination: Option<i64>) -> (String, &'static str) {
+        let Some(store) = &self.held else { return ("stat:NOTFOUND".to_string(), "NOTFOUND") };
+        let (held, ..) = store.of(client as u32);
+        let pace = Pace {
+            least: 5.0,
+            most: 10_000.0,
+            // What is let go fills no more than a tenth of the room: the rest is for live traffic.
+            out: (self.cfg.settings.max_open as usize / 10).max(1),
+            span: 1_000_000,
+        };
+        let release = Release::new(self.now, pace);
+        let releasing = Releasing { release, destination, after: None, went: 0, passed_over: 0 };
+        self.releasing.insert(client, releasing);
+        self.timers.set(Key::Release(client), self.now);
+        (format!("stat:RELEASING held:{held}"), "RELEASING")
+    }
+
+    /// Lets go what the pace allows.
+    pub(crate) fn release_on(&mut self, client: usize) {
+        let Some(r) = self.releasing.get_mut(&client) else { return };
+        let n = r.release.may(self.now);
+        let (destination, after) = (r.destination, r.after);
+        let query = Query { client: Some(client as u32), destination, held: true, after, ..Query::default() };
+        let page = self.held.as_ref().filter(|_| n > 0).map(|s| s.list(&query, n));
+        let last = page.as_ref().is_some_and(|p| p.ids.is_empty() && p.next.is_none());
+        let (ids, next) = page.map_or((Vec::new(), None), |p| (p.ids, p.next));
+        let mut at = next;
+        for id in ids {
+            let (_, state) = self.again(client, &show_id(MsgId(id)), false);
+            let Some(r) = self.releasing.get_mut(&client) else { return };
+            match state {
+                "ENROUTE" => {
+                    r.release.let_go();
+                    r.went += 1;
+                }
+                "BUSY" => {
+                    // No room just now: it is asked for again, later and more slowly.
+                    r.release.crowded();
+                    at = r.after;
+                    break;
+                }
+                _ => r.passed_over += 1,
+            }
+            r.after = Some(id);
+            at = at.max(Some(id));
+        }
+        if let Some(r) = self.releasing.get_mut(&client) {
+            r.after = at.max(r.after);
+            if last {
+                tracing::info!(client, went = r.went, passed_over = r.passed_over, "a backlog was let go");
+                self.releasing.remove(&client);
+                return;
+            }
+        }
+        self.timers.set(Key::Release(client), self.now + LOOK);
+    }
+
+    /// Live traffic was turned away for want of room.
+    pub(crate) fn crowded(&mut self) {
+        self.releasing.values_mut().for_each(|r| r.release.crowded());
+    }
+
     /// The number of a name in trails.
     pub(crate) fn trail_number(&mut self, name: &str) -> u32 {
         if let Some(n) = self.trail_numbers.get(name) {
@@ -119,6 +198,9 @@
         trail.add(now, What::Answered(state as u32), STEPS);
         // One that was handed in again and not delivered stays its owner's, whatever it ended with.
         let handed_in = trail.steps().any(|(_, what)| matches!(what, What::HandedIn(_)));
+        if handed_in && let Some(r) = self.releasing.get_mut(&m.client) {
+            r.release.answered(answer == Answer::Delivered);
+        }
         let hold = matches!(answer, Answer::Undeliverable | Answer::Unknown { .. } | Answer::Expired)
             || (handed_in && answer != Answer::Delivered);
         let dest = self.routes.find(&m.submission.destination).map_or(0, |d| d.0);
@@ -175,7 +257,7 @@
 
     /// A client asks about what is held for it. What is another's is told as if it did not exist.
     pub(crate) fn asked_of_held(&mut self, conn: ConnId, token: u32, words: &[String]) {
-        let Some((client, mailbox)) = self.place_of(conn) else { return };
+        let Some((client, _)) = self.place_of(conn) else { return };
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
         let (text, state) = match words[..] {
             ["list"] => (self.list_held(client, None), "HELD"),
@@ -188,9 +270,16 @@
                 Some(id) => self.give_up_held(id),
                 None => ("stat:NOTFOUND".to_string(), "NOTFOUND"),
             },
-            ["again", id] => self.again(client, mailbox, id, false),
-            ["again", id, "new"] => self.again(client, mailbox, id, true),
-            _ => ("stat:WHAT allowed: list[/AFTER], show/ID, again/ID[/new], drop/ID".to_string(), "WHAT"),
+            ["release"] => self.release(client, None),
+            ["release", d] if d.parse::<i64>().is_ok() => self.release(client, d.parse().ok()),
+            ["stop"] => {
+                let (went, passed) =
+                    self.releasing.remove(&client).map_or((0, 0), |r| (r.went, r.passed_over));
+                (format!("stat:STOPPED went:{went} passed-over:{passed}"), "STOPPED")
+            }
+            ["again", id] => self.again(client, id, false),
+            ["again", id, "new"] => self.again(client, id, true),
+            _ => ("stat:WHAT allowed: list[/AFTER], show/ID, again/ID[/new], drop/ID, release[/DESTINATION], stop".to_string(), "WHAT"),
         };
         if let Some((front, out)) = self.front(conn) {
             front.told(token, text, state, out);
@@ -218,6 +307,14 @@
         for id in page.ids {
             text = format!("{text}\n{}", show_id(MsgId(id)));
         }
+        if let Some(r) = self.releasing.get(&client) {
+            text = format!(
+                "{text}\nreleasing:{:.0}/s went:{} passed-over:{}",
+                r.release.rate(),
+                r.went,
+                r.passed_over
+            );
+        }
         match page.next {
             Some(next) => format!("{text}\nmore:{}", show_id(MsgId(next))),
             None => text,
@@ -265,13 +362,7 @@
     }
 
     /// Hands a held message in again, or says why not.
-    fn again(
-        &mut self,
-        client: usize,
-        mailbox: usize,
-        name: &str,
-        new_effect: bool,
-    ) -> (String, &'static str) {
+    fn again(&mut self, client: usize, name: &str, new_effect: bool) -> (String, &'static str) {
         let said = |state: &'static str| (format!("id:{name} stat:{state}"), state);
         let Some(id) = self.mine(client, name, Deed::HandIn) else {
             return ("stat:NOTFOUND".to_string(), "NOTFOUND");
@@ -314,6 +405,8 @@
         if self.leaving || self.ledger.refuses(self.now, self.messages.len()) {
             return said("BUSY");
         }
+        // Its answer goes where the first one went, whoever asked.
+        let mailbox = self.mailboxes.open(client, &a.mailbox);
         let from = From { conn: None, token: 0, client, mailbox };
         if self.admit(&from, class, false).is_err() {
             return said("BUSY");
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -6,6 +6,7 @@
 use crate::calls::Calls;
 use crate::directory::{Directory, Heard, Want};
 use crate::front::{FRONTS, Front, Speaks};
+use crate::hold::Releasing;
 use crate::ledger::Ledger;
 use crate::limits::{Held, Limits, Part};
 use crate::link::{Link, LinkEvent};
@@ -110,6 +111,8 @@
     Outbox(BoxId),
     /// A session without a connection ends, or its client's will is due.
     Mailbox(BoxId),
+    /// A client's backlog may go on.
+    Release(usize),
     /// The directory's timer.
     Directory,
     /// Leaving takes no longer than this.
@@ -245,6 +248,8 @@
     pub(crate) turns: Turns,
     /// What is held for clients, and trails.
     pub(crate) held: Option<Store>,
+    /// Backlogs that are being let go, by client.
+    pub(crate) releasing: BTreeMap<usize, Releasing>,
     /// Names that trails have by number.
     pub(crate) trail_names: Vec<String>,
     pub(crate) trail_numbers: BTreeMap<String, u32>,
@@ -325,6 +330,7 @@
                 let trails = Room { age: i64::MAX, count: h.trails, octets: u64::MAX };
                 Store::new(trails, Room { age: h.age, count: h.count, octets: h.octets })
             }),
+            releasing: BTreeMap::new(),
             trail_names: Vec::new(),
             trail_numbers: BTreeMap::new(),
             messages: BTreeMap::new(),
@@ -664,6 +670,7 @@
             Key::Part(call, part) => self.part_timed_out(call, part),
             Key::Probe(endpoint) => self.probe_timed_out(EndpointId(endpoint)),
             Key::Outbox(mailbox) => self.pump(mailbox),
+            Key::Release(client) => self.release_on(client),
             Key::Mailbox(mailbox) => self.mailbox_due(mailbox),
             Key::Directory => {
                 let mut heard = Vec::new();
--- a/crates/engine/tests/mqtt.rs
+++ b/crates/engine/tests/mqtt.rs
@@ -1017,3 +1017,36 @@
     r.back();
     assert!(r.ask(0, "list").starts_with("held:5 "));
 }
+
+#[test]
+fn a_backlog_is_let_go_bounded_beside_live_traffic() {
+    let mut r = Rig::holding("");
+    r.life().down = true;
+    for n in 0..400 {
+        r.hand_in(0, 2 * n + 1, &hand(2 * n + 1, true, 1, "PAY"));
+        r.pass(2);
+    }
+    r.pass(4_500);
+    let list = r.ask(0, "list");
+    let held: usize = list.split([':', ' ']).nth(1).unwrap().parse().unwrap();
+    assert!(held > 100, "{list}");
+    r.life().down = false;
+    assert_eq!(r.ask(0, "release"), format!("stat:RELEASING held:{held}"));
+    let (mut most, mut now, mut live) = (0, 0, 0);
+    while !r.ask(0, "list").starts_with("held:0 ") {
+        for _ in 0..10 {
+            r.pass(3);
+            most = most.max(r.life().node.open());
+        }
+        now += 1;
+        live += 1;
+        r.hand_in(2, 1_000_000 + 2 * live, &hand(1_000_000 + 2 * live, true, 1, "RESP"));
+        assert!(now < 3_000, "never emptied: {}", r.ask(0, "list"));
+    }
+    r.pass(100);
+    assert!(most <= 50 + 10, "a tenth of the room, and what is live: {most}");
+    let told = r.clients[2].answers.values().filter(|a| a[0].1 == "DELIVRD").count() as u64;
+    assert_eq!(told, live, "live traffic is served meanwhile");
+    assert!(r.ran.iter().all(|(n, ids)| n % 2 == 0 || ids.len() == 1));
+    assert_eq!(r.ask(0, "stop"), "stat:STOPPED went:0 passed-over:0", "it has ended by itself");
+}
--- a/crates/mqtt/src/topics.rs
+++ b/crates/mqtt/src/topics.rs
@@ -21,7 +21,8 @@
     Ask(String),
     /// To withdraw a message: `withdraw/<message>`.
     Withdraw(String),
-    /// What is held: `held/list[/<after>]`, `held/show/<message>`, `held/again/<message>[/new]`, `held/drop/<message>`.
+    /// What is held: `held/list[/<after>]`, `held/show/<message>`, `held/again/<message>[/new]`, `held/drop/<message>`,
+    /// `held/release[/<destination>]`, `held/stop`.
     Held(Vec<String>),
 }
 
--- a/crates/standins/src/mqtt.rs
+++ b/crates/standins/src/mqtt.rs
@@ -16,8 +16,10 @@
 pub struct Who {
     /// Version 5.0, else 3.1.1.
     pub five: bool,
-    /// The user name; the password is `secret`.
+    /// The user name.
     pub user: String,
+    /// The password.
+    pub password: String,
     /// The client identifier.
     pub id: String,
     /// Clean start, or clean session.
@@ -34,7 +36,8 @@
     /// A client of version 5.0 or 3.1.1 that keeps its session for an hour.
     pub fn new(five: bool, user: &str, id: &str) -> Self {
         let (user, id) = (user.to_string(), id.to_string());
-        Who { five, user, id, clean: false, expiry: 3_600, window: 1_000, will: None }
+        let password = "secret".to_string();
+        Who { five, user, password, id, clean: false, expiry: 3_600, window: 1_000, will: None }
     }
 }
 
@@ -160,7 +163,7 @@
             let c = v5_0::Connect::builder()
                 .client_id(w.id.as_str())
                 .and_then(|c| c.user_name(w.user.as_str()))
-                .and_then(|c| c.password(b"secret"))
+                .and_then(|c| c.password(w.password.clone().into_bytes()))
                 .and_then(|c| match &w.will {
                     Some((topic, delay)) => {
                         let delay = WillDelayInterval::new(*delay).map(Property::WillDelayInterval);
@@ -175,7 +178,7 @@
             let c = v3_1_1::Connect::builder()
                 .client_id(w.id.as_str())
                 .and_then(|c| c.user_name(w.user.as_str()))
-                .and_then(|c| c.password(b"secret"))
+                .and_then(|c| c.password(w.password.clone().into_bytes()))
                 .and_then(|c| c.clean_session(w.clean).keep_alive(60).build());
             GenericPacket::V3_1_1Connect(c.expect("a CONNECT"))
         };
