--- a/crates/engine/src/hold.rs
+++ b/crates/engine/src/hold.rs
@@ -28,6 +28,8 @@
 /// States by number in trails.
 const STATES: [&str; 6] = ["DELIVRD", "REJECTD", "UNDELIV", "UNKNOWN", "EXPIRED", "DELETED"];
 
+/// What a release let go should be answered within this.
+const PATIENCE: Micros = 200_000;
 /// How often a release looks whether it may let something go.
 const LOOK: Micros = 20_000;
 
@@ -53,6 +55,7 @@
             // What is let go fills no more than a tenth of the room: the rest is for live traffic.
             out: (self.cfg.settings.max_open as usize / 10).max(1),
             span: 1_000_000,
+            patience: PATIENCE,
         };
         let release = Release::new(self.now, pace);
         let releasing = Releasing { release, destination, after: None, went: 0, passed_over: 0 };
@@ -199,7 +202,8 @@
         // One that was handed in again and not delivered stays its owner's, whatever it ended with.
         let handed_in = trail.steps().any(|(_, what)| matches!(what, What::HandedIn(_)));
         if handed_in && let Some(r) = self.releasing.get_mut(&m.client) {
-            r.release.answered(answer == Answer::Delivered);
+            let last = trail.steps().filter(|(_, what)| matches!(what, What::HandedIn(_))).last();
+            r.release.answered(answer == Answer::Delivered, last.map_or(0, |(at, _)| now - at));
         }
         let hold = matches!(answer, Answer::Undeliverable | Answer::Unknown { .. } | Answer::Expired)
             || (handed_in && answer != Answer::Delivered);
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -445,6 +445,12 @@
         self.messages.len()
     }
 
+    /// Messages held for their clients.
+    pub fn kept_for_clients(&self) -> usize {
+        let of = |c: usize| self.held.as_ref().map_or(0, |s| s.of(c as u32).0);
+        (0..self.clients.len()).map(of).sum()
+    }
+
     /// Receipts that wait for their client.
     pub fn owed(&self) -> usize {
         self.clients.iter().map(|c| c.owed).sum()
--- a/crates/held/src/release.rs
+++ b/crates/held/src/release.rs
@@ -2,8 +2,8 @@
 //!
 //! What is let go is an ordinary message again: pools, told waits, cold returns and admission all hold it as any other.
 //! Guards against a backlog that fills the hold ahead of live traffic: it is let go at a pace that begins low, grows
-//! with each span in which nothing was turned away and falls by half where something was, never more than a part of
-//! the room is out, and live traffic that is refused for room stops it.
+//! with each span in which what went came through soon and falls by half where a twentieth did not come through, a
+//! quarter was slow, or live traffic was refused for room; never more than a part of the room is out.
 
 use crate::Micros;
 
@@ -18,6 +18,8 @@
     pub out: usize,
     /// The pace is reconsidered after this.
     pub span: Micros,
+    /// What is let go should be answered within this: longer, and it stands before live traffic.
+    pub patience: Micros,
 }
 
 /// A release under way.
@@ -31,6 +33,7 @@
     /// In the span: let go and delivered, turned away or undelivered again, live traffic refused.
     went: usize,
     failed: usize,
+    slow: usize,
     crowded: bool,
     next: Micros,
 }
@@ -46,6 +49,7 @@
             out: 0,
             went: 0,
             failed: 0,
+            slow: 0,
             crowded: false,
             next: now + pace.span,
         }
@@ -70,7 +74,9 @@
 
     fn reconsider(&mut self, now: Micros) {
         self.next = now + self.pace.span;
-        let bad = self.crowded || self.failed * 20 > self.went + self.failed;
+        let bad = self.crowded
+            || self.failed * 20 > self.went + self.failed
+            || self.slow * 4 > self.went + self.failed;
         // Growth only on proof: a span in which something went and came through.
         if bad {
             self.rate /= 2.0;
@@ -78,7 +84,7 @@
             self.rate *= 1.25;
         }
         self.rate = self.rate.clamp(self.pace.least, self.pace.most);
-        (self.went, self.failed, self.crowded) = (0, 0, false);
+        (self.went, self.failed, self.slow, self.crowded) = (0, 0, 0, false);
     }
 
     /// One was let go.
@@ -87,8 +93,9 @@
         self.out += 1;
     }
 
-    /// One of those has its answer.
-    pub fn answered(&mut self, delivered: bool) {
+    /// One of those has its answer, so long after it was let go.
+    pub fn answered(&mut self, delivered: bool, took: Micros) {
+        self.slow += usize::from(took > self.pace.patience);
         self.out = self.out.saturating_sub(1);
         if delivered {
             self.went += 1;
@@ -107,7 +114,7 @@
 mod tests {
     use super::*;
 
-    const PACE: Pace = Pace { least: 10.0, most: 10_000.0, out: 200, span: 1_000_000 };
+    const PACE: Pace = Pace { least: 10.0, most: 10_000.0, out: 200, span: 1_000_000, patience: 250_000 };
 
     /// A destination that takes so many a second, with the rest turned away; gives seconds until `n` are delivered and
     /// the most that was turned away in a second.
@@ -124,7 +131,7 @@
                     taken += usize::from(ok);
                     turned += usize::from(!ok);
                     done += usize::from(ok);
-                    r.answered(ok);
+                    r.answered(ok, 20_000);
                 }
             }
             worst = worst.max(turned);
@@ -151,7 +158,7 @@
             now += 1_000_000;
             for _ in 0..r.may(now) {
                 r.let_go();
-                r.answered(true);
+                r.answered(true, 20_000);
             }
         }
         let before = r.rate();
--- a/crates/journal/src/book.rs
+++ b/crates/journal/src/book.rs
@@ -182,8 +182,8 @@
         let forgot = Some(forgot).filter(|f| f.until > 0);
         let names = forgot.into_iter().chain(self.names.iter().copied()).map(|n| What::Named(n).into());
         let places = self.places.values().map(|p| What::Place(p.clone()).into());
-        // Before the messages: an answer among those takes a message out again.
+        // After the messages: an answer among those would take a message out again.
         let held = self.held.values().map(|h| What::Held(h.clone()).into());
-        sessions.chain(names).chain(held).chain(messages).chain(places)
+        sessions.chain(names).chain(messages).chain(held).chain(places)
     }
 }
