--- a/crates/engine/tests/mqtt.rs
+++ b/crates/engine/tests/mqtt.rs
@@ -1050,3 +1050,25 @@
     assert!(r.ran.iter().all(|(n, ids)| n % 2 == 0 || ids.len() == 1));
     assert_eq!(r.ask(0, "stop"), "stat:STOPPED went:0 passed-over:0", "it has ended by itself");
 }
+
+#[test]
+fn what_may_be_lost_is_turned_away_first() {
+    let mut r = Rig::new("", vec![Client::new(true, "c", "one"), Client::new(true, "d", "two")]);
+    (0..2).for_each(|i| _ = r.enter(i));
+    r.life().silent = true;
+    // Room for 500, half of which one client holds: of quality 0 it may hold no more, of quality 1 it may.
+    let mut n = 0;
+    let mut some = |r: &mut Rig, qos: u8, count: usize| {
+        for _ in 0..count {
+            n += 2;
+            r.hand_in(0, n, &hand(n, true, qos, "RESP"));
+            r.pass(1);
+        }
+        r.life().node.open()
+    };
+    let held = some(&mut r, 0, 400);
+    assert!((225..=275).contains(&held), "half the worth, half the threshold: {held}");
+    let more = some(&mut r, 1, 40);
+    assert!(more >= held + 35, "{more} after {held}");
+    assert!(r.clients[0].answers.is_empty() && r.clients[0].conn.is_some(), "and nothing is said of it");
+}
