A held message goes again only once its answer was taken

Need: a hand-in has its message's identity.

Change: until the first answer is taken a hand-in is refused (UNHEARD), after a restart too.

--- a/crates/cli/src/held.rs
+++ b/crates/cli/src/held.rs
@@ -107,8 +107,17 @@
     match asker.and_then(Running::join).map(|a| a.answer) {
         Ok(Some(Ok(text))) => {
             println!("{text}");
-            let refused =
-                ["NOTFOUND", "MAYHAVERUN", "WINDOWOVER", "UNDERWAY", "BUSY", "WHAT", "NOCLASS", "NOROUTE"];
+            let refused = [
+                "NOTFOUND",
+                "MAYHAVERUN",
+                "WINDOWOVER",
+                "UNDERWAY",
+                "UNHEARD",
+                "BUSY",
+                "WHAT",
+                "NOCLASS",
+                "NOROUTE",
+            ];
             match field(text.lines().next().unwrap_or_default(), "stat") {
                 Some(state) if refused.contains(&state) => ExitCode::from(1),
                 _ => ExitCode::SUCCESS,
--- a/crates/engine/src/hold.rs
+++ b/crates/engine/src/hold.rs
@@ -174,6 +174,9 @@
             let client = self.client_named(&a.client);
             let mut filed = self.filed(client, a, &trail);
             filed.under_way = book.open.get(id).is_some_and(|o| o.answer.is_none());
+            if book.open.get(id).is_some_and(|o| o.answer.is_some()) {
+                self.unheard.insert(*id);
+            }
             if let Some(store) = &mut self.held {
                 store.file(now, *id, filed);
             }
@@ -233,6 +236,7 @@
         }
         let dropped = self.held.as_mut().map(|s| s.file(now, id.0, filed)).unwrap_or_default();
         if hold {
+            self.unheard.insert(id.0);
             self.write_held(accepted, *trail);
         }
         self.write_released(&dropped);
@@ -405,6 +409,11 @@
                 });
             }
         };
+        // Guards against the first answer's being taken closing the hand-in in the journal, which has the same
+        // identity: after a crash what it did would not be known.
+        if !fresh && self.unheard.contains(&id) {
+            return said("UNHEARD");
+        }
         let Some(dest) = self.routes.find(&a.destination) else { return said("NOROUTE") };
         if self.leaving || self.ledger.refuses(self.now, self.messages.len()) {
             return said("BUSY");
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -30,7 +30,7 @@
 use heronroute_smpp::receipt::{Answer, Receipt};
 use heronroute_smpp::server;
 use heronroute_smpp::submission::Submission;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -248,6 +248,8 @@
     pub(crate) turns: Turns,
     /// What is held for clients, and trails.
     pub(crate) held: Option<Store>,
+    /// Held messages whose answer was not taken yet.
+    pub(crate) unheard: BTreeSet<u64>,
     /// Backlogs that are being let go, by client.
     pub(crate) releasing: BTreeMap<usize, Releasing>,
     /// Names that trails have by number.
@@ -330,6 +332,7 @@
                 let trails = Room { age: i64::MAX, count: h.trails, octets: u64::MAX };
                 Store::new(trails, Room { age: h.age, count: h.count, octets: h.octets })
             }),
+            unheard: BTreeSet::new(),
             releasing: BTreeMap::new(),
             trail_names: Vec::new(),
             trail_numbers: BTreeMap::new(),
@@ -866,6 +869,7 @@
 
     /// The answer was taken, or none is owed: nothing of the message is needed any more.
     pub(crate) fn taken(&mut self, id: MsgId) {
+        self.unheard.remove(&id.0);
         self.ledger.write(|| What::Taken(entry::Taken { id: id.0 }));
     }
 
--- a/crates/engine/tests/mqtt.rs
+++ b/crates/engine/tests/mqtt.rs
@@ -1072,3 +1072,31 @@
     assert!(more >= held + 35, "{more} after {held}");
     assert!(r.clients[0].answers.is_empty() && r.clients[0].conn.is_some(), "and nothing is said of it");
 }
+
+#[test]
+fn a_message_goes_again_only_once_its_answer_was_taken() {
+    let mut r = Rig::holding("");
+    (r.life().down, r.clients[0].deaf) = (true, true);
+    for n in 0..8 {
+        r.hand_in(0, 2 * n + 1, &hand(2 * n + 1, true, 1, "PAY"));
+        r.pass(5);
+    }
+    r.pass(4_500);
+    let list = r.ask(1, "list");
+    let id = list.lines().nth(1).unwrap().to_string();
+    assert_eq!(r.ask(1, &format!("again/{id}")), format!("id:{id} stat:UNHEARD"));
+    r.back();
+    r.clients[0].deaf = true;
+    assert_eq!(r.ask(1, &format!("again/{id}")), format!("id:{id} stat:UNHEARD"), "after a crash, too");
+    // Once it is heard the hand-in goes, and what it does is known whatever happens.
+    r.clients[0].deaf = false;
+    r.cut(0);
+    r.enter(0);
+    r.life().silent = true;
+    assert_eq!(r.ask(1, &format!("again/{id}")), format!("id:{id} stat:ENROUTE"));
+    r.pass(1_500);
+    r.back();
+    let n: Vec<usize> = r.ran.values().map(Vec::len).collect();
+    assert_eq!(n, [1], "it ran once");
+    assert!(r.ask(1, &format!("again/{id}")).ends_with("stat:MAYHAVERUN"));
+}
