Packets of both MQTT versions read and written by one form each

Need: PUBLISH, CONNECT, will, SUBSCRIBE and UNSUBSCRIBE were read twice, line for line, and every packet spelled out how it becomes octets.

Change: what the library's types of 3.1.1 and 5.0 name alike is read by one macro each, and written by one. No behaviour changes.

--- a/crates/mqtt/src/codec.rs
+++ b/crates/mqtt/src/codec.rs
@@ -231,18 +231,76 @@
     raw.data_as_slice().into()
 }
 
-macro_rules! ack {
-    ($raw:expr, $kind:expr, $type:ty) => {{
-        let p = exact($raw, <$type>::parse)?;
-        let code = p.reason_code().map_or(0, |c| c as u8);
-        Ok(Packet::Ack($kind, numbered(p.packet_id())?, code))
+// The packet types of the two versions share no trait, but name alike what they have in common.
+
+macro_rules! read_ack {
+    ($raw:expr, $kind:expr, $type:ty, $p:ident => $code:expr) => {{
+        let $p = exact($raw, <$type>::parse)?;
+        Ok(Packet::Ack($kind, numbered($p.packet_id())?, $code))
+    }};
+}
+
+macro_rules! read_publish {
+    ($raw:expr, $type:ty) => {{
+        let p = exact($raw, |_| <$type>::parse($raw.flags(), shared($raw)))?;
+        let publish = Publish {
+            topic: p.topic_name().to_string(),
+            packet: p.packet_id().unwrap_or(0),
+            qos: p.qos() as u8,
+            again: p.dup(),
+            retain: p.retain(),
+            payload: p.payload().as_slice().to_vec(),
+            ..Publish::default()
+        };
+        (p, publish)
+    }};
+}
+
+macro_rules! read_will {
+    ($c:expr) => {
+        $c.will_flag().then(|| Publish {
+            topic: $c.will_topic().unwrap_or_default().to_string(),
+            qos: $c.will_qos() as u8,
+            retain: $c.will_retain(),
+            payload: $c.will_payload().unwrap_or_default().to_vec(),
+            ..Publish::default()
+        })
+    };
+}
+
+/// Only what both versions say; the rest is as for 3.1.1, for 5.0 to change.
+macro_rules! read_connect {
+    ($c:expr, $version:expr, $will:expr) => {
+        Connect {
+            version: $version,
+            client_id: $c.client_id().to_string(),
+            clean: $c.clean_start(),
+            keep_alive: $c.keep_alive(),
+            user: $c.user_name().map(str::to_string),
+            password: $c.password().map(<[u8]>::to_vec),
+            will: $will,
+            expiry: 0,
+            receive_maximum: u16::MAX,
+            maximum_packet: u32::MAX,
+            aliases: 0,
+            problem_information: false,
+            method: false,
+        }
+    };
+}
+
+macro_rules! read_subscribe {
+    ($p:expr, $named:expr) => {{
+        let list = $p.entries().iter().map(|e| (e.topic_filter().to_string(), e.sub_opts().qos() as u8));
+        Ok(Packet::Subscribe(numbered($p.packet_id())?, list.collect(), $named))
     }};
 }
 
-macro_rules! plain_ack {
-    ($raw:expr, $kind:expr, $type:ty) => {{
+macro_rules! read_unsubscribe {
+    ($raw:expr, $type:ty) => {{
         let p = exact($raw, <$type>::parse)?;
-        Ok(Packet::Ack($kind, numbered(p.packet_id())?, 0))
+        let list = p.entries().iter().map(|e| e.as_str().to_string());
+        Ok(Packet::Unsubscribe(numbered(p.packet_id())?, list.collect()))
     }};
 }
 
@@ -250,60 +308,21 @@
     match kind {
         1 => {
             let c = exact(raw, v3_1_1::Connect::parse)?;
-            let will = c.will_flag().then(|| Will {
-                delay: 0,
-                publish: Publish {
-                    topic: c.will_topic().unwrap_or_default().to_string(),
-                    qos: c.will_qos() as u8,
-                    retain: c.will_retain(),
-                    payload: c.will_payload().unwrap_or_default().to_vec(),
-                    ..Publish::default()
-                },
-            });
-            Ok(Packet::Connect(Box::new(Connect {
-                version: Version::V3,
-                client_id: c.client_id().to_string(),
-                clean: c.clean_session(),
-                keep_alive: c.keep_alive(),
-                user: c.user_name().map(str::to_string),
-                password: c.password().map(<[u8]>::to_vec),
-                will,
-                // A session that is not clean has no end by itself.
-                expiry: if c.clean_session() { 0 } else { u32::MAX },
-                receive_maximum: u16::MAX,
-                maximum_packet: u32::MAX,
-                aliases: 0,
-                problem_information: false,
-                method: false,
-            })))
-        }
-        3 => {
-            let p = exact(raw, |_| v3_1_1::Publish::parse(raw.flags(), shared(raw)))?;
-            let publish = Publish {
-                topic: p.topic_name().to_string(),
-                packet: p.packet_id().unwrap_or(0),
-                qos: p.qos() as u8,
-                again: p.dup(),
-                retain: p.retain(),
-                payload: p.payload().as_slice().to_vec(),
-                ..Publish::default()
-            };
-            published(publish)
+            let will = read_will!(c).map(|publish| Will { delay: 0, publish });
+            // A session that is not clean has no end by itself.
+            let expiry = if c.clean_session() { 0 } else { u32::MAX };
+            Ok(Packet::Connect(Box::new(Connect { expiry, ..read_connect!(c, Version::V3, will) })))
         }
-        4 => plain_ack!(raw, Ack::Puback, v3_1_1::Puback),
-        5 => plain_ack!(raw, Ack::Pubrec, v3_1_1::Pubrec),
-        6 => plain_ack!(raw, Ack::Pubrel, v3_1_1::Pubrel),
-        7 => plain_ack!(raw, Ack::Pubcomp, v3_1_1::Pubcomp),
+        3 => published(read_publish!(raw, v3_1_1::Publish).1),
+        4 => read_ack!(raw, Ack::Puback, v3_1_1::Puback, p => 0),
+        5 => read_ack!(raw, Ack::Pubrec, v3_1_1::Pubrec, p => 0),
+        6 => read_ack!(raw, Ack::Pubrel, v3_1_1::Pubrel, p => 0),
+        7 => read_ack!(raw, Ack::Pubcomp, v3_1_1::Pubcomp, p => 0),
         8 => {
             let p = exact(raw, v3_1_1::Subscribe::parse)?;
-            let list = p.entries().iter().map(|e| (e.topic_filter().to_string(), e.sub_opts().qos() as u8));
-            Ok(Packet::Subscribe(numbered(p.packet_id())?, list.collect(), false))
-        }
-        10 => {
-            let p = exact(raw, v3_1_1::Unsubscribe::parse)?;
-            let list = p.entries().iter().map(|e| e.as_str().to_string());
-            Ok(Packet::Unsubscribe(numbered(p.packet_id())?, list.collect()))
+            read_subscribe!(p, false)
         }
+        10 => read_unsubscribe!(raw, v3_1_1::Unsubscribe),
         12 if raw.remaining_length() == 0 => Ok(Packet::Ping),
         14 if raw.remaining_length() == 0 => Ok(Packet::Disconnect(0, None)),
         12 | 14 => Err(MALFORMED),
@@ -336,37 +355,16 @@
     match kind {
         1 => {
             let c = exact(raw, v5_0::Connect::parse)?;
-            let mut will = None;
-            if c.will_flag() {
-                let mut publish = Publish {
-                    topic: c.will_topic().unwrap_or_default().to_string(),
-                    qos: c.will_qos() as u8,
-                    retain: c.will_retain(),
-                    payload: c.will_payload().unwrap_or_default().to_vec(),
-                    ..Publish::default()
-                };
+            let will = read_will!(c).map(|mut publish| {
                 publish_properties(&mut publish, c.will_props());
                 let delay = c.will_props().iter().find_map(|p| match p {
                     Property::WillDelayInterval(v) => Some(v.val()),
                     _ => None,
                 });
-                will = Some(Will { delay: delay.unwrap_or(0), publish });
-            }
-            let mut connect = Connect {
-                version: Version::V5,
-                client_id: c.client_id().to_string(),
-                clean: c.clean_start(),
-                keep_alive: c.keep_alive(),
-                user: c.user_name().map(str::to_string),
-                password: c.password().map(<[u8]>::to_vec),
-                will,
-                expiry: 0,
-                receive_maximum: u16::MAX,
-                maximum_packet: u32::MAX,
-                aliases: 0,
-                problem_information: true,
-                method: false,
-            };
+                Will { delay: delay.unwrap_or(0), publish }
+            });
+            let mut connect = read_connect!(c, Version::V5, will);
+            connect.problem_information = true;
             for p in c.props() {
                 match p {
                     Property::SessionExpiryInterval(v) => connect.expiry = v.val(),
@@ -381,34 +379,20 @@
             Ok(Packet::Connect(Box::new(connect)))
         }
         3 => {
-            let p = exact(raw, |_| v5_0::Publish::parse(raw.flags(), shared(raw)))?;
-            let mut publish = Publish {
-                topic: p.topic_name().to_string(),
-                packet: p.packet_id().unwrap_or(0),
-                qos: p.qos() as u8,
-                again: p.dup(),
-                retain: p.retain(),
-                payload: p.payload().as_slice().to_vec(),
-                ..Publish::default()
-            };
+            let (p, mut publish) = read_publish!(raw, v5_0::Publish);
             publish_properties(&mut publish, p.props());
             published(publish)
         }
-        4 => ack!(raw, Ack::Puback, v5_0::Puback),
-        5 => ack!(raw, Ack::Pubrec, v5_0::Pubrec),
-        6 => ack!(raw, Ack::Pubrel, v5_0::Pubrel),
-        7 => ack!(raw, Ack::Pubcomp, v5_0::Pubcomp),
+        4 => read_ack!(raw, Ack::Puback, v5_0::Puback, p => p.reason_code().map_or(0, |c| c as u8)),
+        5 => read_ack!(raw, Ack::Pubrec, v5_0::Pubrec, p => p.reason_code().map_or(0, |c| c as u8)),
+        6 => read_ack!(raw, Ack::Pubrel, v5_0::Pubrel, p => p.reason_code().map_or(0, |c| c as u8)),
+        7 => read_ack!(raw, Ack::Pubcomp, v5_0::Pubcomp, p => p.reason_code().map_or(0, |c| c as u8)),
         8 => {
             let p = exact(raw, v5_0::Subscribe::parse)?;
             let named = p.props().iter().any(|p| matches!(p, Property::SubscriptionIdentifier(_)));
-            let list = p.entries().iter().map(|e| (e.topic_filter().to_string(), e.sub_opts().qos() as u8));
-            Ok(Packet::Subscribe(numbered(p.packet_id())?, list.collect(), named))
-        }
-        10 => {
-            let p = exact(raw, v5_0::Unsubscribe::parse)?;
-            let list = p.entries().iter().map(|e| e.as_str().to_string());
-            Ok(Packet::Unsubscribe(numbered(p.packet_id())?, list.collect()))
+            read_subscribe!(p, named)
         }
+        10 => read_unsubscribe!(raw, v5_0::Unsubscribe),
         12 if raw.remaining_length() == 0 => Ok(Packet::Ping),
         12 => Err(MALFORMED),
         14 => {
@@ -447,43 +431,56 @@
     props.extend(value.ok().map(Into::into));
 }
 
-/// Writes the CONNACK of a session that begins.
-pub fn welcome(version: Version, w: &Welcome, out: &mut BytesMut) {
-    let octets = match version {
-        Version::V3 => v3_1_1::Connack::builder()
-            .session_present(w.present)
-            .return_code(ConnectReturnCode::Accepted)
-            .build()
-            .map(|p| p.to_continuous_buffer()),
-        Version::V5 => {
-            let mut props = Properties::new();
-            put(&mut props, SessionExpiryInterval::new(w.expiry));
-            put(&mut props, ReceiveMaximum::new(w.receive_maximum));
-            put(&mut props, MaximumPacketSize::new(w.maximum_packet));
-            put(&mut props, TopicAliasMaximum::new(w.aliases));
-            put(&mut props, RetainAvailable::new(0));
-            put(&mut props, SubscriptionIdentifierAvailable::new(0));
-            put(&mut props, SharedSubscriptionAvailable::new(0));
-            if let Some(id) = &w.assigned {
-                put(&mut props, AssignedClientIdentifier::new(id.as_str()));
-            }
-            if let Some(seconds) = w.keep_alive {
-                put(&mut props, ServerKeepAlive::new(seconds));
-            }
-            v5_0::Connack::builder()
-                .session_present(w.present)
-                .reason_code(ConnectReasonCode::Success)
-                .props(props)
-                .build()
-                .map(|p| p.to_continuous_buffer())
+/// Writes a packet that was built; one that can't be is left out.
+macro_rules! put_packet {
+    ($out:expr, $builder:expr) => {
+        if let Ok(p) = $builder.build() {
+            $out.extend_from_slice(&p.to_continuous_buffer());
         }
     };
-    out.extend_from_slice(&octets.unwrap_or_default());
+}
+
+macro_rules! write_ack {
+    ($out:expr, $type:ty, $code:ty, $packet:expr, $value:expr, $props:expr) => {{
+        let mut b = <$type>::builder().packet_id($packet);
+        if $value != 0 || !$props.is_empty() {
+            b = b.reason_code(<$code>::try_from($value).unwrap_or(<$code>::Success));
+        }
+        if !$props.is_empty() {
+            b = b.props($props);
+        }
+        put_packet!($out, b)
+    }};
+}
+
+/// Writes the CONNACK of a session that begins.
+pub fn welcome(version: Version, w: &Welcome, out: &mut BytesMut) {
+    if version == Version::V3 {
+        let b = v3_1_1::Connack::builder().return_code(ConnectReturnCode::Accepted);
+        put_packet!(out, b.session_present(w.present));
+        return;
+    }
+    let mut props = Properties::new();
+    put(&mut props, SessionExpiryInterval::new(w.expiry));
+    put(&mut props, ReceiveMaximum::new(w.receive_maximum));
+    put(&mut props, MaximumPacketSize::new(w.maximum_packet));
+    put(&mut props, TopicAliasMaximum::new(w.aliases));
+    put(&mut props, RetainAvailable::new(0));
+    put(&mut props, SubscriptionIdentifierAvailable::new(0));
+    put(&mut props, SharedSubscriptionAvailable::new(0));
+    if let Some(id) = &w.assigned {
+        put(&mut props, AssignedClientIdentifier::new(id.as_str()));
+    }
+    if let Some(seconds) = w.keep_alive {
+        put(&mut props, ServerKeepAlive::new(seconds));
+    }
+    let b = v5_0::Connack::builder().reason_code(ConnectReasonCode::Success);
+    put_packet!(out, b.session_present(w.present).props(props));
 }
 
 /// Writes the CONNACK that turns a client away.
 pub fn unwelcome(version: Version, code: u8, out: &mut BytesMut) {
-    let octets = match version {
+    match version {
         Version::V3 => {
             let code = match code {
                 0x84 => ConnectReturnCode::UnacceptableProtocolVersion,
@@ -492,32 +489,13 @@
                 0x88 | 0x89 | 0x8B => ConnectReturnCode::ServerUnavailable,
                 _ => ConnectReturnCode::NotAuthorized,
             };
-            v3_1_1::Connack::builder()
-                .session_present(false)
-                .return_code(code)
-                .build()
-                .map(|p| p.to_continuous_buffer())
-        }
-        Version::V5 => v5_0::Connack::builder()
-            .session_present(false)
-            .reason_code(ConnectReasonCode::try_from(code).unwrap_or(ConnectReasonCode::UnspecifiedError))
-            .build()
-            .map(|p| p.to_continuous_buffer()),
-    };
-    out.extend_from_slice(&octets.unwrap_or_default());
-}
-
-macro_rules! write_ack {
-    ($type:ty, $code:ty, $packet:expr, $value:expr, $props:expr) => {{
-        let mut b = <$type>::builder().packet_id($packet);
-        if $value != 0 || !$props.is_empty() {
-            b = b.reason_code(<$code>::try_from($value).unwrap_or(<$code>::Success));
+            put_packet!(out, v3_1_1::Connack::builder().session_present(false).return_code(code));
         }
-        if !$props.is_empty() {
-            b = b.props($props);
+        Version::V5 => {
+            let code = ConnectReasonCode::try_from(code).unwrap_or(ConnectReasonCode::UnspecifiedError);
+            put_packet!(out, v5_0::Connack::builder().session_present(false).reason_code(code));
         }
-        b.build().map(|p| p.to_continuous_buffer())
-    }};
+    }
 }
 
 /// Writes an acknowledgement. Version 3.1.1 knows neither codes nor properties. `said`: user properties.
@@ -534,53 +512,39 @@
     }
     let mut props = Properties::new();
     said.iter().for_each(|(key, value)| put(&mut props, UserProperty::new(*key, *value)));
-    let octets = match kind {
-        Ack::Puback => write_ack!(v5_0::Puback, PubackReasonCode, packet, code, props),
-        Ack::Pubrec => write_ack!(v5_0::Pubrec, PubrecReasonCode, packet, code, props),
-        Ack::Pubcomp | Ack::Pubrel => write_ack!(v5_0::Pubcomp, PubcompReasonCode, packet, code, props),
-    };
-    out.extend_from_slice(&octets.unwrap_or_default());
+    match kind {
+        Ack::Puback => write_ack!(out, v5_0::Puback, PubackReasonCode, packet, code, props),
+        Ack::Pubrec => write_ack!(out, v5_0::Pubrec, PubrecReasonCode, packet, code, props),
+        Ack::Pubcomp | Ack::Pubrel => write_ack!(out, v5_0::Pubcomp, PubcompReasonCode, packet, code, props),
+    }
 }
 
 /// Writes a SUBACK, with a code of version 5.0 for each filter.
 pub fn suback(version: Version, packet: u16, codes: &[u8], out: &mut BytesMut) {
-    let octets = match version {
+    match version {
         Version::V3 => {
             let one = |c: &u8| SubackReturnCode::try_from(*c).unwrap_or(SubackReturnCode::Failure);
-            v3_1_1::Suback::builder()
-                .packet_id(packet)
-                .return_codes(codes.iter().map(one).collect())
-                .build()
-                .map(|p| p.to_continuous_buffer())
+            let codes = codes.iter().map(one).collect();
+            put_packet!(out, v3_1_1::Suback::builder().packet_id(packet).return_codes(codes));
         }
         Version::V5 => {
             let one = |c: &u8| SubackReasonCode::try_from(*c).unwrap_or(SubackReasonCode::UnspecifiedError);
-            v5_0::Suback::builder()
-                .packet_id(packet)
-                .reason_codes(codes.iter().map(one).collect())
-                .build()
-                .map(|p| p.to_continuous_buffer())
+            let codes = codes.iter().map(one).collect();
+            put_packet!(out, v5_0::Suback::builder().packet_id(packet).reason_codes(codes));
         }
-    };
-    out.extend_from_slice(&octets.unwrap_or_default());
+    }
 }
 
 /// Writes an UNSUBACK.
 pub fn unsuback(version: Version, packet: u16, codes: &[u8], out: &mut BytesMut) {
-    let octets = match version {
-        Version::V3 => {
-            v3_1_1::Unsuback::builder().packet_id(packet).build().map(|p| p.to_continuous_buffer())
-        }
+    match version {
+        Version::V3 => put_packet!(out, v3_1_1::Unsuback::builder().packet_id(packet)),
         Version::V5 => {
             let one = |c: &u8| UnsubackReasonCode::try_from(*c).unwrap_or(UnsubackReasonCode::Success);
-            v5_0::Unsuback::builder()
-                .packet_id(packet)
-                .reason_codes(codes.iter().map(one).collect())
-                .build()
-                .map(|p| p.to_continuous_buffer())
+            let codes = codes.iter().map(one).collect();
+            put_packet!(out, v5_0::Unsuback::builder().packet_id(packet).reason_codes(codes));
         }
-    };
-    out.extend_from_slice(&octets.unwrap_or_default());
+    }
 }
 
 /// Writes a PINGRESP.
@@ -602,36 +566,35 @@
     if !props.is_empty() {
         b = b.props(props);
     }
-    out.extend_from_slice(&b.build().map(|p| p.to_continuous_buffer()).unwrap_or_default());
+    put_packet!(out, b);
+}
+
+macro_rules! publish_octets {
+    ($p:expr, $qos:expr, $type:ty $(, $props:expr)?) => {{
+        let mut b = <$type>::builder().topic_name($p.topic.as_str()).ok()?.qos($qos).dup($p.again);
+        if $p.qos > 0 {
+            b = b.packet_id($p.packet);
+        }
+        $(b = b.props($props);)?
+        b.payload($p.payload.clone()).build().ok().map(|p| p.to_continuous_buffer())
+    }};
 }
 
 /// The octets of a PUBLISH; none where a part of it can't be written (a topic that is none).
 pub fn publish(version: Version, p: &Publish) -> Option<Vec<u8>> {
     let qos = Qos::try_from(p.qos).ok()?;
-    match version {
-        Version::V3 => {
-            let mut b = v3_1_1::Publish::builder().topic_name(p.topic.as_str()).ok()?.qos(qos).dup(p.again);
-            if p.qos > 0 {
-                b = b.packet_id(p.packet);
-            }
-            b.payload(p.payload.clone()).build().ok().map(|p| p.to_continuous_buffer())
-        }
-        Version::V5 => {
-            let mut props = Properties::new();
-            if let Some(alias) = p.alias {
-                put(&mut props, TopicAlias::new(alias));
-            }
-            if let Some(c) = &p.correlation {
-                put(&mut props, CorrelationData::new(c.clone()));
-            }
-            p.user.iter().for_each(|(k, v)| put(&mut props, UserProperty::new(k.as_str(), v.as_str())));
-            let mut b = v5_0::Publish::builder().topic_name(p.topic.as_str()).ok()?.qos(qos).dup(p.again);
-            if p.qos > 0 {
-                b = b.packet_id(p.packet);
-            }
-            b.props(props).payload(p.payload.clone()).build().ok().map(|p| p.to_continuous_buffer())
-        }
+    if version == Version::V3 {
+        return publish_octets!(p, qos, v3_1_1::Publish);
+    }
+    let mut props = Properties::new();
+    if let Some(alias) = p.alias {
+        put(&mut props, TopicAlias::new(alias));
+    }
+    if let Some(c) = &p.correlation {
+        put(&mut props, CorrelationData::new(c.clone()));
     }
+    p.user.iter().for_each(|(k, v)| put(&mut props, UserProperty::new(k.as_str(), v.as_str())));
+    publish_octets!(p, qos, v5_0::Publish, props)
 }
 
 /// The greatest quality of service that is granted to subscriptions.
