--- a/crates/drill/benches/fronts.rs
+++ b/crates/drill/benches/fronts.rs
@@ -3,76 +3,28 @@
 //!
 //! `cargo bench -p heronroute-drill --bench fronts`
 
+mod shared;
+
 use bytes::BytesMut;
 use heronroute_config::parse;
 use heronroute_engine::front::Speaks as Front;
 use heronroute_engine::{Node, Start};
 use heronroute_mqtt::session::{self, Event};
 use heronroute_net::{Clock, Service};
-use heronroute_smpp::client::{self, Event as SmppEvent};
-use heronroute_smpp::receipt::Receipt;
-use heronroute_smpp::server::{self, Limits, Mode};
-use heronroute_smpp::submission::{Submission, Wanted};
+use heronroute_smpp::client;
+use heronroute_smpp::server::Mode;
 use heronroute_standins::Micros;
 use heronroute_standins::actor::{Actor, Ask, Conn};
 use heronroute_standins::farm::{Destination, Endpoint, Farm, Speaks};
 use heronroute_standins::model::Shape;
 use heronroute_standins::run::Running;
-use rusmpp_core::CommandStatus;
+use shared::{BODY, LIMITS, Receiver, SmppLoad};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const LIMITS: Limits = Limits {
-    session_init: 60_000_000,
-    enquire_every: 600_000_000,
-    inactivity: 6_000_000_000,
-    response: 60_000_000,
-    window: 100_000,
-    max_pdu: 70_000,
-};
-const BODY: &[u8] = b"a response of ordinary length, as they are: 0123456789";
-
-/// Answers every submit_sm at once.
-#[derive(Default)]
-struct Receiver {
-    sessions: BTreeMap<Conn, server::Session>,
-    asks: Vec<Ask>,
-}
-
-impl Actor for Receiver {
-    fn accepted(&mut self, now: Micros, _: usize, conn: Conn) {
-        self.sessions.insert(conn, server::Session::new(now, LIMITS));
-    }
-    fn received(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
-        let Some(session) = self.sessions.get_mut(&conn) else { return };
-        let (mut out, mut events) = (BytesMut::new(), Vec::new());
-        session.receive(now, 0, octets, &mut out, &mut events);
-        for event in events {
-            match event {
-                server::Event::Bind { sequence, .. } => session.accept(now, sequence, "echo", &mut out),
-                server::Event::Submit { sequence, .. } => {
-                    session.submitted(sequence, "1", CommandStatus::EsmeRok, vec![], &mut out);
-                }
-                _ => {}
-            }
-        }
-        self.asks.push(Ask::Write(conn, out.to_vec()));
-    }
-    fn closed(&mut self, _: Micros, conn: Conn) {
-        self.sessions.remove(&conn);
-    }
-    fn tick(&mut self, _: Micros) {}
-    fn wake(&self) -> Micros {
-        Micros::MAX
-    }
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
-    }
-}
-
 /// Acknowledges every PUBLISH at once.
 #[derive(Default)]
 struct MqttEcho {
@@ -301,134 +253,6 @@
     }
 }
 
-/// SMPP sessions likewise; they note how long each message took to its receipt.
-struct SmppLoad {
-    user: &'static str,
-    window: usize,
-    left: usize,
-    total: usize,
-    sessions: usize,
-    made: BTreeMap<Conn, (client::Session, BTreeMap<u32, Micros>)>,
-    sent: BTreeMap<String, Micros>,
-    asks: Vec<Ask>,
-    done: usize,
-    refused: usize,
-    took: Vec<Micros>,
-    every: Option<Micros>,
-    next: Micros,
-}
-
-impl SmppLoad {
-    fn new(address: SocketAddr, sessions: usize, window: usize, total: usize) -> Self {
-        SmppLoad {
-            user: "c",
-            window,
-            left: total,
-            total,
-            sessions,
-            made: BTreeMap::new(),
-            sent: BTreeMap::new(),
-            asks: (0..sessions).map(|tag| Ask::Connect { tag, address }).collect(),
-            done: 0,
-            refused: 0,
-            took: Vec::new(),
-            every: None,
-            next: 0,
-        }
-    }
-
-    fn submit(&mut self, now: Micros, planned: Micros, conn: Conn, out: &mut BytesMut) {
-        if self.left == 0 {
-            return;
-        }
-        self.left -= 1;
-        let s = Submission {
-            service: "RESP".into(),
-            source: "a".into(),
-            destination: format!("{:06}{:06}", 1 + self.left * 7 % 20, self.left % 1_000_000),
-            wanted: Wanted::Always,
-            body: BODY.to_vec(),
-            ..Submission::default()
-        };
-        if let Some((session, asked)) = self.made.get_mut(&conn) {
-            asked.insert(session.request(now, s.submit(None), out), planned);
-        }
-    }
-}
-
-impl Actor for SmppLoad {
-    fn accepted(&mut self, _: Micros, _: usize, _: Conn) {}
-    fn connected(&mut self, now: Micros, _: usize, conn: Conn) {
-        let mut out = BytesMut::new();
-        let session = client::Session::bind(now, LIMITS, Mode::Transceiver, self.user, "p", &mut out);
-        self.made.insert(conn, (session, BTreeMap::new()));
-        self.asks.push(Ask::Write(conn, out.to_vec()));
-    }
-    fn received(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
-        let Some((session, asked)) = self.made.get_mut(&conn) else { return };
-        let (mut out, mut events) = (BytesMut::new(), Vec::new());
-        session.receive(now, octets, &mut out, &mut events);
-        let mut more = 0;
-        for event in events {
-            match event {
-                SmppEvent::Bound => more += self.window,
-                SmppEvent::Response { sequence, status, id, .. } => {
-                    let sent = asked.remove(&sequence).unwrap_or(now);
-                    if status == CommandStatus::EsmeRok {
-                        self.sent.insert(id, sent);
-                    } else {
-                        self.refused += 1;
-                        self.done += 1;
-                        more += 1;
-                    }
-                }
-                SmppEvent::Delivered(sm) => {
-                    let id = Receipt::read(&sm).map(|r| r.0).unwrap_or_default();
-                    let sent = self.sent.remove(&id);
-                    self.took.extend(sent.map(|s| now - s));
-                    self.done += 1;
-                    more += 1;
-                }
-                _ => {}
-            }
-        }
-        if self.every.is_none() {
-            (0..more).for_each(|_| self.submit(now, now, conn, &mut out));
-        }
-        if !out.is_empty() {
-            self.asks.push(Ask::Write(conn, out.to_vec()));
-        }
-    }
-    fn closed(&mut self, _: Micros, conn: Conn) {
-        self.made.remove(&conn);
-    }
-    fn tick(&mut self, now: Micros) {
-        let Some(every) = self.every else { return };
-        if self.made.len() < self.sessions || self.made.values().any(|s| !s.0.bound()) {
-            self.next = now;
-            return;
-        }
-        while self.next <= now && self.left > 0 {
-            let planned = self.next;
-            self.next += every;
-            let at = self.left % self.made.len();
-            let Some(conn) = self.made.keys().nth(at).copied() else { return };
-            let mut out = BytesMut::new();
-            self.submit(now, planned, conn, &mut out);
-            self.asks.push(Ask::Write(conn, out.to_vec()));
-        }
-    }
-    fn wake(&self) -> Micros {
-        if self.every.is_some() { self.next } else { Micros::MAX }
-    }
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
-    }
-    fn finished(&self) -> bool {
-        self.done >= self.total
-    }
-}
-
 fn settings(receivers: &[SocketAddr], room: usize, window: usize) -> String {
     let mut t = format!(
         "service {{ senders: 1 slots: 2000 room: {room} owed_room: {room} }} \
@@ -497,7 +321,7 @@
         });
         std::thread::sleep(Duration::from_secs(2));
         let (_, load) = rate(3_000, move || {
-            let mut load = SmppLoad::new(smpp, 4, 1, 3_000);
+            let mut load = SmppLoad::new(smpp, 4, 1, 3_000, true);
             load.every = Some(3_333);
             load
         });
@@ -573,8 +397,8 @@
         let (echoed, _) = rate(total, move || MqttLoad::new(bare, sessions, window, total, false));
         let s = service(&receiver.addresses, 50_000);
         let (smpp, mqtt) = (s.address(), s.mqtt_address().expect("mqtt"));
-        rate(10_000, move || SmppLoad::new(smpp, sessions, window, 10_000));
-        let (by_smpp, _) = rate(total, move || SmppLoad::new(smpp, sessions, window, total));
+        rate(10_000, move || SmppLoad::new(smpp, sessions, window, 10_000, true));
+        let (by_smpp, _) = rate(total, move || SmppLoad::new(smpp, sessions, window, total, true));
         let (by_mqtt, load) = rate(total, move || MqttLoad::new(mqtt, sessions, window, total, true));
         println!(
             "{sessions:>5} x {window:<3}: {echoed:>8.0}/s {by_mqtt:>8.0}/s {by_smpp:>8.0}/s; of bare {:.2}, of SMPP {:.2}; {:.1} %",
--- a/crates/engine/tests/crash.rs
+++ b/crates/engine/tests/crash.rs
@@ -3,30 +3,24 @@
 //! and all that arrived is checked. Octets are carried before the journal commits, so that whatever is told or
 //! sent too early is seen.
 
+mod rig;
+
 use bytes::BytesMut;
 use heronroute_config::{Config, parse};
 use heronroute_engine::front::Speaks;
 use heronroute_engine::{ConnId, Gone, Node, Output, Start};
 use heronroute_journal::disk::{Disk, Faults};
-use heronroute_journal::{Entry, Journal, Limits as JournalLimits};
+use heronroute_journal::{Entry, Journal};
 use heronroute_smpp::client::{Event, Session as Client};
 use heronroute_smpp::receipt::{Answer, Receipt};
-use heronroute_smpp::server::{self, Limits, Mode, Session};
+use heronroute_smpp::server::{self, Mode, Session};
 use heronroute_smpp::submission::{Submission, Wanted};
+use rig::{Dice, LIMITS, SMALL, commit};
 use rusmpp_core::CommandStatus;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 const MS: i64 = 1_000;
-const SMALL: JournalLimits = JournalLimits { segment: 2_000, growth: 2, least: 6_000, most: 1 << 20 };
-const LIMITS: Limits = Limits {
-    session_init: 1 << 50,
-    enquire_every: 1 << 50,
-    inactivity: 1 << 50,
-    response: 1 << 50,
-    window: 1_000,
-    max_pdu: 70_000,
-};
 
 fn settings() -> Arc<Config> {
     let text = "service { slots: 16 room: 500 max_attempts: 6 quantum: \"1ms\" } \
@@ -43,17 +37,6 @@
     Arc::new(parse("crash", text).unwrap())
 }
 
-struct Dice(u64);
-
-impl Dice {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) % n
-    }
-}
-
 /// What the world outside knows; it survives the sender.
 #[derive(Default)]
 struct World {
@@ -128,15 +111,7 @@
             self.node.settle(now);
         }
         // The journal comes last, and takes all that waits in one commit.
-        let entries: Vec<Entry> = std::mem::take(&mut self.waiting).into_iter().flatten().collect();
-        if !entries.is_empty() {
-            if self.journal.commit(&entries).is_err() {
-                return false;
-            }
-            self.count += entries.len() as u64;
-            self.node.durable(now, self.count, self.journal.usage());
-        }
-        true
+        commit(&mut self.node, &mut self.journal, &mut self.waiting, &mut self.count, now)
     }
 
     fn submit(&mut self, now: i64, world: &mut World, dice: &mut Dice) {
--- a/crates/engine/tests/mqtt.rs
+++ b/crates/engine/tests/mqtt.rs
@@ -2,30 +2,24 @@
 //! of packets, power is lost at steps of the disk, and clients (another's state machine) resume and send again. What
 //! is handed in once must be one message, whatever is lost on the way.
 
+mod rig;
+
 use bytes::BytesMut;
 use heronroute_config::{Config, parse};
 use heronroute_engine::front::Speaks;
 use heronroute_engine::{ConnId, Gone, Node, Output, Start};
 use heronroute_journal::disk::{Disk, Faults};
-use heronroute_journal::{Entry, Journal, Limits as JournalLimits};
+use heronroute_journal::{Entry, Journal};
 use heronroute_smpp::client::Session as SmppClient;
-use heronroute_smpp::server::{self, Limits, Mode, Session};
+use heronroute_smpp::server::{self, Mode, Session};
 use heronroute_smpp::submission::{Submission, Wanted};
 use heronroute_standins::mqtt::{Hand, Heard, MqttClient, Who, field};
+use rig::{Dice, LIMITS, SMALL, commit};
 use rusmpp_core::CommandStatus;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 const MS: i64 = 1_000;
-const SMALL: JournalLimits = JournalLimits { segment: 2_000, growth: 2, least: 6_000, most: 1 << 20 };
-const LIMITS: Limits = Limits {
-    session_init: 1 << 50,
-    enquire_every: 1 << 50,
-    inactivity: 1 << 50,
-    response: 1 << 50,
-    window: 1_000,
-    max_pdu: 70_000,
-};
 
 fn settings(more: &str) -> Arc<Config> {
     Arc::new(parse("mqtt", &text(more)).unwrap())
@@ -46,17 +40,6 @@
     )
 }
 
-struct Dice(u64);
-
-impl Dice {
-    fn below(&mut self, n: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) % n
-    }
-}
-
 /// One client and what it knows; it survives the sender.
 struct Client {
     core: MqttClient,
@@ -263,15 +246,7 @@
         if dice.below(self.commits) > 0 {
             return true;
         }
-        let entries: Vec<Entry> = std::mem::take(&mut self.waiting).into_iter().flatten().collect();
-        if !entries.is_empty() {
-            if self.journal.commit(&entries).is_err() {
-                return false;
-            }
-            self.count += entries.len() as u64;
-            self.node.durable(now, self.count, self.journal.usage());
-        }
-        true
+        commit(&mut self.node, &mut self.journal, &mut self.waiting, &mut self.count, now)
     }
 
     fn carry(&mut self, now: i64, conn: ConnId, clients: &mut [Client], ran: &mut Ran, dice: &mut Dice) {
@@ -890,6 +865,15 @@
         r
     }
 
+    /// Eight unsafe messages are handed in while no receiver can be reached; some wait until their time is up.
+    fn wait_in_vain(&mut self) {
+        for n in 0..8 {
+            self.hand_in(0, 2 * n + 1, &hand(2 * n + 1, true, 1, "PAY"));
+            self.pass(5);
+        }
+        self.pass(4_500);
+    }
+
     /// After a crash all come back.
     fn back(&mut self) {
         self.crash();
@@ -933,11 +917,7 @@
 fn what_never_ran_goes_again_once_however_often_it_is_asked_for() {
     let mut r = Rig::holding("");
     r.life().down = true;
-    for n in 0..8 {
-        r.hand_in(0, 2 * n + 1, &hand(2 * n + 1, true, 1, "PAY"));
-        r.pass(5);
-    }
-    r.pass(4_500);
+    r.wait_in_vain();
     // Some were turned away at once, as their destination was down; one of those that waited in vain it is.
     let waited = |a: &(&u64, &Vec<(String, String)>)| matches!(a.1[0].1.as_str(), "EXPIRED" | "UNDELIV");
     let found = r.clients[0].answers.iter().find(waited).map(|(n, a)| (*n, a[0].0.clone()));
@@ -1077,11 +1057,7 @@
 fn a_message_goes_again_only_once_its_answer_was_taken() {
     let mut r = Rig::holding("");
     (r.life().down, r.clients[0].deaf) = (true, true);
-    for n in 0..8 {
-        r.hand_in(0, 2 * n + 1, &hand(2 * n + 1, true, 1, "PAY"));
-        r.pass(5);
-    }
-    r.pass(4_500);
+    r.wait_in_vain();
     let list = r.ask(1, "list");
     let id = list.lines().nth(1).unwrap().to_string();
     assert_eq!(r.ask(1, &format!("again/{id}")), format!("id:{id} stat:UNHEARD"));
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::Micros;
 use crate::actor::{Actor, Ask, Conn};
+use crate::agenda::Agenda;
 use bytes::BytesMut;
 use heronroute_audit::{Away, Submission as Accepted, Told};
 use heronroute_smpp::client::{Event, Session};
@@ -9,7 +10,7 @@
 use heronroute_smpp::server::{Limits, Mode};
 use heronroute_smpp::submission::Submission;
 use rusmpp_core::CommandStatus;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// What a session does.
@@ -42,7 +43,6 @@
 
 struct Run {
     plan: Plan,
-    at: usize,
     conn: Option<Conn>,
     session: Option<Session>,
     mode: Mode,
@@ -68,7 +68,7 @@
     address: SocketAddr,
     runs: Vec<Run>,
     by_conn: BTreeMap<Conn, usize>,
-    agenda: BTreeSet<(Micros, usize)>,
+    agenda: Agenda<Step>,
     asks: Vec<Ask>,
     deadlines: Vec<Micros>,
     /// Give up waiting at this time.
@@ -109,7 +109,6 @@
         };
         let make = |plan: Plan| Run {
             plan,
-            at: 0,
             conn: None,
             session: None,
             mode: Mode::Transceiver,
@@ -117,9 +116,8 @@
             asked: BTreeMap::new(),
             held: Vec::new(),
         };
-        let runs: Vec<Run> = plans.into_iter().map(make).collect();
-        let first = |(i, r): (usize, &Run)| r.plan.steps.first().map(|s| (s.0, i));
-        let agenda = runs.iter().enumerate().filter_map(first).collect();
+        let mut runs: Vec<Run> = plans.into_iter().map(make).collect();
+        let agenda = Agenda::new(runs.iter_mut().map(|r| std::mem::take(&mut r.plan.steps)));
         let gone = runs.iter().map(|r| (r.plan.system_id.clone(), 0)).collect();
         Herd {
             address,
@@ -332,10 +330,7 @@
 
     /// Binds again a little later.
     fn again(&mut self, now: Micros, i: usize, mode: Mode) {
-        let run = &mut self.runs[i];
-        run.plan.steps.push((now + 50_000, Step::Bind(mode)));
-        run.plan.steps[run.at..].sort_by_key(|s| s.0);
-        self.agenda.insert((now + 50_000, i));
+        self.agenda.add(i, now + 50_000, Step::Bind(mode));
     }
 
     fn out(&mut self, conn: Conn, out: &BytesMut) {
@@ -398,22 +393,13 @@
 
     fn tick(&mut self, now: Micros) {
         self.now = now;
-        while let Some((at, i)) = self.agenda.first().copied().filter(|a| a.0 <= now) {
-            self.agenda.pop_first();
-            while let Some((planned, step)) =
-                self.runs[i].plan.steps.get(self.runs[i].at).filter(|s| s.0 <= now).cloned()
-            {
-                self.runs[i].at += 1;
-                self.step(now, i, planned, step);
-            }
-            if let Some((next, _)) = self.runs[i].plan.steps.get(self.runs[i].at) {
-                self.agenda.insert(((*next).max(at), i));
-            }
+        while let Some((i, planned, step)) = self.agenda.take(now) {
+            self.step(now, i, planned, step);
         }
     }
 
     fn wake(&self) -> Micros {
-        self.agenda.first().map_or(self.until, |a| a.0.min(self.until))
+        self.agenda.next().map_or(self.until, |at| at.min(self.until))
     }
 
     fn asks(&mut self) -> Vec<Ask> {
--- a/crates/standins/src/flock.rs
+++ b/crates/standins/src/flock.rs
@@ -2,11 +2,12 @@
 
 use crate::Micros;
 use crate::actor::{Actor, Ask, Conn};
+use crate::agenda::Agenda;
 use crate::clients::Refused;
 use crate::mqtt::{Hand, Heard, MqttClient, Who, field};
 use bytes::BytesMut;
 use heronroute_audit::{Away, Submission, Told};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 /// A message of a client.
@@ -52,7 +53,6 @@
 
 struct Run {
     plan: MqttPlan,
-    at: usize,
     core: MqttClient,
     conn: Option<Conn>,
     inside: bool,
@@ -77,7 +77,7 @@
     address: SocketAddr,
     runs: Vec<Run>,
     by_conn: BTreeMap<Conn, usize>,
-    agenda: BTreeSet<(Micros, usize)>,
+    agenda: Agenda<Step>,
     asks: Vec<Ask>,
     deadlines: Vec<Micros>,
     until: Micros,
@@ -112,16 +112,14 @@
         let make = |plan: MqttPlan| Run {
             core: MqttClient::new(plan.who.clone()),
             plan,
-            at: 0,
             conn: None,
             inside: false,
             ready: false,
             asked: BTreeMap::new(),
             held: VecDeque::new(),
         };
-        let runs: Vec<Run> = plans.into_iter().map(make).collect();
-        let first = |(i, r): (usize, &Run)| r.plan.steps.first().map(|s| (s.0, i));
-        let agenda = runs.iter().enumerate().filter_map(first).collect();
+        let mut runs: Vec<Run> = plans.into_iter().map(make).collect();
+        let agenda = Agenda::new(runs.iter_mut().map(|r| std::mem::take(&mut r.plan.steps)));
         let gone = (0..runs.len()).map(|i| (i, 0)).collect();
         Flock {
             address,
@@ -155,11 +153,15 @@
         self
     }
 
-    /// Whether all is answered, and if so begins to ask for trails.
-    fn settle(&mut self, now: Micros) {
+    /// Whether all that was planned is done and answered.
+    fn answered(&self) -> bool {
         let asked = self.runs.iter().any(|r| !r.asked.is_empty() || !r.held.is_empty());
-        let done = self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0;
-        if !self.wants_trails || !done {
+        self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0
+    }
+
+    /// Begins to ask for trails once all is answered.
+    fn settle(&mut self) {
+        if !self.wants_trails || !self.answered() {
             return;
         }
         self.wants_trails = false;
@@ -171,10 +173,10 @@
                 self.showing += 1;
             }
         }
-        (0..self.runs.len()).for_each(|i| self.show(now, i));
+        (0..self.runs.len()).for_each(|i| self.show(i));
     }
 
-    fn show(&mut self, _now: Micros, i: usize) {
+    fn show(&mut self, i: usize) {
         let Some(list) = self.shows.get_mut(i) else { return };
         let run = &mut self.runs[i];
         let mut out = BytesMut::new();
@@ -315,7 +317,7 @@
                     }
                 }
                 self.hand_in(now, i);
-                self.show(now, i);
+                self.show(i);
             }
             Heard::Completed(_) => self.hand_in(now, i),
             Heard::Told(_, text, correlation, ..) => self.told(now, i, &text, &correlation),
@@ -398,10 +400,7 @@
     }
 
     fn again(&mut self, now: Micros, i: usize) {
-        let run = &mut self.runs[i];
-        run.plan.steps.push((now + 50_000, Step::Connect));
-        run.plan.steps[run.at..].sort_by_key(|s| s.0);
-        self.agenda.insert((now + 50_000, i));
+        self.agenda.add(i, now + 50_000, Step::Connect);
     }
 }
 
@@ -445,23 +444,14 @@
 
     fn tick(&mut self, now: Micros) {
         self.now = now;
-        while let Some((at, i)) = self.agenda.first().copied().filter(|a| a.0 <= now) {
-            self.agenda.pop_first();
-            while let Some((_, step)) =
-                self.runs[i].plan.steps.get(self.runs[i].at).filter(|s| s.0 <= now).cloned()
-            {
-                self.runs[i].at += 1;
-                self.step(now, i, step);
-            }
-            if let Some((next, _)) = self.runs[i].plan.steps.get(self.runs[i].at) {
-                self.agenda.insert(((*next).max(at), i));
-            }
+        while let Some((i, _, step)) = self.agenda.take(now) {
+            self.step(now, i, step);
         }
-        self.settle(now);
+        self.settle();
     }
 
     fn wake(&self) -> Micros {
-        self.agenda.first().map_or(self.until, |a| a.0.min(self.until))
+        self.agenda.next().map_or(self.until, |at| at.min(self.until))
     }
 
     fn asks(&mut self) -> Vec<Ask> {
@@ -469,8 +459,6 @@
     }
 
     fn finished(&self) -> bool {
-        let asked = self.runs.iter().any(|r| !r.asked.is_empty() || !r.held.is_empty());
-        let done = self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0;
-        (done && !self.wants_trails && self.showing == 0) || self.now >= self.until
+        (self.answered() && !self.wants_trails && self.showing == 0) || self.now >= self.until
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod actor;
+pub mod agenda;
 pub mod asker;
 pub mod clients;
 pub mod directory;
