--- /dev/null
+++ b/crates/engine/tests/platform.rs
@@ -0,0 +1,351 @@
+//! The platform's sender in memory: what its clients, endpoints and discovery say is written by hand here, and what the
+//! node answers is read from its octets. Each test names what it guards against.
+
+use heronroute_engine::front::Speaks;
+use heronroute_engine::platform::config;
+use heronroute_engine::{ConnId, Gone, Node, Output, Start};
+use heronroute_journal::disk::{Disk, Faults};
+use heronroute_journal::{Journal, Limits};
+use heronroute_platform::start::{StartUp, read};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const MS: i64 = 1_000;
+const START: &str = r#"{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"7",
+ "limits":{"memory_mb":32,"sockets":32,"disk_mb":1},
+ "known":{"version":4,"full":true,"servers":[
+  {"id":"e1","addr":"127.0.0.1:1001","zone":"a","kind":"one","cell":1,"state":"SERVING","weight":50.0},
+  {"id":"e2","addr":"127.0.0.1:1002","zone":"a","kind":"bulk","cell":2,"state":"SERVING","weight":50.0}]},
+ "settings":{"Azs":["a"],"Shapes":["one","bulk"],"Customers":[{"Name":"t","QuotaRps":50.0}],"Balancers":1,
+  "Weights":"nominal","QuantumUs":5000,"Discovery":"push",
+  "FamilyInfo":{"Workers":8,"BatchByKind":[1,10]},
+  "Limits":{"MaxOpen":40,"MaxAttempts":4,"Cancel":true,"RetryAfter":true,"MaxRetryAfterUs":2000000,"IdleCloseUs":5000000},
+  "Profiles":[{"Name":"safe","Effect":"free","HardLimitUs":5000000,"ObjectiveUs":1500000,"Worth":1.0},
+   {"Name":"keyed","Effect":"guarded","WindowUs":4000000,"HardLimitUs":8000000,"ObjectiveUs":2500000,"Worth":1.0},
+   {"Name":"once","Effect":"single_shot","HardLimitUs":8000000,"ObjectiveUs":2500000,"Worth":5.0}]}}"#;
+
+struct World {
+    start: StartUp,
+    node: Node,
+    journal: Journal<Disk>,
+    count: u64,
+    now: i64,
+    /// The node's own connections: where to, and what came there.
+    ours: BTreeMap<ConnId, (SocketAddr, String)>,
+    /// What clients heard.
+    heard: BTreeMap<ConnId, String>,
+    ended: Vec<ConnId>,
+    /// The journal writes.
+    writes: bool,
+}
+
+fn begin(journal: Journal<Disk>, now: i64) -> World {
+    let start = read(START).unwrap();
+    let book = Some(journal.book().clone());
+    let at = Start { index: 0, seed: 7, now, wall: 1 << 50, list: 4, kept: None, book };
+    let node = Node::new(Arc::new(config(&start)), at).unwrap();
+    let (ours, heard, ended) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+    let mut w = World { start, node, journal, count: 0, now, ours, heard, ended, writes: true };
+    w.pass(0);
+    w
+}
+
+fn world() -> World {
+    begin(Journal::open(Disk::new(Faults::default()), LIMITS).unwrap(), 0)
+}
+
+const LIMITS: Limits = Limits { segment: 20_000, growth: 2, least: 20_000, most: 400_000 };
+
+impl World {
+    /// Time passes, a quantum at a time, and all that the node asks for is done.
+    fn pass(&mut self, span: i64) {
+        let end = self.now + span;
+        loop {
+            self.node.settle(self.now);
+            for _ in 0..100 {
+                let outputs = self.node.outputs();
+                if outputs.is_empty() {
+                    break;
+                }
+                for output in outputs {
+                    self.obey(output);
+                }
+                self.node.settle(self.now);
+            }
+            if self.now >= end {
+                return;
+            }
+            self.now = (self.now + 5 * MS).min(end);
+        }
+    }
+
+    fn obey(&mut self, output: Output) {
+        match output {
+            Output::Connect { conn, address } => {
+                self.ours.insert(conn, (address, String::new()));
+                self.node.connected(self.now, conn);
+            }
+            Output::Write(conn) | Output::Finish(conn) => {
+                let octets = String::from_utf8_lossy(self.node.pending(conn)).into_owned();
+                let n = self.node.pending(conn).len();
+                match self.ours.get_mut(&conn) {
+                    Some((_, text)) => text.push_str(&octets),
+                    None => self.heard.entry(conn).or_default().push_str(&octets),
+                }
+                if self.node.wrote(conn, n) {
+                    self.gone(conn);
+                }
+            }
+            Output::Drop(conn) => self.gone(conn),
+            Output::Journal(entries) if self.writes => {
+                self.journal.commit(&entries).unwrap();
+                self.count += entries.len() as u64;
+                self.node.durable(self.now, self.count, self.journal.usage());
+            }
+            Output::Journal(_) | Output::Keep(_) => {}
+        }
+    }
+
+    fn gone(&mut self, conn: ConnId) {
+        self.ours.remove(&conn);
+        self.ended.push(conn);
+    }
+
+    fn client(&mut self) -> ConnId {
+        self.node.accepted(self.now, Speaks::Resp, b"").unwrap()
+    }
+
+    fn add(&mut self, conn: ConnId, id: &str, pairs: &str) {
+        let args = ["OUT.ADD", "0000", id, pairs, "body"];
+        let strings: String = args.iter().map(|a| format!("${}\r\n{a}\r\n", a.len())).collect();
+        self.node.received(self.now, conn, format!("*5\r\n{strings}").as_bytes());
+        self.pass(5 * MS);
+    }
+
+    /// What the client heard since the last call.
+    fn told(&mut self, conn: ConnId) -> String {
+        self.heard.remove(&conn).unwrap_or_default()
+    }
+
+    /// Connections to an address on which something has come since the last call, with what.
+    fn came(&mut self, port: u16) -> Vec<(ConnId, String)> {
+        let at = self.ours.iter_mut().filter(|(_, (a, text))| a.port() == port && !text.is_empty());
+        at.map(|(conn, (_, text))| (*conn, std::mem::take(text))).collect()
+    }
+
+    fn says(&mut self, conn: ConnId, text: &str) {
+        self.node.received(self.now, conn, text.as_bytes());
+        self.pass(5 * MS);
+    }
+
+    /// The process is killed, and starts again with its folder.
+    fn restart(self) -> World {
+        begin(Journal::open(self.journal.into_storage(), LIMITS).unwrap(), self.now)
+    }
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const TAKEN: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+const SAFE: &str = "c=safe,t=t,d=4000,dest=1";
+const KEYED: &str = "c=keyed,t=t,d=7000,k=abc,dest=1";
+const ONCE: &str = "c=once,t=t,d=7000,dest=1";
+
+#[test]
+fn nothing_is_told_or_sent_before_the_acceptance_is_written() {
+    let mut w = world();
+    w.writes = false;
+    let c = w.client();
+    w.add(c, "m1", SAFE);
+    assert_eq!((w.told(c), w.came(1001).len()), (String::new(), 0));
+    let mut w = world();
+    let c = w.client();
+    w.add(c, "m1", SAFE);
+    assert_eq!(w.told(c), "+OK\r\n");
+    let (conn, call) = w.came(1001).remove(0);
+    assert!(call.starts_with("POST /inbox HTTP/1.1\r\n") && call.contains("X-Call-Id: m1\r\n"), "{call}");
+    w.says(conn, OK);
+    assert!(w.node.open() == 0 && w.journal.book().open.is_empty());
+    assert!(w.came(2).iter().all(|(_, t)| !t.contains("/v1/outcomes")), "what is delivered needs no notice");
+}
+
+#[test]
+fn what_names_nothing_known_hears_an_error_and_is_not_taken_on() {
+    let mut w = world();
+    let c = w.client();
+    for pairs in [
+        "c=what,t=t,d=4000,dest=1",
+        "c=safe,t=who,d=4000,dest=1",
+        "c=safe,t=t,d=4000,dest=9",
+        "c=keyed,t=t,d=4000,dest=1",
+    ] {
+        w.add(c, "m", pairs);
+        assert!(w.told(c).starts_with("-ERR"), "{pairs}");
+    }
+    w.add(c, "m", SAFE);
+    assert_eq!(w.told(c), "+OK\r\n");
+    w.add(c, "m", SAFE);
+    assert!(w.told(c).starts_with("-ERR"), "an id that is open");
+    assert_eq!(w.node.open(), 1);
+}
+
+#[test]
+fn beyond_the_room_a_message_is_refused_at_once_with_a_time_to_come_back() {
+    let mut w = world();
+    let c = w.client();
+    let mut all = String::new();
+    for i in 0..60 {
+        w.add(c, &format!("m{i}"), SAFE);
+        all += &w.told(c);
+    }
+    let refused: Vec<&str> = all.lines().filter(|l| l.starts_with("-BUSY ")).collect();
+    assert!(refused.len() >= 20 && all.lines().count() == 60, "{all}");
+    let journalled = w.journal.book().open.len();
+    assert_eq!(journalled, w.node.open(), "what is refused leaves nothing in the journal");
+}
+
+#[test]
+fn a_client_that_goes_before_it_heard_is_owed_nothing() {
+    let mut w = world();
+    let c = w.client();
+    w.pass(5 * MS);
+    let add = "*5\r\n$7\r\nOUT.ADD\r\n$1\r\n0\r\n$1\r\nm\r\n$24\r\nc=once,t=t,d=7000,dest=1\r\n$1\r\nb\r\n";
+    w.node.received(w.now, c, add.as_bytes());
+    w.node.closed(w.now, c, Gone::Ended);
+    w.pass(50 * MS);
+    assert!(w.came(1001).is_empty() && w.node.open() == 0 && w.journal.book().open.is_empty());
+}
+
+#[test]
+fn a_notice_is_owed_until_taken_over_a_restart_and_a_move() {
+    let mut w = world();
+    let c = w.client();
+    w.add(c, "m1", ONCE);
+    let (conn, _) = w.came(1001).remove(0);
+    w.says(conn, "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n");
+    let notice = |w: &mut World, port| {
+        let mut all = w.came(port);
+        all.retain(|(_, t)| t.contains("/v1/outcomes") && t.contains("{\"id\":\"m1\",\"state\":\"failed\"}"));
+        all
+    };
+    assert_eq!(notice(&mut w, 2).len(), 1, "told at once");
+    let mut w = w.restart();
+    w.pass(100 * MS);
+    assert_eq!(notice(&mut w, 2).len(), 1, "not taken before the restart: told again");
+    let moved = SocketAddr::from(([127, 0, 0, 1], 3));
+    w.node.discovery_moved(w.now, moved);
+    w.pass(100 * MS);
+    let all = w.came(3);
+    let watch = all.iter().find(|(_, t)| t.starts_with("GET /catalog/members?follow=1&since=4 "));
+    assert!(watch.is_some(), "{all:?}");
+    let (conn, _) =
+        all.iter().find(|(_, t)| t.contains("/v1/outcomes")).expect("told at the new address").clone();
+    w.says(conn, TAKEN);
+    assert!(w.journal.book().open.is_empty());
+    let mut w = w.restart();
+    w.pass(100 * MS);
+    assert!(notice(&mut w, 2).is_empty(), "taken");
+}
+
+#[test]
+fn after_a_kill_each_goes_on_or_ends_by_what_may_have_run() {
+    let mut w = world();
+    let c = w.client();
+    for (id, pairs) in [("s", SAFE), ("k", KEYED), ("o", ONCE)] {
+        w.add(c, id, pairs);
+    }
+    w.pass(50 * MS);
+    assert_eq!((w.told(c), w.came(1001).len()), ("+OK\r\n+OK\r\n+OK\r\n".to_string(), 3));
+    let mut w = w.restart();
+    w.pass(3_000 * MS);
+    let calls: String = w.came(1001).into_iter().map(|(_, t)| t).collect();
+    assert!(calls.contains("X-Call-Id: s\r\n"), "{calls}");
+    assert!(calls.contains("X-Call-Id: k\r\n") && calls.contains("Idempotency-Key: abc\r\n"), "{calls}");
+    assert!(!calls.contains("X-Call-Id: o\r\n"), "it may have run, and may not be repeated");
+    let told: String = w.came(2).into_iter().map(|(_, t)| t).collect();
+    assert!(told.contains("{\"id\":\"o\",\"state\":\"failed\"}"), "{told}");
+}
+
+#[test]
+fn a_message_is_never_out_twice_though_others_of_its_call_are_waited_for() {
+    let mut w = world();
+    let c = w.client();
+    // Two of unlike patience in one call.
+    let text: String = ["c=safe,t=t,d=4000,dest=2", "c=once,t=t,d=7000,dest=2"]
+        .iter()
+        .enumerate()
+        .map(|(i, p)| {
+            let args = ["OUT.ADD", "0", &format!("b{i}"), p, "body"].map(str::to_string);
+            "*5\r\n".to_string() + &args.map(|a| format!("${}\r\n{a}\r\n", a.len())).concat()
+        })
+        .collect();
+    w.node.received(w.now, c, text.as_bytes());
+    w.pass(10 * MS);
+    let (conn, call) = w.came(1002).remove(0);
+    assert!(call.starts_with("POST /inbox/bulk ") && call.contains("b0") && call.contains("b1"), "{call}");
+    // The endpoint is silent. While its connection is open, the safe one is not sent again.
+    let mut again = Vec::new();
+    for _ in 0..800 {
+        w.pass(10 * MS);
+        let open = w.ours.contains_key(&conn);
+        let more = w.came(1002);
+        assert!(!open || more.iter().all(|(_, t)| !t.contains("b0") && !t.contains("b1")), "{more:?}");
+        again.extend(more);
+    }
+    assert!(!w.ours.contains_key(&conn), "given up with its connection");
+    assert!(again.iter().all(|(_, t)| !t.contains("b1")), "the unsafe one is never repeated");
+}
+
+#[test]
+fn a_second_copy_of_an_answer_is_not_the_next_calls() {
+    let mut w = world();
+    let c = w.client();
+    w.add(c, "m1", SAFE);
+    let (conn, _) = w.came(1001).remove(0);
+    w.says(conn, &format!("{OK}{OK}"));
+    assert!(w.ended.contains(&conn) && w.node.open() == 0, "good, but the connection is of no further use");
+    w.add(c, "m2", SAFE);
+    let (conn, _) = w.came(1001).remove(0);
+    w.says(conn, "HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\nxxxx");
+    assert!(w.ended.contains(&conn) && w.node.open() == 0, "its first line says 200");
+}
+
+#[test]
+fn when_told_to_end_it_goes_on_for_a_while_and_then_begins_nothing() {
+    let mut w = world();
+    let c = w.client();
+    w.node.leave(w.now);
+    w.pass(500 * MS);
+    w.add(c, "m1", SAFE);
+    assert_eq!(w.told(c), "+OK\r\n", "clients use the connections they have");
+    let (first, _) = w.came(1001).remove(0);
+    w.pass(1_800 * MS);
+    w.node.received(w.now, first, b"");
+    w.add(c, "m2", SAFE);
+    assert!(w.told(c).starts_with("-BUSY "), "and are refused unsent before the end");
+    assert!(!w.node.has_left() || w.node.open() > 0);
+    w.pass(1_500 * MS);
+    assert!(w.node.has_left());
+    let open = w.journal.book().open.len();
+    let mut w = w.restart();
+    w.pass(100 * MS);
+    assert_eq!((open, w.came(1001).len()), (1, 1), "what it had taken on goes on");
+}
+
+#[test]
+fn connections_that_rest_make_way_for_new_ones() {
+    let mut w = world();
+    let most = config(&w.start).platform.unwrap().sessions;
+    let busy = w.client();
+    w.node.received(w.now, busy, b"*1\r\n$4\r\nPI");
+    let rest: Vec<ConnId> = (0..most - 1).map(|_| w.client()).collect();
+    w.pass(0);
+    let new = w.client();
+    w.pass(0);
+    assert_eq!(w.ended, [rest[0]], "the one that rested longest");
+    w.node.received(w.now, busy, b"NG\r\n");
+    w.pass(0);
+    assert_eq!(w.told(busy), "+PONG\r\n");
+    w.pass(2_100 * MS);
+    assert!(w.ended.contains(&new), "what says nothing is ended");
+}
