Told to end, a sender goes on for 2.9 s, then sends its clients elsewhere by closing

Intake by half seconds: once a sender refuses connections its clients go to the other one at once (35 to 110 a half second there); a refusal with a time to come back has them wait instead, and use up their tries.

--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -48,7 +48,7 @@
 const MOST_DESTS: usize = 1 << 16;
 
 /// A sender that goes out of service waits so long for its calls, once it takes on nothing more.
-const LAST_CALLS: Micros = 1_250_000;
+const LAST_CALLS: Micros = 700_000;
 
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -945,16 +945,24 @@
         self.settle(now);
     }
 
+    /// Whether no further client is taken.
+    pub fn closes_door(&self) -> bool {
+        self.frozen
+    }
+
     /// Whether leaving is over: no client is left.
     pub fn has_left(&self) -> bool {
         self.left
     }
 
     /// The platform's senders end with messages open: they go on after the restart. What is out gets its time to
-    /// be answered, and nothing more is begun, so that as little as possible may have run unheard.
+    /// be answered, and nothing more is begun, so that as little as possible may have run unheard. Clients'
+    /// connections that rest are ended and new ones not taken: their clients go to another sender at once, where a
+    /// refusal would have them wait.
     fn freeze(&mut self) {
         self.left = self.frozen;
         self.frozen = true;
+        while self.make_way() {}
         self.timers.set(Key::Leave, self.now + LAST_CALLS);
     }
 
--- a/crates/engine/src/platform.rs
+++ b/crates/engine/src/platform.rs
@@ -19,7 +19,7 @@
 const LOG: f64 = 0.15;
 /// After SIGTERM a sender goes on for so long before it takes on nothing more and waits for its calls. It is killed
 /// 3.7 s after the signal at the earliest.
-const GOES_ON: Micros = 2_200_000;
+const GOES_ON: Micros = 2_900_000;
 
 /// The configuration of one real sender of the platform. Everything else that the product has is off in it.
 pub fn config(s: &StartUp) -> Config {
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -130,6 +130,9 @@
     /// Accepts clients, some in a turn. Where descriptors ran out it is tried again in the next turn, when some may
     /// have been closed.
     fn accept(&mut self) {
+        if self.node.closes_door() {
+            self.listener = None;
+        }
         let Some(listener) = self.listener.as_ref().filter(|_| self.knocked) else { return };
         let mut streams = Vec::new();
         for _ in 0..ACCEPT {
