--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,7 +17,7 @@
 const BORROW_RESERVE: f64 = 0.15; // slots kept free of borrowers, as a share
 const RECLAIM_RESERVE: f64 = 0.2; // with fewer free slots than this share, silent calls are given up ...
 const RECLAIM_AFTER: f64 = 3.0; // ... once they have been out for this multiple of what counts as silence
-const RECLAIM_SOON: f64 = 1.5; // ... or this one, where the endpoint answers others and nothing is lost with the call
+const RECLAIM_SOON: f64 = 1.5; // ... or this one, where others are answered and nothing is lost with it
 const RATE_MEMORY: f64 = 8e6; // of arrival rates: long against clumps, short against a day's swing
 const SHARE_MEMORY: f64 = 6e7; // of a sender's part of the traffic: long against gaps between messages
 const LATENCY_GAIN: f64 = 0.04; // weight of a new latency sample once there are many
@@ -179,7 +179,7 @@
                 let (seq, class, dest, deadline) =
                     (self.seq, *class, *dest, now + (*time_left).clamp(0, MAX_SPAN));
                 let key = key.clone().filter(|_| self.set.classes.get(class).is_some_and(|c| c.ordered));
-                // Guards against messages with little time of their own being taken for ones that have grown old.
+                // Guards against a message with little time of its own being taken for an old one.
                 let whole = self.set.classes.get(class).map_or(0, |c| c.deadline);
                 let short = ((deadline - now) as f64) < whole as f64 * SHORT;
                 let since = if short { now } else { deadline - whole };
@@ -688,9 +688,9 @@
 
     /// Guards against silent calls filling the slots (a hung destination's unsafe calls hold theirs until the
     /// deadline): short of slots, with others waiting, the call that has been silent longest for its lane is
-    /// given up. Covers any cause of silence; harms an unsafe message whose answer was merely late. So is one that keeps
-    /// a pool full whose endpoint has answered others since: connections that fall silent one by one would else
-    /// close a healthy destination for as long as unsafe messages are waited for.
+    /// given up. Covers any cause of silence; harms an unsafe message whose answer was merely late. So is one
+    /// that keeps a pool full whose endpoint has answered others since: connections that fall silent one by
+    /// one would else close a healthy destination for as long as unsafe messages are waited for.
     fn reclaim(&mut self, out: &mut Vec<Action>) {
         let reserve = (self.set.slots as f64 * RECLAIM_RESERVE).ceil() as u32;
         let held = |d: &DestId| self.dests.get(d).is_some_and(|d| !d.hold.is_empty());
