One way to a sender's thread, one reading of Retry-After, no copies of bodies on the way out

Read over once more; behaviour as before. lone.rs had a twin of the door's Way; the platform's call form one of the HTTP link's reading of Retry-After (now Message::retry_after; each keeps its rounding); intake.rs one of desk.rs's written, and of how an attempt is stopped (now Node::stop). The platform's link copied each body before writing it.

--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -300,6 +300,11 @@
     fn call_off(&mut self, id: MsgId, attempt: u32) {
         let Some(m) = self.messages.get(&id) else { return };
         let Some((call, part)) = m.out.filter(|_| m.attempts == attempt + 1) else { return };
+        self.stop(call, part);
+    }
+
+    /// Takes an attempt back where it has not begun to leave, and gives it up otherwise.
+    pub(crate) fn stop(&mut self, call: u64, part: usize) {
         if !self.take_back(call, part) {
             self.give_up(call, part, CallEnd::CalledOff);
         }
@@ -311,7 +316,7 @@
 
     /// No answer is waited for any more. The connection takes no more calls: it may be dead, or stuck behind this
     /// one. Guards against connections dropped unseen being used again.
-    pub(crate) fn give_up(&mut self, call: u64, part: usize, end: CallEnd) {
+    fn give_up(&mut self, call: u64, part: usize, end: CallEnd) {
         let Some(c) = self.calls.get(call) else { return };
         let (conn, endpoint) = (c.conn, c.endpoint);
         if self.cfg.platform.is_some() && c.parts.len() > 1 {
--- a/crates/engine/src/intake.rs
+++ b/crates/engine/src/intake.rs
@@ -4,7 +4,8 @@
 //! acceptance is written; then its client hears so. From there on its end is owed: by a delivery, or by a notice. What
 //! the library refuses in its first round is refused to the client, with the library's time to come back.
 
-use crate::calls;
+use crate::Micros;
+use crate::desk::written;
 use crate::front::{No, Speaks};
 use crate::node::{ConnId, Effect, Key, Message, Node, Use};
 use crate::outbox::Reply;
@@ -18,7 +19,7 @@
 impl Node {
     /// A message is handed in.
     pub(crate) fn hand_in(&mut self, conn: ConnId, token: u32, add: Add) {
-        let (class, tenant, key) = match self.read_words(&add) {
+        let (class, tenant) = match self.read_words(&add) {
             Ok(known) => known,
             Err(no) => {
                 self.stats.refused_other += 1;
@@ -43,7 +44,7 @@
             id,
             class,
             tenant,
-            key: key.clone().filter(|_| ordered),
+            key: add.key.clone().filter(|_| ordered),
             dest: DestId(add.dest),
             time_left: span,
             again: add.again,
@@ -51,7 +52,7 @@
         self.by_identity.insert(add.id.clone(), id);
         let submission = Submission {
             service: add.class,
-            key,
+            key: add.key,
             again: add.again,
             body: add.body,
             identity: Some(add.id),
@@ -77,8 +78,8 @@
         self.fresh.push((id, add.dest));
     }
 
-    /// Class, tenant and key of what is handed in, or why it can't be read.
-    fn read_words(&self, add: &Add) -> Result<(usize, usize, Option<String>), No> {
+    /// Class and tenant of what is handed in, or why it can't be read.
+    fn read_words(&self, add: &Add) -> Result<(usize, usize), No> {
         let class = self.class_names.get(&add.class).copied().ok_or(No::Class)?;
         let tenant = self.client_names.get(&add.tenant).copied().ok_or(No::NotEntered)?;
         if !self.dests.contains(&add.dest) {
@@ -91,7 +92,7 @@
         if guarded && add.key.is_none() {
             return Err(No::TooLate);
         }
-        Ok((class, tenant, add.key.clone()))
+        Ok((class, tenant))
     }
 
     fn turn_away(&mut self, conn: ConnId, token: u32, no: No) {
@@ -123,19 +124,17 @@
             let client = self.cfg.clients.get(m.client).map_or("", |c| c.system_id.as_str());
             let deadline = wall + (m.deadline - now);
             self.ledger.write(|| {
-                What::Accepted(Accepted {
+                let rest = Accepted {
                     id: id.0,
-                    client: client.to_string(),
                     class: s.service.clone(),
                     dest,
-                    key: s.key.clone().unwrap_or_default(),
-                    body: s.body.clone(),
                     taken: wall,
                     deadline,
                     again: s.again,
                     identity: s.identity.clone().unwrap_or_default(),
                     ..Accepted::default()
-                })
+                };
+                What::Accepted(written(client, "", s, &m.to, rest))
             });
             tracing::debug!(
                 now,
@@ -168,10 +167,8 @@
     pub(crate) fn abandon(&mut self, id: MsgId) {
         let Some(m) = self.messages.get(&id) else { return };
         tracing::debug!(id = m.submission.identity, "its client went before it heard");
-        if let Some((call, part)) = m.out
-            && !self.take_back(call, part)
-        {
-            self.give_up(call, part, calls::End::CalledOff);
+        if let Some((call, part)) = m.out {
+            self.stop(call, part);
         }
         self.events.push(Event::Left { id });
         self.over(id);
@@ -215,7 +212,7 @@
     }
 
     fn schedule_notices(&mut self) {
-        let wake = self.notices.as_ref().map_or(crate::Micros::MAX, |n| n.wake());
+        let wake = self.notices.as_ref().map_or(Micros::MAX, |n| n.wake());
         self.timers.set(Key::Notices, wake);
     }
 
@@ -285,7 +282,7 @@
     }
 
     /// Discovery is elsewhere from now on.
-    pub fn discovery_moved(&mut self, now: crate::Micros, address: std::net::SocketAddr) {
+    pub fn discovery_moved(&mut self, now: Micros, address: std::net::SocketAddr) {
         self.now = now.max(self.now);
         self.directory.moved(self.now, address);
         for conn in [self.directory_conn.take(), self.notices_conn.take()].into_iter().flatten() {
@@ -302,12 +299,16 @@
     /// Makes room for one more connection of a client, by closing the one that has rested longest; false where all
     /// have something to wait for.
     pub(crate) fn make_way(&mut self) -> bool {
-        let rests = |(id, c): (&ConnId, &crate::node::Conn)| match &c.what {
-            Use::Client { front, .. } => front.rests().map(|since| (since, *id)),
-            _ => None,
-        };
-        let Some((_, oldest)) = self.conns.iter().filter_map(rests).min() else { return false };
+        let Some((_, oldest)) = self.resting().min() else { return false };
         self.end_session(oldest);
         true
     }
+
+    /// Clients' connections that rest, with since when.
+    pub(crate) fn resting(&self) -> impl Iterator<Item = (Micros, ConnId)> + '_ {
+        self.conns.iter().filter_map(|(id, c)| match &c.what {
+            Use::Client { front, .. } => front.rests().map(|since| (since, *id)),
+            _ => None,
+        })
+    }
 }
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -88,10 +88,7 @@
         429 | 503 => Outcome::Busy,
         _ => Outcome::Error,
     };
-    // Retry-After may also be a date; a receiver's clock is its own, so only seconds are heeded. Fractions are
-    // taken too: some receivers write them.
-    let wait = m.field("retry-after").and_then(|v| v.trim().parse::<f64>().ok());
-    let wait = wait.filter(|s| s.is_finite() && *s >= 0.0).map_or(0, |s| (s.min(1e6) * 1e6) as Micros);
+    let wait = m.retry_after().map_or(0, |s| (s * 1e6) as Micros);
     Reply {
         outcome,
         wait: if outcome == Outcome::Busy { wait } else { 0 },
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -58,14 +58,11 @@
 
     fn send(&mut self, _: Micros, call: u64, cargo: &[Cargo<'_>], stream: &mut Stream) -> Vec<(u64, u64)> {
         let from = stream.position();
-        let item = |c: &Cargo<'_>| {
-            // Any key is passed on; only guarded classes have one.
-            let (key, body) = (c.submission.key.clone(), c.submission.body.clone());
-            (c.id.clone(), key, body)
-        };
-        let owned: Vec<_> = cargo.iter().map(item).collect();
-        let items: Vec<Item<'_>> =
-            owned.iter().map(|(id, key, body)| Item { id, key: key.as_deref(), body }).collect();
+        // Any key is passed on; only guarded classes have one.
+        let items: Vec<Item<'_>> = cargo
+            .iter()
+            .map(|c| Item { id: &c.id, key: c.submission.key.as_deref(), body: &c.submission.body })
+            .collect();
         let wait = cargo.iter().map(|c| c.wait).max().unwrap_or(0);
         write(&items, wait, &self.host, &mut stream.out);
         self.answers.ask(cargo.iter().map(|c| c.id.clone()).collect());
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -962,7 +962,8 @@
     fn freeze(&mut self) {
         self.left = self.frozen;
         self.frozen = true;
-        while self.make_way() {}
+        let resting: Vec<ConnId> = self.resting().map(|(_, conn)| conn).collect();
+        resting.into_iter().for_each(|conn| self.end_session(conn));
         self.timers.set(Key::Leave, self.now + LAST_CALLS);
     }
 
--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -48,6 +48,13 @@
         self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
+    /// The wait that `Retry-After` tells, in seconds, also with decimals as some write them. It may be a date too; a
+    /// receiver's clock is its own, so only seconds are heeded.
+    pub fn retry_after(&self) -> Option<f64> {
+        let seconds = self.field("retry-after")?.trim().parse::<f64>().ok()?;
+        (seconds.is_finite() && seconds >= 0.0).then(|| seconds.min(1e6))
+    }
+
     /// The status of a response, 0 for requests.
     pub fn status(&self) -> u16 {
         if let Start::Response { status } = self.start { status } else { 0 }
--- a/crates/net/src/lone.rs
+++ b/crates/net/src/lone.rs
@@ -1,6 +1,7 @@
 //! One sender of the platform: one thread that accepts, serves and writes its journal itself.
 
 use crate::clock::Clock;
+use crate::door::Way;
 use crate::reactor::{Command, Reactor, Sink};
 use crate::service::StartError;
 use heronroute_engine::platform::config;
@@ -8,12 +9,11 @@
 use heronroute_journal::Journal;
 use heronroute_journal::dir::Dir;
 use heronroute_platform::start::StartUp;
-use mio::Waker;
 use mio::net::TcpListener;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::mpsc::{Sender, channel};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 
 /// A sender that is ready to run.
@@ -24,26 +24,17 @@
 
 /// The way to a running sender.
 #[derive(Clone)]
-pub struct Wake {
-    commands: Sender<Command>,
-    waker: Arc<Waker>,
-}
+pub struct Wake(Way);
 
 impl Wake {
     /// Has it go out of service.
     pub fn leave(&self) {
-        self.tell(Command::Leave);
+        self.0.tell(Command::Leave);
     }
 
     /// Discovery is elsewhere from now on.
     pub fn moved(&self, discovery: SocketAddr) {
-        self.tell(Command::Moved(discovery));
-    }
-
-    fn tell(&self, command: Command) {
-        if self.commands.send(command).is_ok() {
-            _ = self.waker.wake();
-        }
+        self.0.tell(Command::Moved(discovery));
     }
 }
 
@@ -73,7 +64,7 @@
         let sink = Some(Sink::Own(Box::new(journal)));
         let (mut reactor, waker) = Reactor::new(node, clock, inbox, None, sink, shown.clone())?;
         reactor.listen_at(listener)?;
-        Ok((Lone { reactor, shown }, Wake { commands, waker: Arc::new(waker) }))
+        Ok((Lone { reactor, shown }, Wake(Way { commands, waker: Arc::new(waker) })))
     }
 
     /// Runs until it has gone out of service.
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -41,14 +41,6 @@
     write_request("POST", "/inbox/bulk", host, &fields, body.as_bytes(), out);
 }
 
-/// Octets that a message takes in a call of several, at most.
-pub fn size(item: &Item<'_>) -> usize {
-    item.body.len().div_ceil(3) * 4 + item.id.len() + item.key.map_or(0, str::len) + 40
-}
-
-/// Octets of a body at most.
-pub const MOST_CALL: usize = 64 * 1024;
-
 /// How one message fared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fate {
@@ -150,9 +142,7 @@
 }
 
 fn fates(m: &Message, ids: &[String]) -> Vec<Fate> {
-    // Seconds, with decimals.
-    let wait = m.field("retry-after").and_then(|v| v.trim().parse::<f64>().ok());
-    let wait = wait.filter(|s| s.is_finite() && *s > 0.0).map_or(0, |s| (s.min(1e6) * 1e6).ceil() as Micros);
+    let wait = m.retry_after().map_or(0, |s| (s * 1e6).ceil() as Micros);
     let no_slot = m.field("x-no-slot").is_some_and(|v| v.trim() == "1");
     let fate = match m.status() {
         200 if ids.len() > 1 => return each(&m.body, ids, wait),
