What was decided before a told wait, or leaves after its window, is taken back unsent

Ruled out: rounding and clocks (wait_until lies behind the true end), a library that forgets (its belief held the wait), replaced endpoints (none). At fault: outcome() in carry.rs, which told the wait to the library alone; recall() was used for drains only and saw only what waits for a connection.

A repeat of a keyed message bears a time by which it must begin to leave. The module is unchanged: it hears that these never ran.

Two tests in crates/engine/tests/platform.rs; both fail without the mend (seen).

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -36,6 +36,8 @@
     pub attempt: u32,
     /// Its answer is waited for until then.
     pub until: Micros,
+    /// It may begin to leave only before then: the time in which the receiver drops its repeats is over.
+    pub leave_by: Micros,
     /// Where its octets lie in the stream of the call's connection.
     pub range: (u64, u64),
     /// It has no outcome yet.
@@ -91,10 +93,22 @@
     /// Adds a message to a call that was not sent yet; gives its place in it.
     pub fn add(&mut self, id: u64, msg: MsgId, attempt: u32, until: Micros) -> usize {
         let Some(call) = self.calls.get_mut(&id) else { return 0 };
-        call.parts.push(Part { msg, attempt, until, range: (0, 0), open: true, unwaited: None });
+        let (leave_by, range) = (Micros::MAX, (0, 0));
+        call.parts.push(Part { msg, attempt, until, leave_by, range, open: true, unwaited: None });
         call.parts.len() - 1
     }
 
+    /// A message of a call may begin to leave only before a time.
+    pub fn leave_by(&mut self, id: u64, part: usize, at: Micros) {
+        let part = self.calls.get_mut(&id).and_then(|c| c.parts.get_mut(part));
+        part.into_iter().for_each(|p| p.leave_by = at);
+    }
+
+    /// The number of the call that was begun last.
+    pub fn last(&self) -> u64 {
+        self.next
+    }
+
     /// A call was written on a connection. `ranges`: for each of its open messages.
     pub fn written(&mut self, id: u64, conn: u64, ranges: &[(u64, u64)]) {
         let Some(call) = self.calls.get_mut(&id) else { return };
--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -1,7 +1,8 @@
 //! The receivers' side: the decision library's actions carried out, connections, calls, probes.
 
+use crate::Micros;
 use crate::answers::End;
-use crate::calls::{End as CallEnd, proves};
+use crate::calls::{End as CallEnd, Part, proves};
 use crate::front::Speaks;
 use crate::link::{self, Cargo, Link, LinkEvent, Reply};
 use crate::node::{ConnId, Effect as Durably, Gone, Key, LinkEvents, Node, Output, Use, show_id};
@@ -42,7 +43,15 @@
                     let part = self.calls.add(call, *id, m.attempts, until);
                     m.attempts += 1;
                     m.out = Some((call, part));
-                    self.timers.set(Key::Part(call, part), until);
+                    // Guards against a repeat that was decided in time and waits for its connection until the
+                    // receiver has forgotten the key.
+                    let class = &self.cfg.settings.classes[m.class];
+                    let leave_by = match m.ran_at.filter(|_| class.effect == Effect::Guarded) {
+                        Some(ran_at) => ran_at + class.window,
+                        None => Micros::MAX,
+                    };
+                    self.calls.leave_by(call, part, leave_by);
+                    self.timers.set(Key::Part(call, part), until.min(leave_by));
                 }
                 Action::Cancel { id, attempt } => self.call_off(*id, *attempt),
                 Action::Refuse { id, retry_after } => self.answer(*id, End::Refused(*retry_after)),
@@ -75,18 +84,55 @@
 
     /// A call may leave; where it was called off meanwhile there is nothing of it any more.
     pub(crate) fn start_call(&mut self, call: u64, endpoint: EndpointId) {
-        if self.calls.get(call).is_some() {
-            self.remotes[endpoint.0 as usize].pool.queue(call);
-            self.place(endpoint);
+        if self.calls.get(call).is_none() {
+            return;
         }
+        let remote = &mut self.remotes[endpoint.0 as usize];
+        if call <= remote.recalled {
+            return self.take_back_call(call);
+        }
+        remote.pool.queue(call);
+        self.place(endpoint);
     }
 
-    /// An endpoint drains or is gone: calls that still wait for a connection there never leave. Guards against one whose
-    /// connection comes up only after the grace.
+    /// An endpoint drains or is gone, or a wait was told for it: what was decided before and has not begun to leave never
+    /// does, wherever it stands. Guards against a call whose connection comes up only after the grace, or within the wait.
     pub(crate) fn recall(&mut self, endpoint: EndpointId) {
+        let remote = &mut self.remotes[endpoint.0 as usize];
+        // What the journal has not written yet is taken back when it may leave.
+        remote.recalled = self.calls.last();
+        let mut calls = remote.pool.waiting();
+        calls.extend(remote.pool.all().into_iter().flat_map(|conn| self.calls.of(conn)));
+        calls.into_iter().for_each(|call| self.take_back_call(call));
+    }
+
+    /// A wait was told, for all endpoints that share the destination's limit: calls to them that were decided before and
+    /// have not left are the library's again, which knows of the wait from its next round on.
+    fn wait_told(&mut self, endpoint: EndpointId) {
+        let remote = &self.remotes[endpoint.0 as usize];
+        let apart = self.cfg.settings.kinds.get(remote.kind).is_some_and(|k| k.apart);
+        let shares = self.by_dest.get(&remote.dest).filter(|_| !apart);
+        let shares: Vec<EndpointId> = shares.map_or_else(|| vec![endpoint], |s| s.iter().copied().collect());
+        shares.into_iter().for_each(|e| self.recall(e));
+    }
+
+    /// Takes a call back whole where none of it has begun to leave: each of its messages never ran.
+    fn take_back_call(&mut self, call: u64) {
+        let parts = self.calls.get(call).map_or(0, |c| c.parts.len());
+        for part in 0..parts {
+            if self.calls.get(call).is_some_and(|c| c.parts[part].open) {
+                self.pull(call, part, CallEnd::CalledOff, true);
+            }
+        }
+    }
+
+    /// Messages of waiting calls whose time to leave is over are taken back.
+    fn take_back_late(&mut self, endpoint: EndpointId) {
         for call in self.remotes[endpoint.0 as usize].pool.waiting() {
-            let parts = self.calls.get(call).map_or(0, |c| c.parts.len());
-            for part in 0..parts {
+            let parts = self.calls.get(call).map(|c| c.parts.clone()).unwrap_or_default();
+            let late = |(_, p): &(usize, &Part)| p.open && p.leave_by <= self.now;
+            let late: Vec<usize> = parts.iter().enumerate().filter(late).map(|(part, _)| part).collect();
+            for part in late {
                 self.take_back(call, part);
             }
         }
@@ -96,6 +142,7 @@
     fn place(&mut self, endpoint: EndpointId) {
         let at = endpoint.0 as usize;
         let window = self.cfg.kinds[self.remotes[at].kind].window;
+        self.take_back_late(endpoint);
         while let Some((call, conn)) = self.remotes[at].pool.place(window) {
             self.write_call(call, conn);
         }
@@ -169,7 +216,9 @@
         let mut last = true;
         if let Some(m) = self.messages.get_mut(&p.msg) {
             m.out = None;
-            m.may_run |= !reply.outcome.never_ran() && reply.outcome != Outcome::Done;
+            if !reply.outcome.never_ran() && reply.outcome != Outcome::Done {
+                m.ran_at = Some(m.ran_at.map_or(began, |at| at.min(began)));
+            }
             last = reply.over;
             if !last {
                 let never_ran = reply.outcome.never_ran();
@@ -177,6 +226,9 @@
             }
         }
         self.note_place(endpoint, reply);
+        if reply.wait > 0 {
+            self.wait_told(endpoint);
+        }
         // What the library believed before it hears of this, to be held against what passed.
         if tracing::enabled!(tracing::Level::DEBUG) {
             let remote = &self.remotes[endpoint.0 as usize];
@@ -275,16 +327,20 @@
     /// Takes back a message that has not begun to leave; its outcome is then that it never ran. Where others
     /// share its octets it stays, and may run.
     pub(crate) fn take_back(&mut self, call: u64, part: usize) -> bool {
-        self.pull(call, part, CallEnd::CalledOff)
+        self.pull(call, part, CallEnd::CalledOff, false)
     }
 
-    fn pull(&mut self, call: u64, part: usize, end: CallEnd) -> bool {
+    /// `whole`: those that share its octets are taken back with it.
+    fn pull(&mut self, call: u64, part: usize, end: CallEnd, whole: bool) -> bool {
         let Some(c) = self.calls.get(call) else { return false };
         let (conn, range) = (c.conn, c.parts[part].range);
+        let mut with = vec![part];
         if let Some(conn) = conn {
-            let shared = c.parts.iter().filter(|p| p.range == range).count() > 1;
+            let same = c.parts.iter().enumerate().filter(|(_, p)| p.range == range);
+            let shared = same.clone().count() > 1;
+            with = same.filter(|(_, p)| p.open).map(|(part, _)| part).collect();
             let Some(entry) = self.conns.get_mut(&conn) else { return false };
-            if shared || !entry.stream.withdraw(range.0, range.1) {
+            if (shared && !whole) || !entry.stream.withdraw(range.0, range.1) {
                 return false;
             }
             if let Use::Receiver { link, .. } = &mut entry.what {
@@ -292,7 +348,7 @@
             }
             self.calls.shift(conn, range.0, range.1 - range.0);
         }
-        self.outcome(call, part, plain(proves(end, false)));
+        with.into_iter().for_each(|part| self.outcome(call, part, plain(proves(end, false))));
         true
     }
 
@@ -310,7 +366,14 @@
         }
     }
 
+    /// A message's time to leave is over, or its time to be answered.
     pub(crate) fn part_timed_out(&mut self, call: u64, part: usize) {
+        let Some(p) = self.calls.get(call).and_then(|c| c.parts.get(part)).copied() else { return };
+        if self.now < p.until {
+            self.timers.set(Key::Part(call, part), p.until);
+            self.pull(call, part, CallEnd::CalledOff, true);
+            return;
+        }
         self.give_up(call, part, CallEnd::TimedOut);
     }
 
@@ -325,7 +388,7 @@
         if let Some(conn) = conn {
             self.remotes[endpoint.0 as usize].pool.suspect(conn);
         }
-        if !self.begun(call, part) && self.pull(call, part, end) {
+        if !self.begun(call, part) && self.pull(call, part, end, false) {
             return;
         }
         if let Some(Use::Receiver { link, .. }) =
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -332,7 +332,7 @@
             reply,
             attempts: 0,
             out: None,
-            may_run: false,
+            ran_at: None,
             trail: self.held.is_some().then(|| Box::new(Trail::new(self.wall(), 0))),
         }
     }
@@ -504,7 +504,7 @@
         if let Some((call, part)) = m.out {
             self.take_back(call, part);
         }
-        let gone = self.messages.get(&id).is_some_and(|m| m.out.is_some() || m.may_run);
+        let gone = self.messages.get(&id).is_some_and(|m| m.out.is_some() || m.ran_at.is_some());
         if gone {
             return self.refuse(conn, token, No::TooLate);
         }
--- a/crates/engine/src/hold.rs
+++ b/crates/engine/src/hold.rs
@@ -454,7 +454,7 @@
             self.ledger.write(|| entry::What::Outcome(entry::Outcome { id: own.0, never_ran: false }));
         }
         let mut message = self.message(&from, class, submission, &handing, self.now + (leave_by - now));
-        message.may_run = ran.is_some();
+        message.ran_at = ran.map(|at| self.now - (now - at).max(0));
         let before = self.held.as_ref().and_then(|s| s.get(id)).and_then(|f| Trail::read(&f.trail));
         if fresh {
             // Its own trail begins with the hand-in; the old one stays without its message.
--- a/crates/engine/src/intake.rs
+++ b/crates/engine/src/intake.rs
@@ -71,7 +71,7 @@
             reply: Some((conn, token)),
             attempts: 0,
             out: None,
-            may_run: false,
+            ran_at: None,
             trail: None,
         };
         self.hold(id, message);
--- a/crates/engine/src/node.rs
+++ b/crates/engine/src/node.rs
@@ -193,8 +193,8 @@
     pub attempts: u32,
     /// The attempt out.
     pub out: Option<(u64, usize)>,
-    /// Some attempt began to leave and was not proved to have had no effect.
-    pub may_run: bool,
+    /// Since when it may have run: some attempt began to leave and was not proved to have had no effect.
+    pub ran_at: Option<Micros>,
     /// What happened to it, where trails are kept.
     pub trail: Option<Box<Trail>>,
 }
@@ -216,6 +216,9 @@
     /// Its number in trails.
     pub number: u32,
     pub kind: usize,
+    pub dest: DestId,
+    /// Calls up to this one were decided before it drained or told a wait.
+    pub recalled: u64,
     /// What the journal knows of it: told to wait until, failing since; in time of day.
     pub place: (Micros, Micros),
     pub pool: Pool,
@@ -276,6 +279,8 @@
     pub(crate) calls: Calls,
     pub(crate) remotes: Vec<Remote>,
     pub(crate) names: BTreeMap<String, EndpointId>,
+    /// Endpoints by destination, gone ones too.
+    pub(crate) by_dest: BTreeMap<DestId, BTreeSet<EndpointId>>,
     zones: Vec<String>,
     pub(crate) clients: Vec<Client>,
     pub(crate) client_names: BTreeMap<String, usize>,
@@ -373,6 +378,7 @@
             calls: Calls::default(),
             remotes: Vec::new(),
             names: BTreeMap::new(),
+            by_dest: BTreeMap::new(),
             zones: cfg.zones.clone(),
             clients: Vec::new(),
             client_names: BTreeMap::new(),
@@ -794,6 +800,8 @@
                     name,
                     number,
                     kind,
+                    dest: DestId(e.destination),
+                    recalled: 0,
                     place: (0, 0),
                     pool,
                     probe: None,
@@ -803,6 +811,9 @@
                 let moved = self.remotes[endpoint.0 as usize].address != e.address;
                 self.remotes[endpoint.0 as usize].address = e.address;
                 self.remotes[endpoint.0 as usize].kind = kind;
+                let before =
+                    std::mem::replace(&mut self.remotes[endpoint.0 as usize].dest, DestId(e.destination));
+                self.by_dest.entry(before).or_default().remove(&endpoint);
                 if moved {
                     self.close_idle(endpoint);
                 }
@@ -811,6 +822,7 @@
                 self.zones.push(e.zone.clone());
                 self.zones.len() - 1
             });
+            self.by_dest.entry(DestId(e.destination)).or_default().insert(endpoint);
             if self.dests.len() < MOST_DESTS {
                 self.dests.insert(e.destination);
             }
@@ -850,7 +862,7 @@
             self.take_back(call, part);
         }
         let Some(m) = self.messages.get(&id) else { return };
-        let may_run = m.may_run || m.out.is_some();
+        let may_run = m.ran_at.is_some() || m.out.is_some();
         let quantum = self.cfg.settings.quantum.max(1_000);
         // Of a platform's message the library's own word is told, also where its time is up.
         let time_up = m.speaks != Speaks::Resp && self.now + 2 * quantum >= m.deadline;
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -1,5 +1,6 @@
 //! After a restart: what the book says is taken up again. `resume.rs` decides; here it is carried out.
 
+use crate::Micros;
 use crate::answers::End;
 use crate::front::Speaks;
 use crate::mailboxes::{BoxId, Kept};
@@ -77,7 +78,8 @@
                 }
                 Resume::GoesOn(ran) => {
                     done.go_on += 1;
-                    self.take_up(client, mailbox, class.unwrap_or(0), &open, ran.is_some());
+                    let ran_at = ran.as_ref().map(|i| self.now - (wall - i.at).max(0));
+                    self.take_up(client, mailbox, class.unwrap_or(0), &open, ran_at);
                     let may_run = ran.map(|i| {
                         let at = self.names.get(&i.endpoint).copied();
                         // An endpoint that is not known any more shares its memory with none that is.
@@ -89,7 +91,8 @@
                 Resume::Over { may_run } => {
                     done.over += 1;
                     let id = MsgId(a.id);
-                    self.hold_message(client, mailbox, class.unwrap_or(0), &open, may_run);
+                    let ran_at = may_run.then_some(self.now);
+                    self.hold_message(client, mailbox, class.unwrap_or(0), &open, ran_at);
                     self.answer(id, End::Failed);
                 }
             }
@@ -136,7 +139,14 @@
         }
     }
 
-    fn hold_message(&mut self, client: usize, mailbox: BoxId, class: usize, open: &Open, may_run: bool) {
+    fn hold_message(
+        &mut self,
+        client: usize,
+        mailbox: BoxId,
+        class: usize,
+        open: &Open,
+        ran_at: Option<Micros>,
+    ) {
         let a = &open.accepted;
         let message = Message {
             client,
@@ -155,7 +165,7 @@
             reply: None,
             attempts: open.attempts,
             out: None,
-            may_run,
+            ran_at,
             trail: None,
         };
         if let Some(identity) = message.submission.identity.clone().filter(|_| self.cfg.platform.is_some()) {
@@ -165,8 +175,8 @@
         self.trail_again(open);
     }
 
-    fn take_up(&mut self, client: usize, mailbox: BoxId, class: usize, open: &Open, may_run: bool) {
-        self.hold_message(client, mailbox, class, open, may_run);
+    fn take_up(&mut self, client: usize, mailbox: BoxId, class: usize, open: &Open, ran_at: Option<Micros>) {
+        self.hold_message(client, mailbox, class, open, ran_at);
         let a = &open.accepted;
         let ordered = self.cfg.settings.classes.get(class).is_some_and(|c| c.ordered);
         self.events.push(Event::Message {
--- a/crates/engine/tests/platform.rs
+++ b/crates/engine/tests/platform.rs
@@ -363,6 +363,69 @@
     assert!(w.came(1001).is_empty(), "nothing was written there");
 }
 
+#[test]
+fn a_call_decided_before_a_wait_was_told_does_not_leave_within_it() {
+    // Seen on zone+mass: a connection that came up after 1.1 s, while another endpoint of the destination had told a wait.
+    for port in [1001, 1003] {
+        let mut w = world();
+        let (watch, _) = w.came(2).into_iter().find(|(_, t)| t.starts_with("GET /catalog")).unwrap();
+        let line = r#"{"version":5,"full":false,"servers":[{"id":"e3","addr":"127.0.0.1:1003","zone":"a","kind":"one","cell":1,"state":"SERVING","weight":50.0}]}"#;
+        let line = if port == 1003 { line } else { "" };
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        w.says(watch, &format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1));
+        let c = w.client();
+        w.add(c, "m1", SAFE);
+        let (conn, told) = [1001, 1003].iter().find_map(|p| Some((w.came(*p).pop()?.0, *p))).unwrap();
+        w.silent = Some(if port == 1001 { told } else { 1001 + 1003 - told });
+        w.add(c, "m2", SAFE);
+        assert!(!w.coming.is_empty(), "it waits for its connection");
+        w.says(conn, "HTTP/1.1 429 No\r\nretry-after: 0.6\r\ncontent-length: 0\r\n\r\n");
+        w.pass(300 * MS);
+        w.silent = None;
+        for conn in std::mem::take(&mut w.coming) {
+            w.node.connected(w.now, conn);
+        }
+        w.pass(290 * MS);
+        assert!(w.came(1001).is_empty() && w.came(1003).is_empty(), "within the wait");
+        w.pass(1_000 * MS);
+        assert!(w.came(1001).len() + w.came(1003).len() >= 1, "and after it they go on");
+    }
+}
+
+#[test]
+fn a_repeat_that_waits_for_its_connection_never_leaves_after_its_window() {
+    // Seen on zone+mass: a keyed message that may have run was sent again 5.05 s after, its window being 5 s.
+    for restarted in [false, true] {
+        let mut w = world();
+        let c = w.client();
+        w.add(c, "m1", KEYED);
+        let (conn, _) = w.came(1001).remove(0);
+        w.silent = Some(1001);
+        if restarted {
+            w = w.restart();
+            w.silent = Some(1001);
+            w.pass(5 * MS);
+        } else {
+            w.says(conn, "HTTP/1.1 500 No\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
+        }
+        let began = w.now;
+        w.pass(began + 3_900 * MS - w.now);
+        // One more connection is on its way as the window ends.
+        while !w.coming.iter().any(|conn| w.ours.contains_key(conn)) {
+            assert!(w.now < began + 3_980 * MS, "no repeat was under way");
+            w.pass(5 * MS);
+        }
+        w.pass(began + 4_020 * MS - w.now);
+        for conn in std::mem::take(&mut w.coming) {
+            w.node.connected(w.now, conn);
+        }
+        w.pass(1_000 * MS);
+        assert!(w.came(1001).iter().all(|(_, t)| !t.contains("X-Call-Id: m1")), "after its window");
+        let told: String = w.came(2).into_iter().map(|(_, t)| t).collect();
+        assert!(told.contains("\"id\":\"m1\",\"state\":\"returned\""), "{told}");
+    }
+}
+
 #[test]
 fn a_watch_that_says_nothing_is_begun_anew() {
     // Seen on a recorded day: two watches in a row fell silent, and drains were heard 16 s late.
