An attempt cut off by a restart stays known as may-have-run over the next one

Its id in n243's log: taken on at 14.283, killed with an attempt out, sent twice after the restart (15.852, 16.341: Busy), killed again, and sent a third time at 20.64, its window being 5 s. Ruled out: clocks over the restart (the first restart resumed it rightly), the module (it was told nothing of an attempt that may have run). Now an intent that finds another without an outcome keeps that one as the attempt that may have run.

Also: a write of which the system took a part before it took nothing more counts that part as gone out (socket.rs).

--- a/crates/engine/tests/platform.rs
+++ b/crates/engine/tests/platform.rs
@@ -46,7 +46,7 @@
 fn begin(journal: Journal<Disk>, now: i64) -> World {
     let start = read(START).unwrap();
     let book = Some(journal.book().clone());
-    let at = Start { index: 0, seed: 7, now, wall: 1 << 50, list: 4, kept: None, book };
+    let at = Start { index: 0, seed: 7, now, wall: (1 << 50) + now, list: 4, kept: None, book };
     let node = Node::new(Arc::new(config(&start)), at).unwrap();
     let (ours, heard, ended) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
     let mut w = World {
@@ -426,6 +426,25 @@
     }
 }
 
+#[test]
+fn what_may_have_run_before_two_restarts_is_bound_after_the_second() {
+    // Seen on herd+mass: sent, killed, sent again and refused, killed, and sent a third time 6.4 s after the first.
+    let mut w = world();
+    let c = w.client();
+    w.add(c, "m1", KEYED);
+    assert_eq!(w.came(1001).len(), 1);
+    let mut w = w.restart();
+    w.pass(5 * MS);
+    let (conn, _) = w.came(1001).remove(0);
+    w.says(conn, "HTTP/1.1 503 No\r\nretry-after: 1.9\r\ncontent-length: 0\r\n\r\n");
+    w.now += 4_000 * MS;
+    let mut w = w.restart();
+    w.pass(2_000 * MS);
+    assert!(w.came(1001).is_empty(), "its window is over since the first attempt");
+    let told: String = w.came(2).into_iter().map(|(_, t)| t).collect();
+    assert!(told.contains("{\"id\":\"m1\",\"state\":\"failed\"}"), "{told}");
+}
+
 #[test]
 fn a_watch_that_says_nothing_is_begun_anew() {
     // Seen on a recorded day: two watches in a row fell silent, and drains were heard 16 s late.
--- a/crates/journal/src/book.rs
+++ b/crates/journal/src/book.rs
@@ -78,7 +78,10 @@
             Some(What::Intent(i)) => {
                 if let Some(o) = self.open.get_mut(&i.id) {
                     o.attempts += 1;
-                    o.out = Some(i.clone());
+                    // One attempt is out at a time: one that has no outcome as the next begins was cut off by the end of
+                    // its process. Guards against a second restart that forgets what the first had found to may have run.
+                    let cut_off = o.out.replace(i.clone());
+                    o.may_run = o.may_run.take().or(cut_off);
                 }
             }
             Some(What::Outcome(end)) => {
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -44,7 +44,8 @@
     let mut n = 0;
     while n < octets.len() {
         match socket.write(&octets[n..]) {
-            Ok(0) => return Progress::Broken,
+            // What went before counts as gone out, whatever follows: it may have run.
+            Ok(0) => return if n > 0 { Progress::Blocked(n) } else { Progress::Broken },
             Ok(m) => n += m,
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Progress::Blocked(n),
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
