The platform's sender runs on one thread: signals by a pipe in the reactor

What is left in our hands is that there are two threads at all; that they need not be. Now signals leave a note and a letter in a pipe (signal-hook), the reactor looks at the notes in each turn after the pipe was emptied, and reads the configuration at SIGHUP itself. No thread, no Unix socket. Lone takes no commands any more.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -1,10 +1,8 @@
 //! `platform`: one real sender on the users' platform, which tells it everything by `GW_CONFIG` and `GW_STATE`.
 
 use crate::fail;
-use heronroute_net::Lone;
+use heronroute_net::{Lone, Signals};
 use heronroute_platform::start::{StartUp, read};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -32,7 +30,7 @@
 
 pub fn run() -> ExitCode {
     // Signals are taken before anything starts, so that none ends the program halfway.
-    let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
+    let signals = match Signals::take() {
         Ok(signals) => signals,
         Err(e) => return fail(1, format_args!("signals: {e}")),
     };
@@ -40,25 +38,20 @@
         Ok(told) => told,
         Err(e) => return fail(2, e),
     };
-    let (sender, wake) = match Lone::start(&start_up_, &folder) {
+    let again = move || match start_up(&path) {
+        Ok(new) => {
+            tracing::info!(discovery = %new.discovery, "discovery is elsewhere");
+            Some(new.discovery)
+        }
+        Err(e) => {
+            tracing::error!(error = e, "the new configuration is wrong; the old one holds");
+            None
+        }
+    };
+    let sender = match Lone::start(&start_up_, &folder, signals, Box::new(again)) {
         Ok(started) => started,
         Err(e) => return fail(1, e),
     };
-    std::thread::spawn(move || {
-        for signal in signals.forever() {
-            if signal != SIGHUP {
-                wake.leave();
-                continue;
-            }
-            match start_up(&path) {
-                Ok(new) => {
-                    tracing::info!(discovery = %new.discovery, "discovery is elsewhere");
-                    wake.moved(new.discovery);
-                }
-                Err(e) => tracing::error!(error = e, "the new configuration is wrong; the old one holds"),
-            }
-        }
-    });
     match sender.run() {
         Ok(stats) => {
             tracing::info!(?stats, "out of service");
--- a/crates/net/src/lone.rs
+++ b/crates/net/src/lone.rs
@@ -1,9 +1,10 @@
-//! One sender of the platform: one thread that accepts, serves and writes its journal itself.
+//! One sender of the platform: one thread that accepts, serves, writes its journal and takes signals itself. It starts no
+//! other: on a part of one core each costs wake-ups, and where threads run in turn none can keep another waiting.
 
 use crate::clock::Clock;
-use crate::door::Way;
-use crate::reactor::{Command, Reactor, Sink};
+use crate::reactor::{Again, Command, Reactor, Sink};
 use crate::service::StartError;
+use crate::signals::Signals;
 use heronroute_engine::platform::config;
 use heronroute_engine::{Node, Start, Stats};
 use heronroute_journal::Journal;
@@ -11,39 +12,29 @@
 use heronroute_platform::start::StartUp;
 use mio::net::TcpListener;
 use std::io;
-use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{Sender, channel};
 use std::sync::{Arc, Mutex};
 
 /// A sender that is ready to run.
 pub struct Lone {
     reactor: Reactor,
     shown: Arc<Mutex<Stats>>,
-}
-
-/// The way to a running sender.
-#[derive(Clone)]
-pub struct Wake(Way);
-
-impl Wake {
-    /// Has it go out of service.
-    pub fn leave(&self) {
-        self.0.tell(Command::Leave);
-    }
-
-    /// Discovery is elsewhere from now on.
-    pub fn moved(&self, discovery: SocketAddr) {
-        self.0.tell(Command::Moved(discovery));
-    }
+    /// Nothing comes by this way; it stays open, since its end would be the end of service.
+    _commands: Sender<Command>,
 }
 
 impl Lone {
-    /// Reads the journal in `folder` and listens. Clients that connect from here on are served once it runs.
+    /// Reads the journal in `folder` and listens; SIGTERM has it leave, SIGHUP asks `again` where discovery is. Clients that connect from here on are served once it runs.
     ///
     /// # Errors
     /// Where something it needs can't be had.
-    pub fn start(start_up: &StartUp, folder: &Path) -> Result<(Self, Wake), StartError> {
+    pub fn start(
+        start_up: &StartUp,
+        folder: &Path,
+        signals: Signals,
+        again: Again,
+    ) -> Result<Self, StartError> {
         let clock = Clock::start();
         let cfg = Arc::new(config(start_up));
         let journal = Journal::open(Dir::open_unsynced(folder)?, cfg.journal.limits)?;
@@ -62,9 +53,10 @@
         let (commands, inbox) = channel();
         let shown = Arc::new(Mutex::new(Stats::default()));
         let sink = Some(Sink::Own(Box::new(journal)));
-        let (mut reactor, waker) = Reactor::new(node, clock, inbox, None, sink, shown.clone())?;
+        let (mut reactor, _) = Reactor::new(node, clock, inbox, None, sink, shown.clone())?;
         reactor.listen_at(listener)?;
-        Ok((Lone { reactor, shown }, Wake(Way { commands, waker: Arc::new(waker) })))
+        reactor.heed(signals, again)?;
+        Ok(Lone { reactor, shown, _commands: commands })
     }
 
     /// Runs until it has gone out of service.
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -1,6 +1,7 @@
 //! One sender's thread: its node, its sockets, its turns.
 
 use crate::clock::Clock;
+use crate::signals::Signals;
 use crate::socket::{Progress, read_some, write_some};
 use heronroute_config::Config;
 use heronroute_engine::front::Speaks;
@@ -21,6 +22,8 @@
 const WAKE: Token = Token(0);
 /// The token of a listener of its own.
 const LISTENER: Token = Token(usize::MAX);
+/// The token of signals.
+const SIGNALS: Token = Token(usize::MAX - 1);
 /// Clients accepted in a turn.
 const ACCEPT: usize = 64;
 /// Octets read from one connection in a turn.
@@ -30,8 +33,6 @@
 pub enum Command {
     /// A client, with what it sent so far.
     Client(Speaks, TcpStream, Vec<u8>),
-    /// Discovery is elsewhere.
-    Moved(SocketAddr),
     /// New settings; the answer names what could not be taken over.
     Reload(Arc<Config>, Sender<Vec<&'static str>>),
     /// Go out of service.
@@ -62,6 +63,9 @@
     Own(Box<Journal<Dir>>),
 }
 
+/// Reads the configuration again: where discovery is from now on.
+pub type Again = Box<dyn FnMut() -> Option<SocketAddr> + Send>;
+
 /// One sender's reactor.
 pub struct Reactor {
     node: Node,
@@ -74,6 +78,8 @@
     keep: Option<PathBuf>,
     journal: Option<Sink>,
     listener: Option<TcpListener>,
+    /// Signals that it takes itself.
+    signals: Option<(Signals, Again)>,
     /// There may be more clients to accept.
     knocked: bool,
     /// Entries that the journal had at the start.
@@ -110,6 +116,7 @@
             keep,
             journal,
             listener: None,
+            signals: None,
             knocked: false,
             before,
             failed: false,
@@ -127,6 +134,24 @@
         Ok(())
     }
 
+    /// Has it take signals itself.
+    pub fn heed(&mut self, mut signals: Signals, again: Again) -> io::Result<()> {
+        self.poll.registry().register(&mut signals.pipe, SIGNALS, Interest::READABLE)?;
+        self.signals = Some((signals, again));
+        Ok(())
+    }
+
+    fn heed_signals(&mut self) {
+        let Some((signals, again)) = &mut self.signals else { return };
+        let (leave, read) = signals.came();
+        if leave {
+            self.node.leave(self.clock.now());
+        }
+        if read && let Some(discovery) = again() {
+            self.node.discovery_moved(self.clock.now(), discovery);
+        }
+    }
+
     /// Accepts clients, some in a turn. Where descriptors ran out it is tried again in the next turn, when some may
     /// have been closed.
     fn accept(&mut self) {
@@ -169,18 +194,23 @@
                 Some(Duration::ZERO)
             };
             match self.poll.poll(&mut events, wait) {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                // A signal.
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => events.clear(),
                 other => other?,
             }
             for event in &events {
                 if event.token() == LISTENER {
                     self.knocked = true;
+                } else if event.token() == SIGNALS {
+                    self.signals.iter_mut().for_each(|(signals, _)| signals.drain());
                 } else if event.token() != WAKE {
                     let conn = event.token().0 as ConnId;
                     let ending = event.is_read_closed() || event.is_error();
                     self.stirred(conn, event.is_readable() || ending, ending, event.is_writable());
                 }
             }
+            // After the pipe was emptied, so that none is emptied out unheard.
+            self.heed_signals();
             self.listen();
             self.accept();
             if self.failed {
@@ -224,7 +254,6 @@
                 Command::Reload(cfg, answer) => {
                     _ = answer.send(self.node.reload(self.clock.now(), cfg));
                 }
-                Command::Moved(address) => self.node.discovery_moved(self.clock.now(), address),
                 Command::Leave => self.node.leave(self.clock.now()),
                 Command::Durable(count, usage) => self.node.durable(self.clock.now(), count, usage),
                 Command::JournalFailed => self.failed = true,
--- /dev/null
+++ b/crates/net/src/signals.rs
@@ -0,0 +1,68 @@
+//! Signals, taken by a reactor itself: a note of which came, and a pipe that ends its wait.
+//!
+//! No thread waits for them. The note is made before the pipe is written, and a wait that a signal cuts short is followed
+//! by a look at the notes, so that a signal is heeded also where the pipe says nothing.
+
+use mio::unix::pipe::{Receiver, new};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use std::io::{self, Read};
+use std::os::fd::{AsFd, OwnedFd};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Signals of this process, from now on.
+#[derive(Debug)]
+pub struct Signals {
+    leave: Arc<AtomicBool>,
+    again: Arc<AtomicBool>,
+    pub(crate) pipe: Receiver,
+}
+
+impl Signals {
+    /// Takes SIGTERM, SIGINT and SIGHUP: none of them ends the process any more.
+    ///
+    /// # Errors
+    /// Where the system has no pipe or takes no handler.
+    pub fn take() -> io::Result<Self> {
+        let (sender, pipe) = new()?;
+        let end: OwnedFd = sender.as_fd().try_clone_to_owned()?;
+        let (leave, again) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        for (signal, note) in [(SIGTERM, &leave), (SIGINT, &leave), (SIGHUP, &again)] {
+            signal_hook::flag::register(signal, note.clone())?;
+            signal_hook::low_level::pipe::register(signal, end.try_clone()?)?;
+        }
+        Ok(Signals { leave, again, pipe })
+    }
+
+    /// Empties the pipe, which then wakes again.
+    pub(crate) fn drain(&mut self) {
+        let mut letters = [0; 64];
+        while matches!(self.pipe.read(&mut letters), Ok(n) if n > 0) {}
+    }
+
+    /// What came since the last look: to leave, and to read the configuration again.
+    pub(crate) fn came(&self) -> (bool, bool) {
+        (self.leave.swap(false, Ordering::AcqRel), self.again.swap(false, Ordering::AcqRel))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use mio::{Events, Interest, Poll, Token};
+    use std::time::Duration;
+
+    #[test]
+    fn a_signal_ends_the_wait_and_is_noted_once() {
+        let mut signals = Signals::take().unwrap();
+        let (mut poll, mut events) = (Poll::new().unwrap(), Events::with_capacity(4));
+        poll.registry().register(&mut signals.pipe, Token(1), Interest::READABLE).unwrap();
+        assert_eq!(signals.came(), (false, false));
+        for (signal, wanted) in [(SIGHUP, (false, true)), (SIGTERM, (true, false)), (SIGINT, (true, false))] {
+            signal_hook::low_level::raise(signal).unwrap();
+            _ = poll.poll(&mut events, Some(Duration::from_secs(5)));
+            signals.drain();
+            assert_eq!((signals.came(), signals.came()), (wanted, (false, false)), "{signal}");
+        }
+    }
+}
