A second thread, asleep, stands beside the reactor: alone, it ran out of descriptors

Signals stay with the reactor. The program's test asserts two threads and no Unix socket; it fails without the thread.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -171,6 +171,18 @@
     drop(free);
     configure(&folder, at, places[0], &list);
     let mut sender = Sender::start(folder.clone(), at);
+    // One that works and one asleep; no Unix socket anywhere (both measured on the users' bench, see cli/src/platform.rs).
+    let proc = format!("/proc/{}", sender.child.id());
+    assert_eq!(std::fs::read_dir(format!("{proc}/task")).unwrap().count(), 2, "threads");
+    let unix = std::fs::read_to_string("/proc/net/unix").unwrap_or_default();
+    let unix: Vec<&str> = unix.lines().filter_map(|l| l.split_whitespace().nth(6)).collect();
+    for fd in std::fs::read_dir(format!("{proc}/fd")).unwrap().flatten() {
+        let to = std::fs::read_link(fd.path()).unwrap_or_default().display().to_string();
+        let inode = to.strip_prefix("socket:[").and_then(|t| t.strip_suffix(']'));
+        // What it was started with is not its own.
+        let own = fd.file_name().to_string_lossy().parse::<u32>().is_ok_and(|n| n > 2);
+        assert!(!own || inode.is_none_or(|i| !unix.contains(&i)), "a Unix socket: {to}");
+    }
     let (mut taken, mut n) = (BTreeMap::new(), 0_u64);
     for round in 0..6 {
         for _ in 0..60 {
--- a/crates/net/src/lone.rs
+++ b/crates/net/src/lone.rs
@@ -1,5 +1,5 @@
 //! One sender of the platform: one thread that accepts, serves, writes its journal and takes signals itself. It starts no
-//! other: on a part of one core each costs wake-ups, and where threads run in turn none can keep another waiting.
+//! other: on a part of one core each costs wake-ups, and none can keep it waiting.
 
 use crate::clock::Clock;
 use crate::reactor::{Again, Command, Reactor, Sink};
