No call goes where a late probe answer may come; a wait binds from the answer's head on

At fault: the order in probe_timed_out, carry.rs. It takes a trouble that ends while the probe is out and a connection that comes up slowly, as when a zone that was cut off comes back. - A told wait was heard with the last octet of its answer, and not at all of an answer that broke off or was spoilt, though it binds from when it was written (platform/src/call.rs). Now the connection that rested longest makes way, and it is tried again 20 ms later (net/src/reactor.rs).

Ruled out as ways to a repeat: octets partly written (counted as begun), a connection that comes up after its call was given up (the pool has no call then), answers after a give-up (the connection is closed first), restarts (resume.rs; Over).

Tests in crates/engine/tests/platform.rs and platform/src/call.rs; the first three fail without the mends (seen). One more has a list of 1,100 endpoints at the start and of 1,100 others in one line of the watch, with 1,100 senders.

--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -16,25 +16,24 @@
     /// Carries out a round's actions, in order. Sends of the round to one endpoint share a call as far as its
     /// kind batches.
     pub(crate) fn carry_out(&mut self, actions: &[Action]) {
-        let mut open: BTreeMap<EndpointId, (u64, usize)> = BTreeMap::new();
+        let mut open: BTreeMap<EndpointId, (u64, usize, usize)> = BTreeMap::new();
         let mut made: Vec<(u64, EndpointId)> = Vec::new();
         for action in actions {
             match action {
                 Action::Send { id, endpoint, timeout } => {
                     let Some(remote) = self.remotes.get(endpoint.0 as usize) else { continue };
-                    if !self.messages.contains_key(id) {
-                        continue;
-                    }
-                    let most = self.cfg.kinds[remote.kind].batch;
+                    let Some(m) = self.messages.get(id) else { continue };
+                    let kind = &self.cfg.kinds[remote.kind];
+                    let size = link::size(kind, &m.submission);
                     let call = match open.get_mut(endpoint) {
-                        Some((call, n)) if *n < most => {
-                            *n += 1;
+                        Some((call, n, octets)) if *n < kind.batch && *octets + size <= link::MOST_OCTETS => {
+                            (*n, *octets) = (*n + 1, *octets + size);
                             *call
                         }
                         _ => {
                             let call = self.calls.begin(self.now, *endpoint);
                             made.push((call, *endpoint));
-                            open.insert(*endpoint, (call, 1));
+                            open.insert(*endpoint, (call, 1, size));
                             call
                         }
                     };
@@ -478,13 +477,14 @@
     }
 
     pub(crate) fn probe_timed_out(&mut self, endpoint: EndpointId) {
-        let conn = self.remotes[endpoint.0 as usize].probe;
+        let remote = &mut self.remotes[endpoint.0 as usize];
+        let conn = remote.probe;
+        // First of all: guards against a call that goes on this connection and is taken to be answered by what the probe
+        // is answered late. A late 503 would say that the call never ran, and have it sent twice.
+        conn.into_iter().for_each(|conn| remote.pool.suspect(conn));
         self.probed(endpoint, plain(Outcome::TimedOut));
-        if let Some(conn) = conn {
-            self.remotes[endpoint.0 as usize].pool.suspect(conn);
-            if self.remotes[endpoint.0 as usize].pool.calls(conn) == 0 {
-                self.close_link(conn);
-            }
+        if let Some(conn) = conn.filter(|conn| self.remotes[endpoint.0 as usize].pool.calls(*conn) == 0) {
+            self.close_link(conn);
         }
     }
 
@@ -562,6 +562,10 @@
                     self.place(endpoint);
                 }
                 LinkEvent::Answered { call, part, reply } => self.outcome(call, part, reply),
+                LinkEvent::Waits(wait) => {
+                    self.wait_told(endpoint);
+                    self.events.push(Event::Remembered { endpoint, wait, bad_for: None });
+                }
                 LinkEvent::Spent => self.remotes[endpoint.0 as usize].pool.suspect(conn),
                 LinkEvent::Probed(reply) => self.probed(endpoint, reply),
                 LinkEvent::Over(why) => {
@@ -596,7 +600,7 @@
                 match event {
                     LinkEvent::Answered { call, part, reply } => self.outcome(call, part, reply),
                     LinkEvent::Probed(reply) => self.probed(endpoint, reply),
-                    LinkEvent::Ready | LinkEvent::Spent | LinkEvent::Over(_) => {}
+                    LinkEvent::Ready | LinkEvent::Waits(_) | LinkEvent::Spent | LinkEvent::Over(_) => {}
                 }
             }
         }
--- a/crates/engine/src/intake.rs
+++ b/crates/engine/src/intake.rs
@@ -298,7 +298,7 @@
 
     /// Makes room for one more connection of a client, by closing the one that has rested longest; false where all
     /// have something to wait for.
-    pub(crate) fn make_way(&mut self) -> bool {
+    pub fn make_way(&mut self) -> bool {
         let Some((_, oldest)) = self.resting().min() else { return false };
         self.end_session(oldest);
         true
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -57,6 +57,8 @@
         /// How.
         reply: Reply,
     },
+    /// An answer that is still coming tells a wait.
+    Waits(Micros),
     /// The connection takes no more calls; what is said of those that it carries still comes.
     Spent,
     /// A probe was answered.
@@ -88,6 +90,24 @@
     fn tick(&mut self, now: Micros, stream: &mut Stream, events: &mut Vec<LinkEvent>);
 }
 
+/// Octets that messages which share a call have together at most: the body of a call to the platform's endpoints.
+pub const MOST_OCTETS: usize = 64 * 1024;
+
+/// What a message takes up of [`MOST_OCTETS`]; nothing where its protocol has no such bound.
+pub fn size(kind: &KindConfig, submission: &Submission) -> usize {
+    match kind.protocol {
+        Protocol::Platform => {
+            let name = |n: &Option<String>| n.as_ref().map_or(0, String::len);
+            heronroute_platform::call::size(
+                name(&submission.identity),
+                name(&submission.key),
+                submission.body.len(),
+            )
+        }
+        Protocol::Smpp | Protocol::Http => 0,
+    }
+}
+
 /// A link for a kind of destination; `sender` is which of our senders it belongs to.
 pub fn new(kind: &KindConfig, limits: Limits, host: String, sender: usize) -> Box<dyn Link> {
     match kind.protocol {
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -45,6 +45,7 @@
                     None => events.extend(fates.first().map(|f| LinkEvent::Probed(reply(f)))),
                 }
             }
+            Some(Heard::Wait(wait)) => events.push(LinkEvent::Waits(wait)),
             Some(Heard::Spent(why)) => events.push(LinkEvent::Over(why)),
             None => {}
         }
--- a/crates/engine/tests/platform.rs
+++ b/crates/engine/tests/platform.rs
@@ -44,7 +44,11 @@
 }
 
 fn begin(journal: Journal<Disk>, now: i64) -> World {
-    let start = read(START).unwrap();
+    begin_with(START, journal, now)
+}
+
+fn begin_with(start: &str, journal: Journal<Disk>, now: i64) -> World {
+    let start = read(start).unwrap();
     let book = Some(journal.book().clone());
     let at = Start { index: 0, seed: 7, now, wall: (1 << 50) + now, list: 4, kept: None, book };
     let node = Node::new(Arc::new(config(&start)), at).unwrap();
@@ -126,6 +130,14 @@
         }
     }
 
+    /// One more endpoint of e1's destination is listed, at port 1003.
+    fn add_endpoint_like_e1(&mut self) {
+        let (watch, _) = self.came(2).into_iter().find(|(_, t)| t.starts_with("GET /catalog")).unwrap();
+        let line = r#"{"version":5,"full":false,"servers":[{"id":"e3","addr":"127.0.0.1:1003","zone":"a","kind":"one","cell":1,"state":"SERVING","weight":50.0}]}"#;
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        self.says(watch, &format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1));
+    }
+
     fn gone(&mut self, conn: ConnId) {
         self.ours.remove(&conn);
         self.ended.push(conn);
@@ -368,11 +380,9 @@
     // Seen on zone+mass: a connection that came up after 1.1 s, while another endpoint of the destination had told a wait.
     for port in [1001, 1003] {
         let mut w = world();
-        let (watch, _) = w.came(2).into_iter().find(|(_, t)| t.starts_with("GET /catalog")).unwrap();
-        let line = r#"{"version":5,"full":false,"servers":[{"id":"e3","addr":"127.0.0.1:1003","zone":"a","kind":"one","cell":1,"state":"SERVING","weight":50.0}]}"#;
-        let line = if port == 1003 { line } else { "" };
-        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-        w.says(watch, &format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1));
+        if port == 1003 {
+            w.add_endpoint_like_e1();
+        }
         let c = w.client();
         w.add(c, "m1", SAFE);
         let (conn, told) = [1001, 1003].iter().find_map(|p| Some((w.came(*p).pop()?.0, *p))).unwrap();
@@ -445,6 +455,113 @@
     assert!(told.contains("{\"id\":\"m1\",\"state\":\"failed\"}"), "{told}");
 }
 
+#[test]
+fn a_call_never_goes_where_the_answer_to_a_probe_may_still_come() {
+    let probes = START.replace("\"Cancel\":true", "\"Cancel\":true,\"Probes\":true");
+    let mut w = begin_with(&probes, Journal::open(Disk::new(Faults::default()), LIMITS).unwrap(), 0);
+    let c = w.client();
+    for i in 0..8 {
+        w.add(c, &format!("q{i}"), SAFE);
+        let (conn, _) = w.came(1001).remove(0);
+        w.says(conn, OK);
+    }
+    // Silence of two calls puts the endpoint under suspicion: it is probed, and says nothing to that either.
+    w.add(c, "m1", ONCE);
+    w.add(c, "m2", ONCE);
+    let calls = w.came(1001);
+    w.pass(600 * MS);
+    w.add(c, "held", SAFE);
+    let mut probe = None;
+    while probe.is_none() {
+        assert!(w.now < 3_000 * MS, "no probe");
+        w.pass(5 * MS);
+        probe = w.came(1001).into_iter().find(|(_, t)| t.starts_with("GET /ping")).map(|(conn, _)| conn);
+    }
+    let (probe, probed) = (probe.unwrap(), w.now);
+    // Then it answers the calls, and closes; the probe is still out.
+    let close = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    calls.into_iter().for_each(|(conn, _)| w.says(conn, close));
+    w.pass(50 * MS);
+    w.came(1001).into_iter().for_each(|(conn, _)| w.says(conn, close));
+    w.pass(probed + 2_000 * MS - w.now);
+    w.silent = Some(1001);
+    w.add(c, "m3", ONCE);
+    assert!(!w.coming.is_empty(), "it waits for a connection");
+    w.pass(probed + 3_050 * MS - w.now);
+    let wrong: Vec<ConnId> = w.came(1001).into_iter().map(|(conn, _)| conn).collect();
+    assert!(!wrong.contains(&probe), "a late answer to the probe would be taken for the call's");
+    assert!(w.ended.contains(&probe));
+}
+
+#[test]
+fn several_messages_over_64_kib_go_in_several_calls() {
+    let mut w = world();
+    let c = w.client();
+    let body = "x".repeat(20_000);
+    let text: String = (0..5)
+        .map(|i| {
+            let args =
+                ["OUT.ADD", "0", &format!("b{i}"), "c=safe,t=t,d=4000,dest=2", &body].map(str::to_string);
+            "*5\r\n".to_string() + &args.map(|a| format!("${}\r\n{a}\r\n", a.len())).concat()
+        })
+        .collect();
+    w.node.received(w.now, c, text.as_bytes());
+    w.pass(50 * MS);
+    let calls = w.came(1002);
+    assert!(calls.len() >= 2, "{}", calls.len());
+    for (_, call) in &calls {
+        assert!(call.split("\r\n\r\n").nth(1).unwrap().len() <= 64 * 1024);
+    }
+    assert!((0..5).all(|i| calls.iter().any(|(_, t)| t.contains(&format!("b{i}")))), "all of them");
+}
+
+#[test]
+fn a_wait_binds_as_soon_as_its_head_is_there() {
+    let mut w = world();
+    w.add_endpoint_like_e1();
+    let c = w.client();
+    w.add(c, "m1", SAFE);
+    let (conn, _) = [1001, 1003].iter().find_map(|p| w.came(*p).pop()).unwrap();
+    w.says(conn, "HTTP/1.1 429 No\r\nretry-after: 0.6\r\ncontent-length: 40\r\n\r\nslow");
+    w.add(c, "m2", SAFE);
+    w.pass(500 * MS);
+    assert!(w.came(1001).is_empty() && w.came(1003).is_empty(), "the rest of the answer is still to come");
+    w.pass(200 * MS);
+    assert_eq!(w.came(1001).len() + w.came(1003).len(), 1, "the wait is over");
+}
+
+#[test]
+fn a_list_of_1100_endpoints_and_as_many_senders_is_served_to_the_last() {
+    let server = |cell: usize, state: &str| {
+        format!(
+            r#"{{"id":"f{cell}","addr":"127.0.0.1:{}","zone":"z{cell}","kind":"one","cell":{cell},"state":"{state}","weight":50.0}}"#,
+            2_000 + cell
+        )
+    };
+    let all = |from: usize, to: usize| (from..to).map(|i| server(i, "SERVING")).collect::<Vec<_>>().join(",");
+    let (from, to) = (START.find("\"servers\":[").unwrap() + 11, START.find("]},\n \"settings\"").unwrap());
+    let start = format!("{}{}{}", &START[..from], all(0, 1_100), &START[to..])
+        .replace("\"Balancers\":1,", "\"Balancers\":1100,");
+    let mut w = begin_with(&start, Journal::open(Disk::new(Faults::default()), LIMITS).unwrap(), 0);
+    let c = w.client();
+    let goes = |w: &mut World, cell: usize| {
+        w.add(c, &format!("m{cell}"), &format!("c=safe,t=t,d=4000,dest={cell}"));
+        w.pass(20 * MS);
+        let calls = w.came(2_000 + cell as u16);
+        calls.into_iter().for_each(|(conn, _)| w.says(conn, OK));
+        w.told(c) == "+OK\r\n" && w.node.open() == 0
+    };
+    assert!([0, 1_023, 1_099].iter().all(|cell| goes(&mut w, *cell)), "known from the start");
+    let (watch, _) = w.came(2).into_iter().find(|(_, t)| t.starts_with("GET /catalog")).unwrap();
+    let line = format!(r#"{{"version":5,"full":true,"servers":[{}]}}"#, all(1_100, 2_200));
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    w.says(watch, &format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1));
+    assert!([1_100, 2_199].iter().all(|cell| goes(&mut w, *cell)), "one line of the watch has them all");
+    w.add(c, "gone", "c=safe,t=t,d=4000,dest=5");
+    w.pass(20 * MS);
+    assert!(w.came(2_005).is_empty(), "what a whole list does not name is gone");
+}
+
 #[test]
 fn a_watch_that_says_nothing_is_begun_anew() {
     // Seen on a recorded day: two watches in a row fell silent, and drains were heard 16 s late.
--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -85,12 +85,15 @@
     closed: bool,
     /// Status of the response that is being read, once its head was.
     status: Option<u16>,
+    /// The wait that its head tells, likewise.
+    wait: Option<f64>,
 }
 
 impl Reader {
     /// A reader that takes bodies of up to `most_body` octets.
     pub fn new(side: Side, most_body: usize) -> Self {
-        Reader { side, most_body, buffer: BytesMut::new(), state: State::Head, closed: false, status: None }
+        let (buffer, state) = (BytesMut::new(), State::Head);
+        Reader { side, most_body, buffer, state, closed: false, status: None, wait: None }
     }
 
     /// Takes octets from the stream.
@@ -120,6 +123,12 @@
         })
     }
 
+    /// The wait that the response being read tells, in seconds, as soon as its head is there; also where its body can't be
+    /// read.
+    pub fn wait_so_far(&self) -> Option<f64> {
+        self.wait
+    }
+
     /// The next message, if it is whole.
     ///
     /// # Errors
@@ -127,7 +136,7 @@
     pub fn next_message(&mut self) -> Result<Option<Message>, Unreadable> {
         let next = self.cut();
         if matches!(next, Ok(Some(_))) {
-            self.status = None;
+            (self.status, self.wait) = (None, None);
         }
         next
     }
@@ -246,6 +255,7 @@
             self.status = Some(status);
         }
         let mut head = Message { start, fields, body: Vec::new(), last: false };
+        self.wait = head.retry_after();
         let connection = head.field("connection").unwrap_or_default().to_ascii_lowercase();
         head.last = connection.split(',').any(|w| w.trim() == "close")
             || (minor == Some(0) && !connection.contains("keep-alive"));
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -26,6 +26,9 @@
 const SIGNALS: Token = Token(usize::MAX - 1);
 /// Clients accepted in a turn.
 const ACCEPT: usize = 64;
+/// After descriptors ran out, clients are accepted again so much later, or once a connection has ended. Guards against a
+/// thread that asks again and again without a wait.
+const BREATH: i64 = 20_000;
 /// Octets read from one connection in a turn.
 const TURN: usize = 64 * 1024;
 
@@ -82,6 +85,8 @@
     signals: Option<(Signals, Again)>,
     /// There may be more clients to accept.
     knocked: bool,
+    /// Descriptors ran out: none is accepted before then.
+    full_until: Option<i64>,
     /// Entries that the journal had at the start.
     before: u64,
     failed: bool,
@@ -118,6 +123,7 @@
             listener: None,
             signals: None,
             knocked: false,
+            full_until: None,
             before,
             failed: false,
             shown,
@@ -152,9 +158,13 @@
         }
     }
 
-    /// Accepts clients, some in a turn. Where descriptors ran out it is tried again in the next turn, when some may
-    /// have been closed.
+    /// Accepts clients, some in a turn. Where descriptors ran out the connection that rested longest makes way, and it is
+    /// tried again a little later.
     fn accept(&mut self) {
+        if self.full_until.is_some_and(|at| self.clock.now() < at) {
+            return;
+        }
+        self.full_until = None;
         if self.node.closes_door() {
             self.listener = None;
         }
@@ -170,6 +180,8 @@
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "a client could not be accepted");
+                    self.full_until = Some(self.clock.now() + BREATH);
+                    self.node.make_way();
                     break;
                 }
             }
@@ -188,10 +200,14 @@
         let mut events = Events::with_capacity(1024);
         self.obey();
         while !self.node.has_left() {
-            let wait = if self.ready.is_empty() && !self.knocked {
-                self.node.wake().map(|at| self.clock.until(at))
-            } else {
+            let wait = if !self.ready.is_empty() {
                 Some(Duration::ZERO)
+            } else if self.knocked {
+                // At once, or where descriptors ran out a little later.
+                let at = self.full_until.unwrap_or(0);
+                Some(self.clock.until(self.node.wake().map_or(at, |wake| wake.min(at))))
+            } else {
+                self.node.wake().map(|at| self.clock.until(at))
             };
             match self.poll.poll(&mut events, wait) {
                 // A signal.
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -21,6 +21,11 @@
     pub body: &'a [u8],
 }
 
+/// Octets of a message in a call of several, at most: its body in Base64, its id and key with each octet escaped.
+pub fn size(id: usize, key: usize, body: usize) -> usize {
+    body.div_ceil(3) * 4 + 6 * (id + key) + 32
+}
+
 /// Writes a call of one message or several. `wait`: an answer is waited for so long.
 pub fn write(items: &[Item<'_>], wait: Micros, host: &str, out: &mut BytesMut) {
     let budget = (wait.max(0) / 1_000).to_string();
@@ -68,6 +73,8 @@
         /// See above.
         spent: bool,
     },
+    /// An answer is on its way whose head tells a wait.
+    Wait(Micros),
     /// The connection is of no more use, and answered nothing.
     Spent(&'static str),
 }
@@ -78,18 +85,20 @@
     reader: Reader,
     /// Ids of the messages of the call that is out; empty for a probe.
     asked: Option<Vec<String>>,
+    /// The wait of the answer that is being read was handed on.
+    told: bool,
 }
 
 impl Default for Answers {
     fn default() -> Self {
-        Answers { reader: Reader::new(Side::Responses, MOST_BODY), asked: None }
+        Answers { reader: Reader::new(Side::Responses, MOST_BODY), asked: None, told: false }
     }
 }
 
 impl Answers {
     /// A call has been written, or a probe (of no messages).
     pub fn ask(&mut self, ids: Vec<String>) {
-        self.asked = Some(ids);
+        (self.asked, self.told) = (Some(ids), false);
     }
 
     /// The call was taken back: none of it left.
@@ -97,6 +106,11 @@
         self.asked = None;
     }
 
+    /// The wait that the answer being read tells, 0 if none.
+    fn wait(&self) -> Micros {
+        self.reader.wait_so_far().map_or(0, in_micros)
+    }
+
     /// Octets came, or (`ended`) the peer closed its side.
     pub fn receive(&mut self, octets: &[u8], ended: bool) -> Option<Heard> {
         self.reader.push(octets);
@@ -123,7 +137,14 @@
                         && self.asked.as_ref().is_some_and(|ids| ids.len() == 1)
                     {
                         self.asked = None;
-                        return Some(Heard::Answer { fates: vec![Fate::of(Outcome::Done, 0)], spent: true });
+                        let fates = vec![Fate::of(Outcome::Done, self.wait())];
+                        return Some(Heard::Answer { fates, spent: true });
+                    }
+                    // Guards against a wait that binds from the answer's head on, and would be heard with its last octet
+                    // only, or never where it breaks off.
+                    if !self.told && self.asked.is_some() && self.wait() > 0 {
+                        self.told = true;
+                        return Some(Heard::Wait(self.wait()));
                     }
                     return ended.then_some(Heard::Spent("closed by the endpoint"));
                 }
@@ -133,7 +154,7 @@
                     let says = self.reader.status_so_far();
                     let done = ids.len() == 1 && says == Some(200);
                     let outcome = if done { Outcome::Done } else { Outcome::Error };
-                    let fates = vec![Fate::of(outcome, 0); ids.len().max(1)];
+                    let fates = vec![Fate::of(outcome, self.wait()); ids.len().max(1)];
                     return Some(Heard::Answer { fates, spent: true });
                 }
             }
@@ -141,8 +162,12 @@
     }
 }
 
+fn in_micros(seconds: f64) -> Micros {
+    (seconds * 1e6).ceil() as Micros
+}
+
 fn fates(m: &Message, ids: &[String]) -> Vec<Fate> {
-    let wait = m.retry_after().map_or(0, |s| (s * 1e6).ceil() as Micros);
+    let wait = m.retry_after().map_or(0, in_micros);
     let no_slot = m.field("x-no-slot").is_some_and(|v| v.trim() == "1");
     let fate = match m.status() {
         200 if ids.len() > 1 => return each(&m.body, ids, wait),
@@ -232,6 +257,23 @@
         }
     }
 
+    #[test]
+    fn a_wait_is_heard_with_the_head_also_of_an_answer_that_breaks_off_or_is_spoilt() {
+        let mut a = Answers::default();
+        a.ask(vec!["a".into(), "b".into()]);
+        let head = b"HTTP/1.1 429 No\r\nretry-after: 0.7\r\ncontent-length: 9\r\n\r\nbo";
+        assert_eq!(a.receive(head, false), Some(Heard::Wait(700_000)));
+        assert_eq!(a.receive(b"dy", false), None, "once");
+        assert!(matches!(a.receive(b"", true), Some(Heard::Answer { .. } | Heard::Spent(_))));
+        for text in [
+            "HTTP/1.1 429 No\r\nretry-after: 0.7\r\ncontent-length: many\r\n\r\n",
+            "HTTP/1.1 429 No\r\nretry-after: 0.7\r\ncontent-length: 3000000000\r\n\r\nxx",
+        ] {
+            let (outcome, wait, ..) = one(text);
+            assert_eq!((outcome, wait), (Outcome::Error, 700_000), "it may have run, and the wait binds");
+        }
+    }
+
     #[test]
     fn what_follows_a_good_answer_spends_the_connection() {
         let good = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
