Read again: a part bears its time to leave from the start, waiting calls are not copied

Found on reading the whole change once more; behaviour is as it was. - A call's part was added and then given its time to leave by a second call: Calls::add takes it. - Each placing of calls on an endpoint's connections copied the parts of all calls that wait there, to find late ones (place runs at every answer): Calls::late names them without a copy. - The tests of the platform's sender wrote a hand-in out in four places: out_add serves them. No assertion changed.

--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -91,17 +91,16 @@
     }
 
     /// Adds a message to a call that was not sent yet; gives its place in it.
-    pub fn add(&mut self, id: u64, msg: MsgId, attempt: u32, until: Micros) -> usize {
+    pub fn add(&mut self, id: u64, msg: MsgId, attempt: u32, until: Micros, leave_by: Micros) -> usize {
         let Some(call) = self.calls.get_mut(&id) else { return 0 };
-        let (leave_by, range) = (Micros::MAX, (0, 0));
-        call.parts.push(Part { msg, attempt, until, leave_by, range, open: true, unwaited: None });
+        call.parts.push(Part { msg, attempt, until, leave_by, range: (0, 0), open: true, unwaited: None });
         call.parts.len() - 1
     }
 
-    /// A message of a call may begin to leave only before a time.
-    pub fn leave_by(&mut self, id: u64, part: usize, at: Micros) {
-        let part = self.calls.get_mut(&id).and_then(|c| c.parts.get_mut(part));
-        part.into_iter().for_each(|p| p.leave_by = at);
+    /// Messages of a call whose time to begin to leave is over.
+    pub fn late(&self, id: u64, now: Micros) -> Vec<usize> {
+        let parts = self.calls.get(&id).into_iter().flat_map(|c| c.parts.iter().enumerate());
+        parts.filter(|(_, p)| p.open && p.leave_by <= now).map(|(part, _)| part).collect()
     }
 
     /// The number of the call that was begun last.
@@ -182,8 +181,8 @@
     fn parts_end_once_and_the_call_with_the_last() {
         let mut c = Calls::default();
         let id = c.begin(0, EndpointId(1));
-        c.add(id, MsgId(1), 0, 0);
-        c.add(id, MsgId(2), 0, 0);
+        c.add(id, MsgId(1), 0, 0, Micros::MAX);
+        c.add(id, MsgId(2), 0, 0, Micros::MAX);
         c.written(id, 9, &[(0, 10), (10, 30)]);
         assert!(matches!(c.close(id, 0), Some((_, false))));
         assert!(c.close(id, 0).is_none());
--- a/crates/engine/src/carry.rs
+++ b/crates/engine/src/carry.rs
@@ -2,7 +2,7 @@
 
 use crate::Micros;
 use crate::answers::End;
-use crate::calls::{End as CallEnd, Part, proves};
+use crate::calls::{End as CallEnd, proves};
 use crate::front::Speaks;
 use crate::link::{self, Cargo, Link, LinkEvent, Reply};
 use crate::node::{ConnId, Effect as Durably, Gone, Key, LinkEvents, Node, Output, Use, show_id};
@@ -39,9 +39,6 @@
                     };
                     let Some(m) = self.messages.get_mut(id) else { continue };
                     let until = self.now + (*timeout).max(1);
-                    let part = self.calls.add(call, *id, m.attempts, until);
-                    m.attempts += 1;
-                    m.out = Some((call, part));
                     // Guards against a repeat that was decided in time and waits for its connection until the
                     // receiver has forgotten the key.
                     let class = &self.cfg.settings.classes[m.class];
@@ -49,7 +46,9 @@
                         Some(ran_at) => ran_at + class.window,
                         None => Micros::MAX,
                     };
-                    self.calls.leave_by(call, part, leave_by);
+                    let part = self.calls.add(call, *id, m.attempts, until, leave_by);
+                    m.attempts += 1;
+                    m.out = Some((call, part));
                     self.timers.set(Key::Part(call, part), until.min(leave_by));
                 }
                 Action::Cancel { id, attempt } => self.call_off(*id, *attempt),
@@ -128,10 +127,7 @@
     /// Messages of waiting calls whose time to leave is over are taken back.
     fn take_back_late(&mut self, endpoint: EndpointId) {
         for call in self.remotes[endpoint.0 as usize].pool.waiting() {
-            let parts = self.calls.get(call).map(|c| c.parts.clone()).unwrap_or_default();
-            let late = |(_, p): &(usize, &Part)| p.open && p.leave_by <= self.now;
-            let late: Vec<usize> = parts.iter().enumerate().filter(late).map(|(part, _)| part).collect();
-            for part in late {
+            for part in self.calls.late(call, self.now) {
                 self.take_back(call, part);
             }
         }
--- a/crates/engine/tests/platform.rs
+++ b/crates/engine/tests/platform.rs
@@ -74,6 +74,12 @@
     begin(Journal::open(Disk::new(Faults::default()), LIMITS).unwrap(), 0)
 }
 
+/// A hand-in as a client writes it.
+fn out_add(id: &str, pairs: &str, body: &str) -> String {
+    "*5\r\n".to_string()
+        + &["OUT.ADD", "0000", id, pairs, body].map(|a| format!("${}\r\n{a}\r\n", a.len())).concat()
+}
+
 const LIMITS: Limits = Limits { segment: 20_000, growth: 2, least: 20_000, most: 400_000 };
 
 impl World {
@@ -153,9 +159,7 @@
     }
 
     fn add(&mut self, conn: ConnId, id: &str, pairs: &str) {
-        let args = ["OUT.ADD", "0000", id, pairs, "body"];
-        let strings: String = args.iter().map(|a| format!("${}\r\n{a}\r\n", a.len())).collect();
-        self.node.received(self.now, conn, format!("*5\r\n{strings}").as_bytes());
+        self.node.received(self.now, conn, out_add(id, pairs, "body").as_bytes());
         self.pass(5 * MS);
     }
 
@@ -310,10 +314,7 @@
     let text: String = ["c=safe,t=t,d=4000,dest=2", "c=once,t=t,d=7000,dest=2"]
         .iter()
         .enumerate()
-        .map(|(i, p)| {
-            let args = ["OUT.ADD", "0", &format!("b{i}"), p, "body"].map(str::to_string);
-            "*5\r\n".to_string() + &args.map(|a| format!("${}\r\n{a}\r\n", a.len())).concat()
-        })
+        .map(|(i, p)| out_add(&format!("b{i}"), p, "body"))
         .collect();
     w.node.received(w.now, c, text.as_bytes());
     w.pass(10 * MS);
@@ -503,13 +504,7 @@
     let mut w = world();
     let c = w.client();
     let body = "x".repeat(20_000);
-    let text: String = (0..5)
-        .map(|i| {
-            let args =
-                ["OUT.ADD", "0", &format!("b{i}"), "c=safe,t=t,d=4000,dest=2", &body].map(str::to_string);
-            "*5\r\n".to_string() + &args.map(|a| format!("${}\r\n{a}\r\n", a.len())).concat()
-        })
-        .collect();
+    let text: String = (0..5).map(|i| out_add(&format!("b{i}"), "c=safe,t=t,d=4000,dest=2", &body)).collect();
     w.node.received(w.now, c, text.as_bytes());
     w.pass(50 * MS);
     let calls = w.came(1002);
@@ -592,9 +587,7 @@
     let c = w.client();
     let (body, mut told) = ("x".repeat(30_000), String::new());
     for i in 0..30 {
-        let args = ["OUT.ADD", "0", &format!("m{i}"), ONCE, &body].map(str::to_string);
-        let text: String = args.iter().map(|a| format!("${}\r\n{a}\r\n", a.len())).collect();
-        w.node.received(w.now, c, format!("*5\r\n{text}").as_bytes());
+        w.node.received(w.now, c, out_add(&format!("m{i}"), ONCE, &body).as_bytes());
         w.pass(10 * MS);
         told += &w.told(c);
     }
--- a/crates/net/src/lone.rs
+++ b/crates/net/src/lone.rs
@@ -25,7 +25,8 @@
 }
 
 impl Lone {
-    /// Reads the journal in `folder` and listens; SIGTERM has it leave, SIGHUP asks `again` where discovery is. Clients that connect from here on are served once it runs.
+    /// Reads the journal in `folder` and listens; SIGTERM has it leave, SIGHUP asks `again` where discovery is. Clients
+    /// that connect from here on are served once it runs.
     ///
     /// # Errors
     /// Where something it needs can't be had.
