A call of several names first the message that is waited for longest: no more lost

Ruled out: late or missing notices (none), messages left open (none but those over a restart, within their grace), the notice or the end of one message voiding the call (calls counted whose answer came up to 738 ms after one of their messages had been returned). Found: both lost calls were answered 89 to 90 ms after the time of the message named first, with 0.5 to 10 s left for others; calls answered at other times after it, up to 461 ms, counted. At fault: engine/src/link/platform.rs, send, which wrote messages in the order of decision.

The test was seen failing before the change ("short" was named first).

--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -6,6 +6,7 @@
 use crate::stream::Stream;
 use heronroute_http::write_request;
 use heronroute_platform::call::{Answers, Heard, Item, write};
+use std::cmp::Reverse;
 
 /// One connection.
 #[derive(Debug)]
@@ -62,12 +63,17 @@
     fn send(&mut self, _: Micros, call: u64, cargo: &[Cargo<'_>], stream: &mut Stream) -> Vec<(u64, u64)> {
         let from = stream.position();
         self.from = from;
+        let mut cargo: Vec<&Cargo<'_>> = cargo.iter().collect();
+        // Guards against messages lost with the first of their call: an endpoint may time its late
+        // answer to a call by the message that is named first, and then it counts for none of them. So the first is the one
+        // that is waited for longest, whose wait is the call's.
+        cargo.sort_by_key(|c| Reverse(c.wait));
         // Any key is passed on; only guarded classes have one.
         let items: Vec<Item<'_>> = cargo
             .iter()
             .map(|c| Item { id: &c.id, key: c.submission.key.as_deref(), body: &c.submission.body })
             .collect();
-        let wait = cargo.iter().map(|c| c.wait).max().unwrap_or(0);
+        let wait = cargo.first().map_or(0, |c| c.wait);
         write(&items, wait, &self.host, &mut stream.out);
         self.answers.ask(cargo.iter().map(|c| c.id.clone()).collect());
         self.out = Some((call, cargo.iter().map(|c| c.part).collect()));
--- a/crates/engine/tests/shared_calls.rs
+++ b/crates/engine/tests/shared_calls.rs
@@ -72,3 +72,48 @@
     }
     assert!((0..5).all(|i| calls.iter().any(|(_, t)| t.contains(&format!("b{i}")))), "all of them");
 }
+
+/// Guards against messages lost with the first one of their call: an endpoint goes by the message that a call names first,
+/// and an answer that comes after that one's time counts for none of them.
+#[test]
+fn the_message_that_is_waited_for_longest_is_named_first() {
+    let short = ("short", "c=once,t=t,d=900,dest=2");
+    let long = ("long", "c=keyed,t=t,d=7000,k=abc,dest=2");
+    for order in [[short, long], [long, short]] {
+        let mut w = world();
+        let c = w.client();
+        let text: String = order.iter().map(|(id, pairs)| out_add(id, pairs, "body")).collect();
+        w.node.received(w.now, c, text.as_bytes());
+        w.pass(10 * MS);
+        let (conn, call) = w.came(1002).remove(0);
+        let place = |id: &str| call.find(&format!("\"{id}\"")).unwrap();
+        assert!(place("long") < place("short"), "{call}");
+        // Once the first one's time is over nobody waits for an answer, and the connection is closed.
+        let budget: i64 =
+            call.split("X-Budget-Ms: ").nth(1).unwrap().split("\r\n").next().unwrap().parse().unwrap();
+        w.pass((budget - 50) * MS);
+        assert!(w.ours.contains_key(&conn), "it is waited for the first one");
+        w.pass(100 * MS);
+        assert!(!w.ours.contains_key(&conn), "and not longer");
+        w.pass(7_000 * MS);
+        assert_eq!(w.node.open(), 0, "each message has its end");
+    }
+}
+
+/// Guards against an end that is taken for another message's where the order in the call is not that of its parts.
+#[test]
+fn each_end_is_its_own_message_s_whatever_the_order_in_the_call() {
+    let mut w = world();
+    let c = w.client();
+    let text = out_add("short", "c=once,t=t,d=900,dest=2", "body")
+        + &out_add("long", "c=keyed,t=t,d=7000,k=abc,dest=2", "body");
+    w.node.received(w.now, c, text.as_bytes());
+    w.pass(10 * MS);
+    let (conn, _) = w.came(1002).remove(0);
+    let body = r#"[{"id":"short","state":"error"},{"id":"long","state":"ok"}]"#;
+    w.says(conn, &format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()));
+    w.pass(50 * MS);
+    let told: String = w.came(2).into_iter().map(|(_, t)| t).collect();
+    assert!(told.contains(r#"{"id":"short","state":"failed"}"#) && !told.contains("long"), "{told}");
+    assert_eq!(w.node.open(), 0);
+}
