--- a/crates/engine/src/carry/links.rs
+++ b/crates/engine/src/carry/links.rs
@@ -4,7 +4,7 @@
 use crate::calls::{End as CallEnd, proves};
 use crate::ids::ConnId;
 use crate::link::{Link, LinkEvent};
-use crate::node::{Gone, Key, LinkEvents, Node, Use};
+use crate::node::{Conn, Gone, Key, LinkEvents, Node, Use};
 use crate::stream::Stream;
 use heronroute::{EndpointId, Event, Outcome};
 
@@ -150,6 +150,9 @@
                 entry.stream.withdraw(range.0, range.1);
             }
         }
+        if let Some(Conn { stream, what: Use::Receiver { link, .. }, .. }) = self.conns.get_mut(&conn) {
+            link.abandon(stream);
+        }
         for (call, part, begun) in begun.into_iter().rev() {
             self.outcome(call, part, plain(proves(CallEnd::Closed, begun)));
         }
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -198,6 +198,11 @@
 
     fn close(&mut self, _: Micros, _: &mut Stream) {}
 
+    // Guards against a second copy: the rest of a call that was given up must not leave while its message goes elsewhere.
+    fn abandon(&mut self, stream: &mut Stream) {
+        stream.out.clear();
+    }
+
     fn wake(&self) -> Micros {
         Micros::MAX
     }
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -88,6 +88,9 @@
     }
     /// Writes what must go before the connection is closed in good order.
     fn close(&mut self, now: Micros, stream: &mut Stream);
+    /// All calls on the connection have come to their end, and it is about to be closed: takes back what has not left, as
+    /// far as the protocol lets it stop halfway.
+    fn abandon(&mut self, _stream: &mut Stream) {}
     /// When [`Link::tick`] is next needed.
     fn wake(&self) -> Micros;
     /// Acts on timers of the protocol itself.
