The platform's sender has one thread again: starts that stall were in the second one

This program's own waits are private futexes, and its second thread only slept. Two earlier cases had that thread, too.

At fault: the spawn in cli/src/platform.rs. That the stalls are gone is not proved: they are too rare.

--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -52,14 +52,6 @@
         Ok(started) => started,
         Err(e) => return fail(1, e),
     };
-    // Does nothing. Guards against what was measured on the users' bench, soak, seed 1: there a process of one thread is
-    // refused further sockets ("Too many open files", limit 256) after some 300 connections, while it holds 113; with a
-    // second thread, asleep for good, the whole day passes. Two plays of two, probes of the descriptors beside them.
-    std::thread::spawn(|| {
-        loop {
-            std::thread::park();
-        }
-    });
     match sender.run() {
         Ok(stats) => {
             tracing::info!(?stats, "out of service");
