--- a/tests/failback.rs
+++ b/tests/failback.rs
@@ -15,6 +15,13 @@
 use days::*;
 use world::{Day, Outage, S};
 
+#[test]
+fn a_cold_destination_bears_n_and_two_roots_and_two() {
+    for (n, most) in [(1.0, 5.0), (4.0, 10.0), (25.0, 37.0), (100.0, 122.0)] {
+        assert_eq!(world::borne(n), most);
+    }
+}
+
 #[test]
 fn where_one_endpoint_told_of_a_long_outage_its_others_are_not_called_at_its_end() {
     let day = Day {
@@ -88,7 +95,7 @@
 }
 
 /// Days of more sizes than the sweep above, as tabled by `falls_by_cell`: what fell of them there fell with hung
-/// destinations, and by chance with those down at N up to 2. At most one such day in twenty falls.
+/// destinations, and by chance with those down at N up to 2. At most one such day in thirty falls.
 #[test]
 fn more_sizes_of_fleets_and_up_to_four_endpoints_stay_up() {
     let may_fall = |day: &Day| day.outage == Outage::Hung || (day.outage == Outage::Down && day.n <= 2.0);
@@ -98,7 +105,7 @@
     let (fell, some) = (sweep(never.into_iter()).0, sweep(bounded.into_iter()).0);
     println!("{} of {of} bounded days fell {some:#?}", some.len());
     assert!(fell.is_empty(), "{} {fell:#?}", fell.len());
-    assert!(some.len() * 20 <= of, "{} of {of} {some:#?}", some.len());
+    assert!(some.len() * 30 <= of, "{} of {of} {some:#?}", some.len());
 }
 
 fn seeds_or(few: u64) -> u64 {
--- a/tests/failback/world.rs
+++ b/tests/failback/world.rs
@@ -11,6 +11,11 @@
 /// When the outage begins.
 const OUT_FROM: Micros = 8 * S;
 
+/// Calls and probes of all senders together that a cold destination bears in a window in which it can do `n`.
+pub fn borne(n: f64) -> f64 {
+    n + 2.0 * n.sqrt() + 2.0
+}
+
 /// How the destination is out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outage {
@@ -249,7 +254,7 @@
         let cold = self.day.well == 0 && (self.back..self.back + self.set.warm_up).contains(&self.now);
         let n = self.set.fall_multiple * self.can() * self.set.fall_window as f64 / 1e6;
         let (got, told) = (self.recent.len(), self.recent.iter().filter(|a| a.told).count());
-        if !cold || (got as f64) <= n + 2.0 * n.sqrt() + 2.0 || self.played.fall.is_some() {
+        if !cold || (got as f64) <= borne(n) || self.played.fall.is_some() {
             return;
         }
         if told * 3 <= got * 2 {
