Discovery watch: objects cut by nesting, short first answer, old lists take nothing back

Need: a change counts as told 6 s after discovery had it, whatever failed between; lists may come indented. Faults, each seen failing in crates/engine/tests/watch_orders.rs on the code before: - an indented list ended the watch, and every next one: "lists indented: 1521 of 1521 orders"; with 20 attempts a second, since any octet reset the back-off. - a watch fallen silent and two attempts that hang, are answered by nothing, a head or half a list: "15 of 64" later than 6 s (2.6 s of patience for each first answer, 1 s of back-off). - one octet a second, or white space, kept a watch: "it lives on such octets". - an older list took a drain back: "an old list takes back what was told: {"a": Up}". - behind lines that can't be read only later changes were asked for: "left: Asked(3), right: Asked(0)". - attempts up to 1 s apart while discovery refuses: "next attempt in 1000000 us".

Change: platform/objects.rs cuts the stream by nesting, texts and escapes respected, 4 MiB at most; watch.rs says head, line ends and lists, with typed errors; watched.rs takes lines and whole lists alone for signs of life, gives an attempt 0.6 s (2.2 s after one that had a head only), waits 60 to 400 ms between attempts, wants a begun list whole within 1 s, ignores older lists for 3 s and then asks for the whole, and asks for the whole behind what was unreadable. Bound on attempts in one second: 9 asserted for eight ways of being down.

Measured: watch_orders 10 passed (1521 orders, lists on one line and indented; 64 pairs of failed attempts), engine platform.rs 24 passed, platform package 21 passed, contracts directory 3 passed.

--- /dev/null
+++ b/crates/engine/tests/watch_orders.rs
@@ -0,0 +1,742 @@
+//! The watch on the platform's discovery under every order of two events at each of its states. Discovery is a model
+//! here: it has a catalogue that changes, and each connection fares as the order says. Behind the order discovery
+//! serves well again, and a connection on which something was left unfinished says nothing more.
+
+use heronroute::Status;
+use heronroute_engine::directory::{Directory, Heard, Want, Watched};
+use heronroute_engine::{Micros, Stream};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+const MS: Micros = 1_000;
+/// Within this a change has to be known.
+const TOLD: Micros = 6_000 * MS;
+/// Within this after SIGHUP.
+const TOLD_AFTER_MOVE: Micros = 4_000 * MS;
+/// A lost watch is sought again within this.
+const NEXT_ATTEMPT: Micros = 400 * MS;
+/// The longest time without any look at the clock.
+const LONGEST_WAIT: Micros = 2_600 * MS;
+/// Connections in a second at most, whatever discovery does.
+const MOST_A_SECOND: usize = 9;
+const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const END: &str = "0\r\n\r\n";
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Event {
+    Head,
+    EmptyLine,
+    HalfList,
+    WholeList,
+    IndentedList,
+    SpoiltOctets,
+    End,
+    Break,
+    ConnectRefused,
+    ConnectHangs,
+    Silence,
+    Move,
+    Tick,
+}
+
+const EVENTS: [Event; 13] = [
+    Event::Head,
+    Event::EmptyLine,
+    Event::HalfList,
+    Event::WholeList,
+    Event::IndentedList,
+    Event::SpoiltOctets,
+    Event::End,
+    Event::Break,
+    Event::ConnectRefused,
+    Event::ConnectHangs,
+    Event::Silence,
+    Event::Move,
+    Event::Tick,
+];
+
+#[derive(Clone, Copy, Debug)]
+enum At {
+    Due,
+    Connecting,
+    Asked,
+    HeadSaid,
+    HalfFirstList,
+    Open,
+    OpenIdle,
+    HalfChange,
+    Retry,
+}
+
+const STATES: [At; 9] = [
+    At::Due,
+    At::Connecting,
+    At::Asked,
+    At::HeadSaid,
+    At::HalfFirstList,
+    At::Open,
+    At::OpenIdle,
+    At::HalfChange,
+    At::Retry,
+];
+
+/// How a connection that is still to be made fares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    Refused,
+    Hangs,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Connection {
+    None,
+    /// Under way, and never to stand.
+    Hangs,
+    /// Under way.
+    Coming,
+    /// It stands, and nothing was said.
+    Asked(u64),
+    /// The head was said.
+    Begun(u64),
+    /// Lists up to that version were said, whole.
+    Good(u64),
+    /// Something was left unfinished, or the peer has fallen silent.
+    Lost,
+}
+
+struct World {
+    watch: Watched,
+    stream: Stream,
+    now: Micros,
+    connection: Connection,
+    fates: VecDeque<Fate>,
+    /// Discovery's own: the standing of each endpoint and the version that brought it.
+    catalogue: BTreeMap<String, (Status, u64)>,
+    version: u64,
+    /// As the sender holds it.
+    held: BTreeMap<String, Status>,
+    connects: Vec<Micros>,
+    next_empty_line: Micros,
+    /// The form in which discovery writes each of its lists.
+    form: fn(&str) -> String,
+}
+
+fn word(status: Status) -> &'static str {
+    match status {
+        Status::Up => "SERVING",
+        Status::Draining => "DRAINING",
+        Status::Removed => "DELETED",
+    }
+}
+
+fn list(version: u64, full: bool, rows: &[(&str, Status)]) -> String {
+    let row = |(id, status): &(&str, Status)| {
+        format!(
+            r#"{{"id":"{id}","addr":"127.0.0.1:9","zone":"{{\"}}","kind":"m","cell":3,"state":"{}"}}"#,
+            word(*status)
+        )
+    };
+    let rows: Vec<String> = rows.iter().map(row).collect();
+    format!("{{\"version\":{version},\"full\":{full},\"servers\":[{}]}}", rows.join(","))
+}
+
+fn indented(line: &str) -> String {
+    let value: serde_json::Value = serde_json::from_str(line).unwrap();
+    serde_json::to_string_pretty(&value).unwrap()
+}
+
+impl World {
+    fn new() -> Self {
+        let catalogue = BTreeMap::from([("a".to_string(), (Status::Up, 1))]);
+        World {
+            watch: Watched::new(0, at(2)),
+            stream: Stream::default(),
+            now: 0,
+            connection: Connection::None,
+            fates: VecDeque::new(),
+            catalogue,
+            version: 1,
+            held: BTreeMap::new(),
+            connects: Vec::new(),
+            next_empty_line: 0,
+            form: str::to_string,
+        }
+    }
+
+    /// Something changes at discovery.
+    fn change(&mut self) {
+        self.version += 1;
+        let status = if self.version.is_multiple_of(2) { Status::Draining } else { Status::Up };
+        self.catalogue.insert("a".to_string(), (status, self.version));
+        self.catalogue.insert(format!("b{}", self.version), (Status::Up, self.version));
+    }
+
+    fn changes(&self, since: u64) -> String {
+        let rows = self.catalogue.iter().filter(|(_, (_, version))| *version > since);
+        let rows: Vec<(&str, Status)> = rows.map(|(id, (status, _))| (id.as_str(), *status)).collect();
+        list(self.version, since == 0, &rows)
+    }
+
+    fn heard(&mut self, heard: Vec<Heard>) {
+        for one in heard {
+            let Heard::List(listing) = one else { continue };
+            if listing.whole {
+                self.held.clear();
+            }
+            for endpoint in listing.endpoints {
+                self.held.insert(endpoint.name, endpoint.status);
+            }
+        }
+    }
+
+    fn say(&mut self, text: &str) {
+        if matches!(self.connection, Connection::None | Connection::Hangs | Connection::Coming) {
+            return;
+        }
+        let mut heard = Vec::new();
+        let goes_on = self.watch.receive(self.now, text.as_bytes(), &mut self.stream, &mut heard);
+        self.heard(heard);
+        if !goes_on {
+            self.connection = Connection::None;
+        }
+    }
+
+    fn connected(&mut self) {
+        self.stream = Stream::default();
+        self.watch.connected(self.now, &mut self.stream);
+        let said = String::from_utf8_lossy(&self.stream.out).into_owned();
+        let since = said.split("since=").nth(1).and_then(|t| t.split(' ').next()).unwrap();
+        self.connection = Connection::Asked(since.parse().unwrap());
+    }
+
+    fn ended(&mut self) {
+        let mut heard = Vec::new();
+        self.watch.ended(self.now, &mut heard);
+        self.heard(heard);
+        self.connection = Connection::None;
+    }
+
+    fn tick(&mut self) {
+        let mut heard = Vec::new();
+        let want = self.watch.tick(self.now, &mut heard);
+        self.heard(heard);
+        match want {
+            Want::Nothing => {}
+            Want::Drop => self.connection = Connection::None,
+            Want::Connect(_) => {
+                self.connects.push(self.now);
+                match self.fates.pop_front() {
+                    None => self.connection = Connection::Coming,
+                    Some(Fate::Hangs) => self.connection = Connection::Hangs,
+                    Some(Fate::Refused) => {
+                        self.connection = Connection::Coming;
+                        self.ended();
+                    }
+                }
+            }
+        }
+    }
+
+    /// On to when the watch wants to act next.
+    fn to_wake(&mut self) {
+        self.now = self.now.max(self.watch.wake());
+        self.tick();
+    }
+
+    /// Says a list whole, in the form that `form` gives it, with all that is to be said before it.
+    fn tell(&mut self, form: fn(&str) -> String) {
+        let (head, since) = match self.connection {
+            Connection::Asked(since) => (HEAD, since),
+            Connection::Begun(since) | Connection::Good(since) => ("", since),
+            Connection::Lost => {
+                // Behind half a list: it can't be told from its rest.
+                let text = chunk(&format!("{}\n", form(&self.changes(0))));
+                return self.say(&text);
+            }
+            _ => return,
+        };
+        let text = format!("{}\n", form(&self.changes(since)));
+        // In two chunks, each octet by itself where it is short.
+        let (a, b) = text.split_at(text.len() / 3);
+        let octets = format!("{head}{}{}", chunk(a), chunk(b));
+        for piece in octets.as_bytes().chunks(7) {
+            self.say(std::str::from_utf8(piece).unwrap());
+        }
+        if self.connection != Connection::None {
+            self.connection = Connection::Good(self.version);
+            self.next_empty_line = self.now + 2_000 * MS;
+        }
+    }
+
+    fn half(&mut self) {
+        let (head, since) = match self.connection {
+            Connection::Asked(since) => (HEAD, since),
+            Connection::Begun(since) | Connection::Good(since) => ("", since),
+            _ => ("", 0),
+        };
+        self.change();
+        let line = self.changes(since);
+        let text = format!("{head}{}", chunk(&line[..line.len() / 2]));
+        self.say(&text);
+        self.lose();
+    }
+
+    fn lose(&mut self) {
+        if matches!(self.connection, Connection::Asked(_) | Connection::Begun(_) | Connection::Good(_)) {
+            self.connection = Connection::Lost;
+        }
+    }
+
+    fn happens(&mut self, event: Event) {
+        let stands = !matches!(self.connection, Connection::None | Connection::Hangs | Connection::Coming);
+        match event {
+            Event::Head if stands => {
+                let first = matches!(self.connection, Connection::Asked(_));
+                self.say(HEAD);
+                match self.connection {
+                    Connection::Asked(since) if first => self.connection = Connection::Begun(since),
+                    _ => self.lose(),
+                }
+            }
+            Event::EmptyLine if stands => {
+                let head = if matches!(self.connection, Connection::Asked(_)) { HEAD } else { "" };
+                self.say(&format!("{head}{}", chunk("\n")));
+                if let Connection::Asked(since) = self.connection {
+                    self.connection = Connection::Begun(since);
+                }
+            }
+            Event::HalfList => self.half(),
+            Event::WholeList => {
+                self.change();
+                self.tell(str::to_string);
+            }
+            Event::IndentedList => {
+                self.change();
+                self.tell(indented);
+            }
+            Event::SpoiltOctets if stands => {
+                let head = if matches!(self.connection, Connection::Asked(_)) { HEAD } else { "" };
+                self.say(&format!("{head}{}", chunk("}\u{1}{{\"]\n")));
+                self.lose();
+            }
+            Event::End if stands => {
+                let head = if matches!(self.connection, Connection::Asked(_)) { HEAD } else { "" };
+                self.say(&format!("{head}{END}"));
+            }
+            Event::Break if self.connection != Connection::None => self.ended(),
+            Event::ConnectRefused => self.fates.push_back(Fate::Refused),
+            Event::ConnectHangs => self.fates.push_back(Fate::Hangs),
+            Event::Silence => self.lose(),
+            Event::Move => {
+                self.watch.moved(self.now, at(3));
+                self.connection = Connection::None;
+            }
+            Event::Tick => self.to_wake(),
+            _ => {}
+        }
+    }
+
+    fn reach(&mut self, state: At) {
+        if matches!(state, At::Due) {
+            return;
+        }
+        self.tick();
+        if matches!(state, At::Connecting) {
+            return;
+        }
+        self.connected();
+        match state {
+            At::Asked => return,
+            At::HeadSaid => return self.happens(Event::Head),
+            At::HalfFirstList => return self.half(),
+            _ => self.tell(str::to_string),
+        }
+        match state {
+            At::OpenIdle => {
+                self.now += 2_000 * MS;
+                self.happens(Event::EmptyLine);
+                self.next_empty_line = self.now + 2_000 * MS;
+                self.now += 1_900 * MS;
+            }
+            At::HalfChange => {
+                self.now += 500 * MS;
+                self.half();
+            }
+            At::Retry => self.happens(Event::Break),
+            _ => {}
+        }
+    }
+
+    fn knows(&self) -> bool {
+        let own = self.catalogue.iter().map(|(id, (status, _))| (id, *status));
+        self.held.iter().map(|(id, status)| (id, *status)).eq(own)
+    }
+
+    /// Discovery serves well from now on: each connection that comes stands, and is told all that changed.
+    fn serve(&mut self, until: Micros) {
+        loop {
+            match self.connection {
+                Connection::Coming => self.connected(),
+                Connection::Asked(_) | Connection::Begun(_) => self.tell(self.form),
+                Connection::Good(version) if version < self.version => self.tell(self.form),
+                Connection::Good(_) if self.next_empty_line <= self.now => {
+                    self.say(&chunk("\n"));
+                    self.next_empty_line = self.now + 2_000 * MS;
+                }
+                _ => {
+                    let wake = self.watch.wake();
+                    assert!(wake - self.now <= LONGEST_WAIT, "it waits for {} us", wake - self.now);
+                    if self.connection == Connection::None {
+                        assert!(wake - self.now <= NEXT_ATTEMPT, "next attempt in {} us", wake - self.now);
+                    }
+                    let line = match self.connection {
+                        Connection::Good(_) => self.next_empty_line,
+                        _ => Micros::MAX,
+                    };
+                    let next = wake.min(line).max(self.now);
+                    if next > until {
+                        self.now = until;
+                        return;
+                    }
+                    self.now = next;
+                    if wake <= self.now {
+                        self.tick();
+                        assert!(self.watch.wake() > self.now || self.connection == Connection::None);
+                    }
+                }
+            }
+        }
+    }
+
+    fn most_in_a_second(&self) -> usize {
+        let within =
+            |from: Micros| self.connects.iter().filter(|c| (from..from + 1_000 * MS).contains(c)).count();
+        self.connects.iter().map(|from| within(*from)).max().unwrap_or(0)
+    }
+}
+
+#[test]
+fn after_each_order_of_two_events_at_each_state_a_change_is_known_in_time() {
+    let forms: [(&str, fn(&str) -> String); 2] = [("on one line", str::to_string), ("indented", indented)];
+    for (name, form) in forms {
+        every_order_of_two(name, form);
+    }
+}
+
+fn every_order_of_two(name: &str, form: fn(&str) -> String) {
+    let mut wrong = Vec::new();
+    let mut orders = 0;
+    for state in STATES {
+        for first in EVENTS {
+            for second in EVENTS {
+                orders += 1;
+                let played = std::panic::catch_unwind(|| {
+                    let mut w = World::new();
+                    w.form = form;
+                    w.reach(state);
+                    w.happens(first);
+                    w.happens(second);
+                    w.change();
+                    let from = w.now;
+                    w.serve(from + TOLD);
+                    let held = w.held.clone();
+                    let known = w.knows();
+                    // And it stays so, with a further change.
+                    w.change();
+                    w.serve(w.now + TOLD);
+                    (known, w.knows(), held, w.connects.clone(), w.most_in_a_second())
+                });
+                match played {
+                    Ok((true, true, _, _, most)) if most <= MOST_A_SECOND => {}
+                    Ok(other) => wrong.push(format!("{state:?}, {first:?}, {second:?}: {other:?}")),
+                    Err(_) => wrong.push(format!("{state:?}, {first:?}, {second:?}: an assertion failed")),
+                }
+            }
+        }
+    }
+    assert!(
+        wrong.is_empty(),
+        "lists {name}: {} of {orders} orders, among them:\n{}",
+        wrong.len(),
+        wrong[..wrong.len().min(12)].join("\n")
+    );
+}
+
+/// What a connection does to a watch, again and again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Down {
+    Refuses,
+    Hangs,
+    SaysNothing,
+    HeadOnly,
+    HalfList,
+    ListAndEnd,
+    Spoilt,
+    Breaks,
+}
+
+const DOWN: [Down; 8] = [
+    Down::Refuses,
+    Down::Hangs,
+    Down::SaysNothing,
+    Down::HeadOnly,
+    Down::HalfList,
+    Down::ListAndEnd,
+    Down::Spoilt,
+    Down::Breaks,
+];
+
+impl World {
+    fn attempt(&mut self, down: Down) {
+        while self.connection == Connection::None {
+            match down {
+                Down::Refuses => self.fates.push_back(Fate::Refused),
+                Down::Hangs => self.fates.push_back(Fate::Hangs),
+                _ => {}
+            }
+            self.to_wake();
+            if down == Down::Refuses {
+                return;
+            }
+        }
+        if self.connection == Connection::Coming {
+            self.connected();
+            match down {
+                Down::HeadOnly => self.happens(Event::Head),
+                Down::HalfList => self.half(),
+                Down::ListAndEnd => {
+                    self.tell(str::to_string);
+                    self.happens(Event::End);
+                }
+                Down::Spoilt => self.happens(Event::SpoiltOctets),
+                Down::Breaks => self.happens(Event::Break),
+                _ => {}
+            }
+            self.lose();
+        }
+        while self.connection != Connection::None {
+            self.to_wake();
+        }
+    }
+}
+
+#[test]
+fn a_watch_that_falls_silent_and_two_attempts_that_fail_in_any_way_stay_within_the_time() {
+    let mut wrong = Vec::new();
+    for first in DOWN {
+        for second in DOWN {
+            let mut w = World::new();
+            w.reach(At::Open);
+            let fell_silent = w.now;
+            w.lose();
+            while w.connection != Connection::None {
+                w.to_wake();
+            }
+            w.attempt(first);
+            w.attempt(second);
+            w.change();
+            w.serve(fell_silent + TOLD);
+            if !w.knows() {
+                wrong.push(format!("{first:?}, {second:?}"));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{} of {}: {wrong:?}", wrong.len(), DOWN.len() * DOWN.len());
+}
+
+#[test]
+fn while_discovery_is_down_attempts_are_bounded_and_never_cease() {
+    for down in DOWN {
+        let mut w = World::new();
+        while w.now < 30_000 * MS {
+            w.attempt(down);
+        }
+        assert!(w.most_in_a_second() <= MOST_A_SECOND, "{down:?}: {} in a second", w.most_in_a_second());
+        let gaps = w.connects.windows(2).map(|c| c[1] - c[0]);
+        let longest = gaps.max().unwrap();
+        assert!(longest <= LONGEST_WAIT, "{down:?}: {longest} us between two attempts");
+        // And it is back in time.
+        w.change();
+        w.serve(w.now + TOLD_AFTER_MOVE);
+        assert!(w.knows(), "{down:?}");
+    }
+}
+
+#[test]
+fn octets_that_complete_no_line_are_no_sign_of_life() {
+    // One octet of a list a second; and white space without an end of line.
+    for text in [list(2, false, &[("a", Status::Draining)]), " ".repeat(300)] {
+        let mut w = World::new();
+        w.reach(At::Open);
+        let from = w.now;
+        for octet in text.chars() {
+            w.now += 1_000 * MS;
+            while w.connection != Connection::None && w.watch.wake() <= w.now {
+                w.tick();
+            }
+            if w.connection == Connection::None {
+                break;
+            }
+            w.say(&chunk(&octet.to_string()));
+        }
+        assert!(w.connection == Connection::None, "it lives on such octets");
+        assert!(w.now - from <= 3_000 * MS, "given up after {} us", w.now - from);
+    }
+}
+
+#[test]
+fn an_agent_that_says_only_empty_lines_while_nothing_changes_is_followed() {
+    // The first line may be the empty one that is promised every 2 s.
+    let mut w = World::new();
+    w.reach(At::Open);
+    w.happens(Event::Break);
+    let from = w.now;
+    let mut stood_since = None;
+    while w.now < from + 20_000 * MS {
+        match w.connection {
+            Connection::Coming => {
+                w.connected();
+                w.happens(Event::Head);
+                stood_since = Some(w.now);
+                w.next_empty_line = w.now + 2_000 * MS;
+            }
+            Connection::Begun(_) if w.next_empty_line <= w.watch.wake() => {
+                w.now = w.next_empty_line;
+                w.happens(Event::EmptyLine);
+                w.next_empty_line = w.now + 2_000 * MS;
+            }
+            _ => w.to_wake(),
+        }
+    }
+    assert!(stood_since.is_some_and(|at| at < from + 3_000 * MS), "it is opened anew again and again");
+}
+
+fn version_two() -> World {
+    let mut w = World::new();
+    w.change();
+    w.reach(At::Open);
+    assert!(w.knows() && w.held["a"] == Status::Draining);
+    w
+}
+
+#[test]
+fn a_list_from_before_changes_nothing_and_what_is_new_behind_it_does() {
+    let mut w = version_two();
+    w.happens(Event::Break);
+    w.to_wake();
+    w.connected();
+    let old = list(1, true, &[("a", Status::Up)]);
+    w.say(&format!("{HEAD}{}", chunk(&format!("{old}\n"))));
+    assert!(w.knows(), "an old list takes back what was told: {:?}", w.held);
+    // Known already, and then new.
+    for version in [2, 3] {
+        if version == 3 {
+            w.change();
+        }
+        let line = w.changes(version - 1);
+        w.say(&chunk(&format!("{line}\n")));
+        assert!(w.knows(), "{:?}", w.held);
+    }
+}
+
+#[test]
+fn a_numbering_that_began_anew_is_believed_in_time() {
+    for moves in [false, true] {
+        let mut w = version_two();
+        let from = w.now;
+        w.happens(if moves { Event::Move } else { Event::Break });
+        // Discovery has lost its count: another list under the first number.
+        w.version = 1;
+        w.catalogue = BTreeMap::from([("n".to_string(), (Status::Up, 1))]);
+        let mut asked = Vec::new();
+        while !w.knows() && w.now < from + TOLD_AFTER_MOVE {
+            match w.connection {
+                Connection::Coming => w.connected(),
+                Connection::Asked(since) => {
+                    asked.push(since);
+                    let text =
+                        format!("{HEAD}{}", chunk(&format!("{}\n", list(1, true, &[("n", Status::Up)]))));
+                    w.say(&text);
+                    if w.connection != Connection::None {
+                        w.connection = Connection::Good(1);
+                        w.next_empty_line = w.now + 2_000 * MS;
+                    }
+                }
+                Connection::Good(_) if w.next_empty_line <= w.watch.wake() => {
+                    w.now = w.next_empty_line;
+                    w.say(&chunk("\n"));
+                    w.next_empty_line += 2_000 * MS;
+                }
+                _ => w.to_wake(),
+            }
+        }
+        assert!(w.knows() && w.now - from <= TOLD_AFTER_MOVE, "{} us, asked {asked:?}", w.now - from);
+    }
+}
+
+#[test]
+fn a_whole_list_in_the_place_of_changes_is_the_list() {
+    let mut w = version_two();
+    w.happens(Event::Break);
+    w.to_wake();
+    w.connected();
+    assert_eq!(w.connection, Connection::Asked(2));
+    w.say(&format!("{HEAD}{}", chunk(&format!("{}\n", list(7, true, &[("z", Status::Up)])))));
+    assert_eq!(w.held.keys().collect::<Vec<_>>(), ["z"]);
+    w.happens(Event::Break);
+    w.to_wake();
+    w.connected();
+    assert_eq!(w.connection, Connection::Asked(7));
+}
+
+#[test]
+fn the_rest_of_half_a_list_is_not_read_as_the_new_watchs() {
+    let mut w = version_two();
+    let line = list(3, false, &[("a", Status::Up)]);
+    let (half, rest) = line.split_at(line.len() / 2);
+    w.say(&chunk(half));
+    w.happens(Event::Move);
+    w.tick();
+    w.connected();
+    w.say(&format!("{HEAD}{}", chunk(&format!("{rest}\n"))));
+    assert!(w.knows() && w.connection == Connection::None, "{:?}", w.held);
+    w.change();
+    w.serve(w.now + TOLD_AFTER_MOVE);
+    assert!(w.knows());
+}
+
+#[test]
+fn behind_what_could_not_be_read_the_whole_is_asked_for() {
+    let bad = list(3, false, &[("a", Status::Up), ("c", Status::Up)]).replacen("SERVING", "ASLEEP", 1);
+    // A line of it: the others hold, and the next opening asks for the whole.
+    let mut w = version_two();
+    w.say(&chunk(&format!("{bad}\n")));
+    assert!(w.held["a"] == Status::Draining && w.held["c"] == Status::Up, "{:?}", w.held);
+    assert_ne!(w.connection, Connection::None, "the watch goes on");
+    w.happens(Event::Break);
+    w.to_wake();
+    w.connected();
+    assert_eq!(w.connection, Connection::Asked(0));
+    // A whole list that was read as a whole ends that.
+    w.say(&format!("{HEAD}{}", chunk(&format!("{}\n", list(4, true, &[("a", Status::Up)])))));
+    w.happens(Event::Break);
+    w.to_wake();
+    w.connected();
+    assert_eq!(w.connection, Connection::Asked(4));
+    // No list at all: the same; and where the whole can't be read either, what changed is asked for again.
+    for since in [0, 4, 0] {
+        w.say(&format!("{HEAD}{}", chunk("{\"version\":9}\n")));
+        assert_eq!(w.connection, Connection::None);
+        w.to_wake();
+        w.connected();
+        assert_eq!(w.connection, Connection::Asked(since));
+    }
+}
--- a/crates/platform/src/catalog.rs
+++ b/crates/platform/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use heronroute::Status;
 use serde_json::Value;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// One endpoint.
@@ -32,27 +33,56 @@
     pub full: bool,
     /// Its lines.
     pub entries: Vec<Entry>,
-    /// Lines that could not be read; they change nothing.
+    /// Lines that could not be read. They change nothing among changes; a whole list does not name them.
     pub passed_over: usize,
 }
 
+/// What is no list.
+#[derive(Debug)]
+pub enum Unreadable {
+    /// No JSON.
+    Json(serde_json::Error),
+    /// A field that is missing, or not what it should be.
+    Field {
+        /// Its name.
+        name: &'static str,
+        /// What it should be.
+        should_be: &'static str,
+    },
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unreadable::Json(e) => write!(f, "{e}"),
+            Unreadable::Field { name, should_be } => write!(f, "{name}: should be {should_be}"),
+        }
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+fn lacks(name: &'static str, should_be: &'static str) -> Unreadable {
+    Unreadable::Field { name, should_be }
+}
+
 impl List {
     /// Reads a list.
     ///
     /// # Errors
     /// Where it is none. A single line that can't be read is passed over: the others still hold.
-    pub fn read(text: &[u8]) -> Result<Self, String> {
-        Self::of(&serde_json::from_slice(text).map_err(|e| e.to_string())?)
+    pub fn read(text: &[u8]) -> Result<Self, Unreadable> {
+        Self::of(&serde_json::from_slice(text).map_err(Unreadable::Json)?)
     }
 
     /// The same, of what was read already.
     ///
     /// # Errors
     /// As [`List::read`].
-    pub fn of(value: &Value) -> Result<Self, String> {
-        let version = value["version"].as_u64().ok_or("version: should be a whole number")?;
-        let full = value["full"].as_bool().ok_or("full: should be true or false")?;
-        let lines = value["servers"].as_array().ok_or("servers: should be a list")?;
+    pub fn of(value: &Value) -> Result<Self, Unreadable> {
+        let version = value["version"].as_u64().ok_or(lacks("version", "a whole number"))?;
+        let full = value["full"].as_bool().ok_or(lacks("full", "true or false"))?;
+        let lines = value["servers"].as_array().ok_or(lacks("servers", "a list"))?;
         let entries: Vec<Entry> = lines.iter().filter_map(entry).collect();
         let passed_over = lines.len() - entries.len();
         Ok(List { version, full, entries, passed_over })
@@ -77,20 +107,3 @@
         weight: v["weight"].as_f64(),
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_line_that_cannot_be_read_harms_no_other() {
-        let line = r#"{"id":"s","addr":"127.0.0.1:9","zone":"a","kind":"m","cell":3,"state":"DRAINING","weight":1.5}"#;
-        let bad = line.replace("DRAINING", "ASLEEP");
-        let text = format!(r#"{{"version":7,"full":false,"servers":[{bad},{line},4]}}"#);
-        let list = List::read(text.as_bytes()).unwrap();
-        assert_eq!((list.version, list.full, list.passed_over), (7, false, 2));
-        let e = &list.entries[0];
-        assert_eq!((e.cell, e.status, e.weight), (3, Status::Draining, Some(1.5)));
-        assert!(List::read(b"{}").unwrap_err().contains("version"));
-    }
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod call;
 pub mod catalog;
 pub mod notice;
+pub mod objects;
 pub mod settings;
 pub mod start;
 pub mod watch;
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -1,10 +1,13 @@
-//! A watch: an answer that stays open and holds one JSON object on each line.
+//! A watch: an answer that stays open and holds lists, one JSON object after another, and empty lines between them.
+//!
+//! An object may stand on one line or be indented over several, and may come in pieces of any size (see
+//! [`crate::objects`]). Free of I/O and of time: how long to wait for what is for its user.
 
-use crate::catalog::List;
+use crate::catalog::{List, Unreadable};
+use crate::objects::{Objects, Piece, Spoilt};
 use bytes::{Buf, BytesMut};
+use std::fmt;
 
-/// Octets of a line at most.
-const MOST_LINE: usize = 4 << 20;
 /// Octets of a head at most.
 const MOST_HEAD: usize = 16 * 1024;
 /// Octets of a line that declares the size of a chunk.
@@ -16,6 +19,49 @@
     heronroute_http::write_request("GET", &target, host, &[], b"", out);
 }
 
+/// What a watch says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// The answer has begun.
+    Head,
+    /// An empty line, or the end of a line behind a list: it lives.
+    EndOfLine,
+    /// A list, or changes to it.
+    List(List),
+}
+
+/// Why a watch is over.
+#[derive(Debug)]
+pub enum Over {
+    /// The question was answered otherwise than by 200.
+    Status(u16),
+    /// No HTTP, or a head that is too long.
+    Head,
+    /// Chunks that can't be told apart.
+    Chunk,
+    /// The answer came to its end.
+    Ended,
+    /// Octets that are no objects.
+    Spoilt(Spoilt),
+    /// An object that is no list.
+    Unreadable(Unreadable),
+}
+
+impl fmt::Display for Over {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Over::Status(status) => write!(f, "status {status}"),
+            Over::Head => write!(f, "no answer that can be read"),
+            Over::Chunk => write!(f, "chunks that can't be told apart"),
+            Over::Ended => write!(f, "the watch was ended"),
+            Over::Spoilt(e) => write!(f, "{e}"),
+            Over::Unreadable(e) => write!(f, "no list: {e}"),
+        }
+    }
+}
+
+impl std::error::Error for Over {}
+
 #[derive(Clone, Copy, Debug)]
 enum State {
     Head,
@@ -33,123 +79,120 @@
 pub struct Watch {
     state: State,
     buffer: BytesMut,
-    line: Vec<u8>,
+    objects: Objects,
 }
 
 impl Default for Watch {
     fn default() -> Self {
-        Watch { state: State::Head, buffer: BytesMut::new(), line: Vec::new() }
+        Watch { state: State::Head, buffer: BytesMut::new(), objects: Objects::default() }
     }
 }
 
 impl Watch {
-    /// Takes octets and gives the lists in them.
+    /// Whether a list has begun that is not whole yet.
+    pub fn has_begun_list(&self) -> bool {
+        self.objects.has_begun()
+    }
+
+    /// Takes octets and gives what they say.
     ///
     /// # Errors
-    /// Where the watch is over or can't be read on.
-    pub fn receive(&mut self, octets: &[u8], lists: &mut Vec<List>) -> Result<(), String> {
+    /// Where the watch is over or can't be read on. What was said before that is in `said`.
+    pub fn receive(&mut self, octets: &[u8], said: &mut Vec<Said>) -> Result<(), Over> {
         self.buffer.extend_from_slice(octets);
         loop {
-            match self.state {
-                State::Head => {
-                    let mut fields = [httparse::EMPTY_HEADER; 64];
-                    let mut head = httparse::Response::new(&mut fields);
-                    match head.parse(&self.buffer) {
-                        Ok(httparse::Status::Complete(n)) => {
-                            if head.code != Some(200) {
-                                return Err(format!("status {}", head.code.unwrap_or(0)));
-                            }
-                            let chunked = head.headers.iter().any(|h| {
-                                h.name.eq_ignore_ascii_case("transfer-encoding")
-                                    && h.value.to_ascii_lowercase().ends_with(b"chunked")
-                            });
-                            self.state = if chunked { State::Size } else { State::Plain };
-                            self.buffer.advance(n);
-                        }
-                        Ok(httparse::Status::Partial) if self.buffer.len() <= MOST_HEAD => return Ok(()),
-                        _ => return Err("no answer that can be read".to_string()),
-                    }
+            let goes_on = match self.state {
+                State::Head => self.head(said)?,
+                State::Size => self.size()?,
+                State::Behind => self.behind()?,
+                State::Chunk(0) => {
+                    self.state = State::Behind;
+                    true
                 }
-                State::Size | State::Behind => {
-                    let Some(end) = self.buffer.iter().take(MOST_SIZE).position(|b| *b == b'\n') else {
-                        let long = self.buffer.len() >= MOST_SIZE;
-                        return if long { Err("no size of a chunk".to_string()) } else { Ok(()) };
-                    };
-                    let line = String::from_utf8_lossy(&self.buffer[..end]).trim().to_string();
-                    self.buffer.advance(end + 1);
-                    self.state = match self.state {
-                        State::Behind if line.is_empty() => State::Size,
-                        State::Behind => return Err("a chunk without its end".to_string()),
-                        _ => match usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16) {
-                            Ok(0) => return Err("the watch was ended".to_string()),
-                            Ok(n) => State::Chunk(n),
-                            Err(_) => return Err("no size of a chunk".to_string()),
-                        },
-                    };
-                }
-                State::Chunk(0) => self.state = State::Behind,
                 State::Chunk(left) => {
                     let n = left.min(self.buffer.len());
-                    if n == 0 {
-                        return Ok(());
-                    }
-                    self.take(n, lists)?;
+                    self.take(n, said)?;
                     self.state = State::Chunk(left - n);
+                    n > 0
                 }
                 State::Plain => {
-                    let n = self.buffer.len();
-                    return self.take(n, lists);
+                    self.take(self.buffer.len(), said)?;
+                    false
                 }
+            };
+            if !goes_on {
+                return Ok(());
             }
         }
     }
 
-    fn take(&mut self, n: usize, lists: &mut Vec<List>) -> Result<(), String> {
-        for piece in self.buffer[..n].split_inclusive(|b| *b == b'\n') {
-            if self.line.len() + piece.len() > MOST_LINE {
-                return Err("a line too long".to_string());
-            }
-            self.line.extend_from_slice(piece);
-            if piece.last() == Some(&b'\n') {
-                if !self.line.trim_ascii().is_empty() {
-                    lists.push(List::read(&self.line)?);
+    /// Whether the head is whole.
+    fn head(&mut self, said: &mut Vec<Said>) -> Result<bool, Over> {
+        let mut fields = [httparse::EMPTY_HEADER; 64];
+        let mut head = httparse::Response::new(&mut fields);
+        match head.parse(&self.buffer) {
+            Ok(httparse::Status::Complete(n)) => {
+                if head.code != Some(200) {
+                    return Err(Over::Status(head.code.unwrap_or(0)));
                 }
-                self.line.clear();
+                let chunked = head.headers.iter().any(|h| {
+                    h.name.eq_ignore_ascii_case("transfer-encoding")
+                        && h.value.to_ascii_lowercase().ends_with(b"chunked")
+                });
+                self.state = if chunked { State::Size } else { State::Plain };
+                self.buffer.advance(n);
+                said.push(Said::Head);
+                Ok(true)
             }
+            Ok(httparse::Status::Partial) if self.buffer.len() <= MOST_HEAD => Ok(false),
+            _ => Err(Over::Head),
         }
-        self.buffer.advance(n);
-        Ok(())
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn lines_over_chunks_however_split() {
-        let body =
-            "{\"version\":1,\"full\":true,\"servers\":[]}\n\n{\"version\":2,\"full\":false,\"servers\":[]}\n";
-        let (a, b) = body.split_at(20);
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{a}\r\n{:x};x=1\r\n{b}\r\n",
-            a.len(),
-            b.len()
-        );
-        for size in 1..text.len() {
-            let (mut w, mut lists) = (Watch::default(), Vec::new());
-            for piece in text.as_bytes().chunks(size) {
-                w.receive(piece, &mut lists).unwrap();
+    /// A line of the chunks' own, where it is whole.
+    fn line(&mut self) -> Result<Option<String>, Over> {
+        let Some(end) = self.buffer.iter().take(MOST_SIZE).position(|b| *b == b'\n') else {
+            return if self.buffer.len() >= MOST_SIZE { Err(Over::Chunk) } else { Ok(None) };
+        };
+        let line = String::from_utf8_lossy(&self.buffer[..end]).trim().to_string();
+        self.buffer.advance(end + 1);
+        Ok(Some(line))
+    }
+
+    fn size(&mut self) -> Result<bool, Over> {
+        let Some(line) = self.line()? else { return Ok(false) };
+        let size = line.split(';').next().unwrap_or("").trim();
+        match usize::from_str_radix(size, 16) {
+            Ok(0) => Err(Over::Ended),
+            Ok(n) => {
+                self.state = State::Chunk(n);
+                Ok(true)
             }
-            assert_eq!(lists.iter().map(|l| l.version).collect::<Vec<_>>(), [1, 2]);
-            assert!(w.receive(b"0\r\n\r\n", &mut lists).is_err(), "ended");
+            Err(_) => Err(Over::Chunk),
         }
-        for bad in [
-            "HTTP/1.1 503 No\r\n\r\n",
-            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
-            "x\r\n",
-        ] {
-            assert!(Watch::default().receive(bad.as_bytes(), &mut Vec::new()).is_err());
+    }
+
+    fn behind(&mut self) -> Result<bool, Over> {
+        match self.line()? {
+            None => Ok(false),
+            Some(line) if line.is_empty() => {
+                self.state = State::Size;
+                Ok(true)
+            }
+            Some(_) => Err(Over::Chunk),
+        }
+    }
+
+    fn take(&mut self, n: usize, said: &mut Vec<Said>) -> Result<(), Over> {
+        let mut pieces = Vec::new();
+        let result = self.objects.push(&self.buffer[..n], &mut pieces);
+        self.buffer.advance(n);
+        for piece in pieces {
+            said.push(match piece {
+                Piece::EndOfLine => Said::EndOfLine,
+                Piece::Object(text) => Said::List(List::read(&text).map_err(Over::Unreadable)?),
+            });
         }
+        result.map_err(Over::Spoilt)
     }
 }
