Discovery on sockets: the program between misbehaving stand-ins, judged by who gets the calls

Need: the watch's orders at the sans-I/O seam say nothing of sockets, signals and the configuration read again. And at the node: octets on the old connection after a move, and a connection that comes up after it.

--- a/crates/engine/tests/watch_orders.rs
+++ b/crates/engine/tests/watch_orders.rs
@@ -2,6 +2,8 @@
 //! here: it has a catalogue that changes, and each connection fares as the order says. Behind the order discovery
 //! serves well again, and a connection on which something was left unfinished says nothing more.
 
+mod sender;
+
 use heronroute::Status;
 use heronroute_engine::directory::{Directory, Heard, Want, Watched};
 use heronroute_engine::{Micros, Stream};
@@ -246,7 +248,7 @@
     }
 
     /// On to when the watch wants to act next.
-    fn to_wake(&mut self) {
+    fn act_next(&mut self) {
         self.now = self.now.max(self.watch.wake());
         self.tick();
     }
@@ -339,7 +341,7 @@
                 self.watch.moved(self.now, at(3));
                 self.connection = Connection::None;
             }
-            Event::Tick => self.to_wake(),
+            Event::Tick => self.act_next(),
             _ => {}
         }
     }
@@ -425,10 +427,8 @@
 
 #[test]
 fn after_each_order_of_two_events_at_each_state_a_change_is_known_in_time() {
-    let forms: [(&str, fn(&str) -> String); 2] = [("on one line", str::to_string), ("indented", indented)];
-    for (name, form) in forms {
-        every_order_of_two(name, form);
-    }
+    every_order_of_two("on one line", str::to_string);
+    every_order_of_two("indented", indented);
 }
 
 fn every_order_of_two(name: &str, form: fn(&str) -> String) {
@@ -502,7 +502,7 @@
                 Down::Hangs => self.fates.push_back(Fate::Hangs),
                 _ => {}
             }
-            self.to_wake();
+            self.act_next();
             if down == Down::Refuses {
                 return;
             }
@@ -523,7 +523,7 @@
             self.lose();
         }
         while self.connection != Connection::None {
-            self.to_wake();
+            self.act_next();
         }
     }
 }
@@ -538,7 +538,7 @@
             let fell_silent = w.now;
             w.lose();
             while w.connection != Connection::None {
-                w.to_wake();
+                w.act_next();
             }
             w.attempt(first);
             w.attempt(second);
@@ -613,7 +613,7 @@
                 w.happens(Event::EmptyLine);
                 w.next_empty_line = w.now + 2_000 * MS;
             }
-            _ => w.to_wake(),
+            _ => w.act_next(),
         }
     }
     assert!(stood_since.is_some_and(|at| at < from + 3_000 * MS), "it is opened anew again and again");
@@ -631,7 +631,7 @@
 fn a_list_from_before_changes_nothing_and_what_is_new_behind_it_does() {
     let mut w = version_two();
     w.happens(Event::Break);
-    w.to_wake();
+    w.act_next();
     w.connected();
     let old = list(1, true, &[("a", Status::Up)]);
     w.say(&format!("{HEAD}{}", chunk(&format!("{old}\n"))));
@@ -675,7 +675,7 @@
                     w.say(&chunk("\n"));
                     w.next_empty_line += 2_000 * MS;
                 }
-                _ => w.to_wake(),
+                _ => w.act_next(),
             }
         }
         assert!(w.knows() && w.now - from <= TOLD_AFTER_MOVE, "{} us, asked {asked:?}", w.now - from);
@@ -686,13 +686,13 @@
 fn a_whole_list_in_the_place_of_changes_is_the_list() {
     let mut w = version_two();
     w.happens(Event::Break);
-    w.to_wake();
+    w.act_next();
     w.connected();
     assert_eq!(w.connection, Connection::Asked(2));
     w.say(&format!("{HEAD}{}", chunk(&format!("{}\n", list(7, true, &[("z", Status::Up)])))));
     assert_eq!(w.held.keys().collect::<Vec<_>>(), ["z"]);
     w.happens(Event::Break);
-    w.to_wake();
+    w.act_next();
     w.connected();
     assert_eq!(w.connection, Connection::Asked(7));
 }
@@ -713,6 +713,43 @@
     assert!(w.knows());
 }
 
+#[test]
+fn what_comes_on_the_old_connection_after_a_move_is_not_heard() {
+    let drains = list(5, false, &[("e1", Status::Draining)]).replace("\"{\\\"}\"", "\"a\"");
+    let drains = drains.replace("\"m\"", "\"one\"").replace("\"cell\":3", "\"cell\":1");
+    let drains = drains.replace("127.0.0.1:9", "127.0.0.1:1001");
+    let whole = format!("{HEAD}{}", chunk(&format!("{drains}\n")));
+    for moves in [false, true] {
+        let mut w = sender::world();
+        let (old, _) = w.came(2).into_iter().find(|(_, t)| t.starts_with("GET /catalog")).unwrap();
+        if moves {
+            w.node.discovery_moved(w.now, at(3));
+            w.pass(5 * MS);
+            assert!(w.ended.contains(&old));
+        }
+        w.says(old, &whole);
+        let c = w.client();
+        w.add(c, "m1", sender::SAFE);
+        w.pass(100 * MS);
+        assert_eq!(w.came(1001).len(), usize::from(moves), "a drain is heard, but not on the old connection");
+    }
+    // One that was on its way, and comes up after the move.
+    let mut w = sender::world();
+    let (watch, _) = w.came(2).into_iter().find(|(_, t)| t.starts_with("GET /catalog")).unwrap();
+    w.silent = Some(2);
+    w.gone(watch);
+    w.node.closed(w.now, watch, heronroute_engine::Gone::Broken);
+    w.pass(500 * MS);
+    let coming = w.coming.pop().expect("it connects anew");
+    w.node.discovery_moved(w.now, at(3));
+    w.pass(5 * MS);
+    w.node.connected(w.now, coming);
+    w.pass(5 * MS);
+    assert!(w.came(2).is_empty(), "nothing is asked there");
+    let watches: Vec<_> = w.came(3).into_iter().filter(|(_, t)| t.starts_with("GET /catalog")).collect();
+    assert_eq!(watches.len(), 1);
+}
+
 #[test]
 fn behind_what_could_not_be_read_the_whole_is_asked_for() {
     let bad = list(3, false, &[("a", Status::Up), ("c", Status::Up)]).replacen("SERVING", "ASLEEP", 1);
@@ -722,20 +759,20 @@
     assert!(w.held["a"] == Status::Draining && w.held["c"] == Status::Up, "{:?}", w.held);
     assert_ne!(w.connection, Connection::None, "the watch goes on");
     w.happens(Event::Break);
-    w.to_wake();
+    w.act_next();
     w.connected();
     assert_eq!(w.connection, Connection::Asked(0));
     // A whole list that was read as a whole ends that.
     w.say(&format!("{HEAD}{}", chunk(&format!("{}\n", list(4, true, &[("a", Status::Up)])))));
     w.happens(Event::Break);
-    w.to_wake();
+    w.act_next();
     w.connected();
     assert_eq!(w.connection, Connection::Asked(4));
     // No list at all: the same; and where the whole can't be read either, what changed is asked for again.
     for since in [0, 4, 0] {
         w.say(&format!("{HEAD}{}", chunk("{\"version\":9}\n")));
         assert_eq!(w.connection, Connection::None);
-        w.to_wake();
+        w.act_next();
         w.connected();
         assert_eq!(w.connection, Connection::Asked(since));
     }
