Discovery watch: the whole list is asked for by itself behind what could not be read

Cause: since=0 was taken for the whole list. Lines that can't be read among changes were lost until they change again, and the answer to since=0 would not have brought them.

Change: GET /catalog/members, then the watch on the same connection; 1 s behind unreadable lines among changes, at once behind the second watch in a row that tells no list and where numbers began anew; once more 1 s after it could not be had, a watch having its turn between. A whole list with unreadable lines stands as it is.

--- a/crates/engine/src/directory/watched.rs
+++ b/crates/engine/src/directory/watched.rs
@@ -11,6 +11,7 @@
 use crate::Micros;
 use crate::stream::Stream;
 use heronroute_config::{EndpointConfig, Listing};
+use heronroute_http::{Reader, Side};
 use heronroute_platform::catalog::List;
 use heronroute_platform::watch::{self, Over, Said, Watch};
 use std::net::SocketAddr;
@@ -37,6 +38,14 @@
 /// behind or another one comes up to it. Beyond, the numbers began anew, and the whole list is asked for and believed;
 /// with the attempts this stays under the 4 s after which a move counts.
 const BEHIND: Micros = 3_000_000;
+/// Behind changes that can't be read in part, and behind a whole list that was not to be had, the whole list is asked for
+/// after this; a watch has its turn in between. Guards against changes that are lost for good, and against questions
+/// without end for an endpoint that stays unreadable: a whole list stands as it is.
+const WHOLE_AFTER: Micros = 1_000_000;
+/// Watches in a row that tell what is no list before the whole list is asked for.
+const UNREADABLE: u32 = 2;
+/// Octets of a whole list that is asked for by itself, at most.
+const MOST_WHOLE: usize = 4 << 20;
 
 #[derive(Clone, Copy, Debug)]
 enum State {
@@ -58,6 +67,14 @@
     },
 }
 
+/// What is out on the connection.
+#[derive(Debug)]
+enum Question {
+    /// For the whole list; a watch is asked for behind it, on the same connection.
+    Whole(Reader),
+    Watch(Watch),
+}
+
 /// A watch on the platform's list.
 #[derive(Debug)]
 pub struct Watched {
@@ -68,13 +85,13 @@
     patient: bool,
     /// The version at hand.
     version: u64,
-    /// Something could not be read: the next attempt asks for the whole.
-    wants_whole: bool,
-    /// The question that is out asked for the whole.
-    asked_whole: bool,
+    /// From then on the whole list is asked for: what changes after the version at hand is not enough.
+    whole_due: Option<Micros>,
+    /// Watches in a row that told what is no list.
+    unreadable: u32,
     /// Since then lists are older than the one at hand.
     behind: Option<Micros>,
-    watch: Watch,
+    question: Question,
 }
 
 /// A list of the platform in the engine's words.
@@ -104,10 +121,10 @@
             backoff: RETRY_FIRST,
             patient: false,
             version: 0,
-            wants_whole: false,
-            asked_whole: false,
+            whole_due: None,
+            unreadable: 0,
             behind: None,
-            watch: Watch::default(),
+            question: Question::Watch(Watch::default()),
         }
     }
 
@@ -126,9 +143,10 @@
         if list.passed_over > 0 {
             tracing::warn!(lines = list.passed_over, "lines of the list could not be read");
         }
-        let first_of_whole = std::mem::take(&mut self.asked_whole);
-        self.wants_whole = list.passed_over > 0 || (self.wants_whole && !first_of_whole);
-        (self.version, self.behind) = (list.version, None);
+        if list.passed_over > 0 && !list.full {
+            self.whole_due.get_or_insert(now + WHOLE_AFTER);
+        }
+        (self.version, self.behind, self.unreadable) = (list.version, None, 0);
         Some(listing(list))
     }
 
@@ -159,7 +177,72 @@
         }
     }
 
-    /// No sign of life came in time, or none of the numbers at hand.
+    fn ask_watch(&mut self, now: Micros, stream: &mut Stream) {
+        tracing::debug!(now, version = self.version, "the watch begins");
+        self.question = Question::Watch(Watch::default());
+        watch::ask(self.version, &self.address.to_string(), &mut stream.out);
+    }
+
+    /// Octets of a watch. False where it is over.
+    fn hear_watch(&mut self, now: Micros, octets: &[u8], heard: &mut Vec<Heard>) -> bool {
+        let Question::Watch(watch) = &mut self.question else { return true };
+        let mut said = Vec::new();
+        let result = watch.receive(octets, &mut said);
+        let has_begun_list = watch.has_begun_list();
+        said.into_iter().for_each(|said| self.hear(now, said, heard));
+        if let Err(over) = result {
+            tracing::warn!(%over, "the watch on the list is over");
+            if matches!(over, Over::Unreadable(_)) {
+                // Guards against changes that are asked for, and can't be read, for ever.
+                self.unreadable += 1;
+                if self.unreadable >= UNREADABLE {
+                    self.whole_due.get_or_insert(now);
+                }
+            }
+            return false;
+        }
+        if let State::Open { begun, .. } = &mut self.state {
+            *begun = has_begun_list.then(|| begun.unwrap_or(now));
+        }
+        true
+    }
+
+    /// Octets of a whole list. False where they can't be read.
+    fn hear_whole(
+        &mut self,
+        now: Micros,
+        octets: &[u8],
+        stream: &mut Stream,
+        heard: &mut Vec<Heard>,
+    ) -> bool {
+        let Question::Whole(reader) = &mut self.question else { return true };
+        reader.push(octets);
+        let message = match reader.next_message() {
+            Ok(None) => return true,
+            Ok(Some(message)) => message,
+            Err(e) => {
+                tracing::warn!(why = e.0, "the whole list can't be read");
+                return false;
+            }
+        };
+        let list = match List::read(&message.body) {
+            Ok(list) if message.status() == 200 => list,
+            Ok(_) => {
+                tracing::warn!(status = message.status(), "the whole list is not told");
+                return false;
+            }
+            Err(why) => {
+                tracing::warn!(status = message.status(), %why, "the whole list can't be read");
+                return false;
+            }
+        };
+        self.whole_due = None;
+        heard.extend(self.take(now, &list).map(Heard::List));
+        self.ask_watch(now, stream);
+        !message.last
+    }
+
+    /// No sign of life came in time, or another question is due.
     fn out_of_time(&mut self, now: Micros) {
         if let State::Asked { answered, .. } = self.state {
             self.patient = answered && !self.patient;
@@ -169,6 +252,9 @@
 
     fn retry(&mut self, now: Micros) {
         if !matches!(self.state, State::Due(_)) {
+            if matches!(self.question, Question::Whole(_)) {
+                self.whole_due = Some(now + WHOLE_AFTER);
+            }
             self.state = State::Due(now + self.backoff);
             self.backoff = (self.backoff * 2).min(RETRY_MOST);
         }
@@ -199,7 +285,8 @@
             State::Connecting { until } | State::Asked { until, .. } => until,
             State::Open { sign, begun, .. } => {
                 let whole = begun.map_or(Micros::MAX, |at| at + WHOLE);
-                (sign + SILENCE).min(whole).min(self.behind_until())
+                let asks_whole = self.whole_due.unwrap_or(Micros::MAX);
+                (sign + SILENCE).min(whole).min(self.behind_until()).min(asks_whole)
             }
         }
     }
@@ -225,39 +312,32 @@
     fn connected(&mut self, now: Micros, stream: &mut Stream) {
         if now >= self.behind_until() {
             tracing::warn!(at_hand = self.version, "discovery's numbers began anew");
-            (self.version, self.behind) = (0, None);
+            (self.version, self.behind, self.whole_due) = (0, None, Some(now));
         }
         // Where no attempt is under way the time of a new one holds.
         let until = match self.state {
             State::Connecting { until } => until,
             _ => now + QUICK,
         };
-        self.watch = Watch::default();
         self.state = State::Asked { until, since: now, answered: false };
-        self.asked_whole = self.wants_whole;
-        let version = if self.asked_whole { 0 } else { self.version };
-        tracing::debug!(now, version, "the watch begins");
-        watch::ask(version, &self.address.to_string(), &mut stream.out);
+        if self.whole_due.is_some_and(|at| at <= now) {
+            self.question = Question::Whole(Reader::new(Side::Responses, MOST_WHOLE));
+            watch::ask_whole(&self.address.to_string(), &mut stream.out);
+        } else {
+            self.ask_watch(now, stream);
+        }
     }
 
-    fn receive(&mut self, now: Micros, octets: &[u8], _: &mut Stream, heard: &mut Vec<Heard>) -> bool {
-        tracing::debug!(now, octets = octets.len(), "the watch says something");
-        let mut said = Vec::new();
-        let result = self.watch.receive(octets, &mut said);
-        said.into_iter().for_each(|said| self.hear(now, said, heard));
-        if let Err(over) = result {
-            tracing::warn!(%over, "the watch on the list is over");
-            if matches!(over, Over::Unreadable(_)) {
-                // The whole in the place of changes that can't be read, and the other way round.
-                self.wants_whole = !self.asked_whole;
-            }
+    fn receive(&mut self, now: Micros, octets: &[u8], stream: &mut Stream, heard: &mut Vec<Heard>) -> bool {
+        tracing::debug!(now, octets = octets.len(), "discovery says something");
+        let goes_on = match self.question {
+            Question::Whole(_) => self.hear_whole(now, octets, stream, heard),
+            Question::Watch(_) => self.hear_watch(now, octets, heard),
+        };
+        if !goes_on {
             self.retry(now);
-            return false;
         }
-        if let State::Open { begun, .. } = &mut self.state {
-            *begun = self.watch.has_begun_list().then(|| begun.unwrap_or(now));
-        }
-        true
+        goes_on
     }
 
     fn ended(&mut self, now: Micros, _: &mut Vec<Heard>) {
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -62,6 +62,11 @@
 
 impl std::error::Error for Over {}
 
+/// Writes the request for the whole list, as an answer of its own.
+pub fn ask_whole(host: &str, out: &mut BytesMut) {
+    heronroute_http::write_request("GET", "/catalog/members", host, &[], b"", out);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum State {
     Head,
