--- /dev/null
+++ b/crates/engine/src/directory/listing.rs
@@ -0,0 +1,22 @@
+//! The platform's lists in the engine's words.
+
+use heronroute_config::{EndpointConfig, Listing};
+use heronroute_platform::catalog::{Entry, List};
+
+/// A list of the platform in the engine's words.
+pub fn listing(list: &List) -> Listing {
+    let endpoint = |e: &Entry| EndpointConfig {
+        name: e.id.clone(),
+        address: e.addr,
+        destination: e.cell,
+        kind: e.kind.clone(),
+        zone: e.zone.clone(),
+        weight: e.weight,
+        status: e.status,
+    };
+    Listing {
+        version: list.version,
+        whole: list.full,
+        endpoints: list.entries.iter().map(endpoint).collect(),
+    }
+}
--- a/crates/engine/src/directory/mod.rs
+++ b/crates/engine/src/directory/mod.rs
@@ -1,10 +1,13 @@
 //! The directory, whatever it speaks. A directory that fails changes nothing else: the last list holds. Free of I/O.
 
+mod listing;
 mod polled;
+mod versions;
 mod watched;
 
+pub use listing::listing;
 pub use polled::Polled;
-pub use watched::{Watched, listing};
+pub use watched::Watched;
 
 use crate::Micros;
 use crate::stream::Stream;
--- a/crates/engine/src/directory/watched.rs
+++ b/crates/engine/src/directory/watched.rs
@@ -7,10 +7,12 @@
 //!
 //! What counts as a sign of life is a line, whole or empty, and a list that is whole; octets alone do not.
 
+use super::listing::listing;
+use super::versions::{Ask, Versions};
 use super::{Directory, Heard, Want};
 use crate::Micros;
 use crate::stream::Stream;
-use heronroute_config::{EndpointConfig, Listing};
+use heronroute_config::Listing;
 use heronroute_http::{Reader, Side};
 use heronroute_platform::catalog::List;
 use heronroute_platform::watch::{self, Over, Said, Watch};
@@ -34,16 +36,6 @@
 const SILENCE: Micros = 2_600_000;
 /// A list that has begun on a watch that stands is whole within this. Guards against one that trickles in.
 const WHOLE: Micros = 1_000_000;
-/// Lists older than the one at hand take nothing back for so long: what was told stays told, and an agent that has fallen
-/// behind or another one comes up to it. Beyond, the numbers began anew, and the whole list is asked for and believed;
-/// with the attempts this stays under the 4 s after which a move counts.
-const BEHIND: Micros = 3_000_000;
-/// Behind changes that can't be read in part, and behind a whole list that was not to be had, the whole list is asked for
-/// after this; a watch has its turn in between. Guards against changes that are lost for good, and against questions
-/// without end for an endpoint that stays unreadable: a whole list stands as it is.
-const WHOLE_AFTER: Micros = 1_000_000;
-/// Watches in a row that tell what is no list before the whole list is asked for.
-const UNREADABLE: u32 = 2;
 /// Octets of a whole list that is asked for by itself, at most.
 const MOST_WHOLE: usize = 4 << 20;
 
@@ -83,35 +75,10 @@
     backoff: Micros,
     /// The next attempt is given more time.
     patient: bool,
-    /// The version at hand.
-    version: u64,
-    /// From then on the whole list is asked for: what changes after the version at hand is not enough.
-    whole_due: Option<Micros>,
-    /// Watches in a row that told what is no list.
-    unreadable: u32,
-    /// Since then lists are older than the one at hand.
-    behind: Option<Micros>,
+    versions: Versions,
     question: Question,
 }
 
-/// A list of the platform in the engine's words.
-pub fn listing(list: &List) -> Listing {
-    let endpoint = |e: &heronroute_platform::catalog::Entry| EndpointConfig {
-        name: e.id.clone(),
-        address: e.addr,
-        destination: e.cell,
-        kind: e.kind.clone(),
-        zone: e.zone.clone(),
-        weight: e.weight,
-        status: e.status,
-    };
-    Listing {
-        version: list.version,
-        whole: list.full,
-        endpoints: list.entries.iter().map(endpoint).collect(),
-    }
-}
-
 impl Watched {
     /// A watch that begins at once.
     pub fn new(now: Micros, address: SocketAddr) -> Self {
@@ -120,34 +87,15 @@
             state: State::Due(now),
             backoff: RETRY_FIRST,
             patient: false,
-            version: 0,
-            whole_due: None,
-            unreadable: 0,
-            behind: None,
+            versions: Versions::default(),
             question: Question::Watch(Watch::default()),
         }
     }
 
-    /// When numbers that went back are taken to have begun anew.
-    fn behind_until(&self) -> Micros {
-        self.behind.map_or(Micros::MAX, |since| since + BEHIND)
-    }
-
-    /// A list, in its turn, or `None` where it is older than the one at hand.
-    fn take(&mut self, now: Micros, list: &List) -> Option<Listing> {
-        if list.version < self.version {
-            tracing::warn!(version = list.version, at_hand = self.version, "an old list changes nothing");
-            self.behind.get_or_insert(now);
-            return None;
+    fn take(&mut self, now: Micros, list: &List, heard: &mut Vec<Heard>) {
+        if self.versions.take(now, list) {
+            heard.push(Heard::List(listing(list)));
         }
-        if list.passed_over > 0 {
-            tracing::warn!(lines = list.passed_over, "lines of the list could not be read");
-        }
-        if list.passed_over > 0 && !list.full {
-            self.whole_due.get_or_insert(now + WHOLE_AFTER);
-        }
-        (self.version, self.behind, self.unreadable) = (list.version, None, 0);
-        Some(listing(list))
     }
 
     /// A sign of life.
@@ -172,15 +120,15 @@
             Said::EndOfLine => self.lives(now),
             Said::List(list) => {
                 self.lives(now);
-                heard.extend(self.take(now, &list).map(Heard::List));
+                self.take(now, &list, heard);
             }
         }
     }
 
-    fn ask_watch(&mut self, now: Micros, stream: &mut Stream) {
-        tracing::debug!(now, version = self.version, "the watch begins");
+    fn ask_watch(&mut self, now: Micros, version: u64, stream: &mut Stream) {
+        tracing::debug!(now, version, "the watch begins");
         self.question = Question::Watch(Watch::default());
-        watch::ask(self.version, &self.address.to_string(), &mut stream.out);
+        watch::ask(version, &self.address.to_string(), &mut stream.out);
     }
 
     /// Octets of a watch. False where it is over.
@@ -193,11 +141,7 @@
         if let Err(over) = result {
             tracing::warn!(%over, "the watch on the list is over");
             if matches!(over, Over::Unreadable(_)) {
-                // Guards against changes that are asked for, and can't be read, for ever.
-                self.unreadable += 1;
-                if self.unreadable >= UNREADABLE {
-                    self.whole_due.get_or_insert(now);
-                }
+                self.versions.unreadable(now);
             }
             return false;
         }
@@ -236,9 +180,9 @@
                 return false;
             }
         };
-        self.whole_due = None;
-        heard.extend(self.take(now, &list).map(Heard::List));
-        self.ask_watch(now, stream);
+        self.versions.whole_told();
+        self.take(now, &list, heard);
+        self.ask_watch(now, self.versions.since(), stream);
         !message.last
     }
 
@@ -253,7 +197,7 @@
     fn retry(&mut self, now: Micros) {
         if !matches!(self.state, State::Due(_)) {
             if matches!(self.question, Question::Whole(_)) {
-                self.whole_due = Some(now + WHOLE_AFTER);
+                self.versions.whole_failed(now);
             }
             self.state = State::Due(now + self.backoff);
             self.backoff = (self.backoff * 2).min(RETRY_MOST);
@@ -263,7 +207,7 @@
 
 impl Directory for Watched {
     fn known(&mut self, listing: &Listing) {
-        self.version = listing.version;
+        self.versions.known(listing.version);
     }
 
     fn subscribe(&mut self, _: Micros) -> bool {
@@ -285,8 +229,7 @@
             State::Connecting { until } | State::Asked { until, .. } => until,
             State::Open { sign, begun, .. } => {
                 let whole = begun.map_or(Micros::MAX, |at| at + WHOLE);
-                let asks_whole = self.whole_due.unwrap_or(Micros::MAX);
-                (sign + SILENCE).min(whole).min(self.behind_until()).min(asks_whole)
+                (sign + SILENCE).min(whole).min(self.versions.due())
             }
         }
     }
@@ -310,21 +253,18 @@
     }
 
     fn connected(&mut self, now: Micros, stream: &mut Stream) {
-        if now >= self.behind_until() {
-            tracing::warn!(at_hand = self.version, "discovery's numbers began anew");
-            (self.version, self.behind, self.whole_due) = (0, None, Some(now));
-        }
         // Where no attempt is under way the time of a new one holds.
         let until = match self.state {
             State::Connecting { until } => until,
             _ => now + QUICK,
         };
         self.state = State::Asked { until, since: now, answered: false };
-        if self.whole_due.is_some_and(|at| at <= now) {
-            self.question = Question::Whole(Reader::new(Side::Responses, MOST_WHOLE));
-            watch::ask_whole(&self.address.to_string(), &mut stream.out);
-        } else {
-            self.ask_watch(now, stream);
+        match self.versions.ask(now) {
+            Ask::Whole => {
+                self.question = Question::Whole(Reader::new(Side::Responses, MOST_WHOLE));
+                watch::ask_whole(&self.address.to_string(), &mut stream.out);
+            }
+            Ask::Since(version) => self.ask_watch(now, version, stream),
         }
     }
 
