Discovery watch: an attempt that took its time is followed by the next at once

Need: while discovery says nothing a watch should be waiting for its return; waits grew to 0.4 s between attempts of 0.6 s. Change: behind an attempt that timed out the wait is 60 ms; refused, ended and unreadable ones wait longer each time, up to 0.4 s, as before. 1.5 attempts a second while discovery is silent.

Also seen with the waits before: engine/tests/replaced.rs, after_100_000_replacements..., failed at its line 97 (`unwrap` on `None` in World::watch): it expects a connection of the watch 10 s into silence, and that moment fell between two attempts. It passes with this change, untouched, but still rests on the phase of attempts.

--- a/crates/engine/src/directory/watched.rs
+++ b/crates/engine/src/directory/watched.rs
@@ -191,16 +191,25 @@
         if let State::Asked { answered, .. } = self.state {
             self.patient = answered && !self.patient;
         }
-        self.retry(now);
+        // What took its time need not be waited out. Guards against the return of a discovery that says nothing meanwhile:
+        // an attempt is under way nearly always then, 1.5 a second.
+        self.retry_after(now, RETRY_FIRST);
     }
 
+    /// Waits longer each time.
     fn retry(&mut self, now: Micros) {
+        if !matches!(self.state, State::Due(_)) {
+            self.retry_after(now, self.backoff);
+            self.backoff = (self.backoff * 2).min(RETRY_MOST);
+        }
+    }
+
+    fn retry_after(&mut self, now: Micros, wait: Micros) {
         if !matches!(self.state, State::Due(_)) {
             if matches!(self.question, Question::Whole(_)) {
                 self.versions.whole_failed(now);
             }
-            self.state = State::Due(now + self.backoff);
-            self.backoff = (self.backoff * 2).min(RETRY_MOST);
+            self.state = State::Due(now + wait);
         }
     }
 }
--- a/crates/engine/tests/watch_orders.rs
+++ b/crates/engine/tests/watch_orders.rs
@@ -603,6 +603,19 @@
     }
 }
 
+#[test]
+fn while_discovery_says_nothing_an_attempt_is_under_way_nearly_always() {
+    // At its return what the agent gets counts at once.
+    for down in [Down::Hangs, Down::SaysNothing, Down::HeadOnly] {
+        let mut w = World::new();
+        while w.now < 30_000 * MS {
+            w.attempt(down);
+            let apart = w.watch.wake() - w.now;
+            assert!(apart <= 100 * MS, "{down:?}: none for {apart} us");
+        }
+    }
+}
+
 #[test]
 fn octets_that_complete_no_line_are_no_sign_of_life() {
     // One octet of a list a second; and white space without an end of line.
