Test, failing: a tenant that floods a shared destination goes before the other

Seen: one tenant (quota 2 a second) hands in 180 messages, MaxOpen is 60, to a destination that turns them away; another (quota 400) then hands in ten for the same destination.

Cause: the decision library drops the tenant where a message is absorbed (src/policy/events.rs, Event::Message { .., .. }), and nothing reads TenantSettings::quota or Settings::over_share_worth; worth (src/policy/choose.rs) goes by the class alone, and make_room (src/policy/room.rs) sheds the newest among equals, which is the other tenant's.

The same flood with a destination for each tenant passes: what can be sent at once is, before room is made.

--- a/crates/cli/tests/settings_apart.rs
+++ b/crates/cli/tests/settings_apart.rs
@@ -434,9 +434,9 @@
     each_by_its_own("reversed", true);
 }
 
-/// One tenant hands in far more than its quota and than the sender may hold, to a destination that holds all; another stays
-/// far below its own.
-fn a_flood_beside_another(name: &str, reversed: bool) {
+/// One tenant hands in far more than its quota and than the sender may hold, to a destination that does none of it; another
+/// stays far below its own. `shared`: both hand in for the same destination.
+fn a_flood_beside_another(name: &str, reversed: bool, shared: bool) {
     const MAX_OPEN: usize = 60;
     let mut random = Random::new();
     let class = Class {
@@ -456,7 +456,7 @@
     let mut sender = Sender::start(name, &[class.settings()], &tenants, MAX_OPEN as u32, &ends, &world);
     for n in 0..3 * MAX_OPEN {
         let id = format!("flood{n}");
-        world.with(|s| s.scripts.insert(id.clone(), vec![Act::Hold]));
+        world.with(|s| s.scripts.insert(id.clone(), vec![if shared { Act::TurnAway } else { Act::Hold }]));
         let said = sender.add(&id, &class.name, &floods, 0).unwrap();
         assert!(said == "+OK" || said.starts_with("-BUSY"), "{said}");
     }
@@ -464,13 +464,16 @@
     let mut answers = Vec::new();
     for id in &ids {
         world.with(|s| s.scripts.insert(id.clone(), vec![Act::Deliver]));
-        answers.push(sender.add(id, &class.name, &quiet, 1).unwrap());
+        answers.push(sender.add(id, &class.name, &quiet, usize::from(!shared)).unwrap());
     }
     let refused = answers.iter().filter(|a| *a != "+OK").count();
     assert_eq!(
         refused, 0,
         "of {quiet}, far below its quota, while {floods} is far above its own: {answers:?}"
     );
+    if shared {
+        return;
+    }
     world.until("delivery of what the quiet tenant handed in", |s| {
         ids.iter().all(|id| s.delivered.contains_key(id))
     });
@@ -479,10 +482,16 @@
 
 #[test]
 fn a_tenant_that_floods_takes_nothing_of_the_other() {
-    a_flood_beside_another("flood", false);
+    a_flood_beside_another("flood", false, false);
 }
 
 #[test]
 fn a_tenant_that_floods_takes_nothing_of_the_other_listed_the_other_way_round() {
-    a_flood_beside_another("flood-reversed", true);
+    a_flood_beside_another("flood-reversed", true, false);
+}
+
+/// What one tenant hands in beyond its quota is worth `OverShareWorth` of the other's: short of room, it goes first.
+#[test]
+fn a_tenant_that_floods_a_shared_destination_goes_before_the_other() {
+    a_flood_beside_another("flood-shared", false, true);
 }
