--- a/crates/engine/src/desk/fronts.rs
+++ b/crates/engine/src/desk/fronts.rs
@@ -19,6 +19,9 @@
             Speaks::Mqtt => self.cfg.mqtt.as_ref().map_or(0, |m| m.sessions),
             Speaks::Resp => self.cfg.platform.map_or(0, |p| p.sessions),
         };
+        if self.frozen {
+            return None;
+        }
         if speaks == Speaks::Resp {
             if self.sessions[speaks as usize] >= most && !self.make_way() {
                 return None;
@@ -39,6 +42,13 @@
         Some(conn)
     }
 
+    /// Connections of the platform's clients that may linger while they are closed, each with one descriptor: together
+    /// with those that are open no more than clients' part and a sixteenth. Without a bound elsewhere.
+    pub fn room_to_linger(&self) -> usize {
+        let open = self.sessions[Speaks::Resp as usize];
+        self.cfg.platform.map_or(usize::MAX, |p| (p.sessions + p.sessions / 16).saturating_sub(open))
+    }
+
     /// Runs a front's own work, then handles what it asks for.
     pub(crate) fn with_front(
         &mut self,
--- a/crates/engine/src/node/conns.rs
+++ b/crates/engine/src/node/conns.rs
@@ -20,6 +20,8 @@
     pub fn wants_read(&self, conn: ConnId) -> bool {
         self.conns.get(&conn).is_some_and(|c| match c.what {
             Use::Client { ref front, .. } => c.stream.out.len() < CLIENT_BACKLOG && front.listens(),
+            // What comes now would be read and never answered.
+            Use::Finishing => false,
             _ => true,
         })
     }
--- a/crates/engine/src/node/leave.rs
+++ b/crates/engine/src/node/leave.rs
@@ -1,10 +1,10 @@
 //! Going out of service.
 
 use super::Node;
-use super::state::Key;
+use super::state::{Conn, Key, Use};
 use crate::Micros;
 use crate::answers::End;
-use crate::front::FRONTS;
+use crate::front::{FRONTS, Speaks};
 use crate::ids::ConnId;
 use crate::standing::Still;
 use heronroute::{Event, MsgId};
@@ -39,19 +39,37 @@
 
     /// The platform's senders end with messages open: they go on after the restart. What is out gets its time to
     /// be answered, and nothing more is begun, so that as little as possible may have run unheard. Clients'
-    /// connections that rest are ended and new ones not taken: their clients go to another sender at once, where a
+    /// connections are ended as they rest, and new ones not taken: their clients go to another sender at once, where a
     /// refusal would have them wait.
     pub(crate) fn freeze(&mut self) {
         self.left = self.frozen;
         self.frozen = true;
-        let resting: Vec<ConnId> = self.resting().map(|(_, conn)| conn).collect();
-        resting.into_iter().for_each(|conn| self.end_session(conn));
+        self.refuse_fresh();
+        let is_client = |c: &Conn| matches!(c.what, Use::Client { .. });
+        let clients: Vec<ConnId> =
+            self.conns.iter().filter(|(_, c)| is_client(c)).map(|(id, _)| *id).collect();
+        let now = self.now;
+        for conn in clients {
+            self.with_front(conn, |f, out, asks| f.leave(now, out, asks));
+        }
         self.timers.set(Key::Leave, self.now + LAST_CALLS);
     }
 
+    /// Refuses what was handed in since the last round. Guards against requests that were read, see no further round,
+    /// and whose clients would hear nothing before the process ends.
+    fn refuse_fresh(&mut self) {
+        self.fresh_octets = 0;
+        let retry_after = self.cfg.settings.max_retry_after;
+        for (id, _) in std::mem::take(&mut self.fresh) {
+            self.stats.refused_room += 1;
+            self.answer(id, End::Refused(retry_after));
+        }
+    }
+
     pub(crate) fn go_on_leaving(&mut self) {
         if self.cfg.platform.is_some() {
-            self.left |= self.frozen && self.calls.is_empty() && self.ledger.settled();
+            let heard = self.sessions[Speaks::Resp as usize] == 0;
+            self.left |= self.frozen && heard && self.calls.is_empty() && self.ledger.settled();
             return;
         }
         if !self.messages.is_empty() || !self.ledger.settled() {
