--- a/crates/engine/src/intake.rs
+++ b/crates/engine/src/acceptance.rs
@@ -1,16 +1,16 @@
-//! Messages that the platform's clients hand in, and what they are told.
+//! Acceptance of messages that the platform's clients submit, and the replies to them.
 //!
-//! A message is taken on once the decision library has heard of it and has not refused it in that round, and its
-//! acceptance is written; then its client hears so. From there on its end is owed: by a delivery, or by a notice. What
-//! the library refuses in its first round is refused to the client, with the library's time to come back.
+//! A message is accepted once the decision library has not refused it in its first round and its acceptance is durable;
+//! then its client is notified. From then on its end is owed: by a delivery, or by a notice. A message that the library
+//! refuses in its first round is refused to the client, with the library's time to come back.
 
 use crate::Micros;
+use crate::entry_codec::to_entry;
 use crate::front::{No, Speaks};
 use crate::ids::ConnId;
 use crate::node::{Effect, Message, Node, Use};
 use crate::outbox::Reply;
 use crate::standing::Still;
-use crate::written::written;
 use heronroute::{Action, DestId, Effect as Repeats, Event, MsgId};
 use heronroute_journal::entry::{Accepted, What};
 use heronroute_platform::add::Add;
@@ -18,16 +18,16 @@
 use heronroute_smpp::submission::Submission;
 
 impl Node {
-    /// A message is handed in.
-    pub(crate) fn hand_in(&mut self, conn: ConnId, token: u32, add: Add) {
-        let (class, tenant) = match self.read_words(&add) {
+    /// Handles a submitted message.
+    pub(crate) fn submit_from_platform(&mut self, conn: ConnId, token: u32, add: Add) {
+        let (class, tenant) = match self.resolve_names(&add) {
             Ok(known) => known,
             Err(no) => {
                 self.stats.refused_other += 1;
-                return self.turn_away(conn, token, no);
+                return self.send_refusal(conn, token, no);
             }
         };
-        // What can't be taken on in time is refused, not left waiting: the library holds no more than its room, so
+        // What can't be accepted in time is refused, not left waiting: the library holds no more than its room, so
         // that only a flood within one round, a full disk or a sender about to end comes to this.
         let most = self.cfg.settings.max_open as usize;
         let flooded = self.fresh.len() >= most;
@@ -83,8 +83,8 @@
         self.fresh.push((id, add.dest));
     }
 
-    /// Class and tenant of what is handed in, or why it can't be read.
-    fn read_words(&self, add: &Add) -> Result<(usize, usize), No> {
+    /// Class and tenant of a submitted message, or why it is refused.
+    fn resolve_names(&self, add: &Add) -> Result<(usize, usize), No> {
         let class = self.class_names.get(&add.class).copied().ok_or(No::Class)?;
         let tenant = self.client_names.get(&add.tenant).copied().ok_or(No::NotEntered)?;
         if !self.remotes.knows(DestId(add.dest)) {
@@ -100,16 +100,16 @@
         Ok((class, tenant))
     }
 
-    fn turn_away(&mut self, conn: ConnId, token: u32, no: No) {
+    fn send_refusal(&mut self, conn: ConnId, token: u32, no: No) {
         if let Some((front, out)) = self.front(conn) {
             front.refused(token, no, out);
         }
         self.flush(conn);
     }
 
-    /// After a round: what was handed in since the one before, and was not refused in this one, is taken on. Its
-    /// acceptance stands in the journal before anything else of it.
-    pub(crate) fn take_on_fresh(&mut self, actions: &[Action]) {
+    /// After a round: accepts what was submitted since the round before and was not refused in this one. The acceptance
+    /// of a message precedes all its other entries in the journal.
+    pub(crate) fn accept_fresh(&mut self, actions: &[Action]) {
         if self.fresh.is_empty() {
             return;
         }
@@ -140,7 +140,7 @@
                     identity: s.identity.clone().unwrap_or_default(),
                     ..Accepted::default()
                 };
-                What::Accepted(written(client, "", s, &m.to, rest))
+                What::Accepted(to_entry(client, "", s, &m.to, rest))
             });
             tracing::debug!(
                 now,
@@ -155,8 +155,8 @@
         }
     }
 
-    /// A client's connection is gone: what it handed in and has not heard of is nobody's any more.
-    pub(crate) fn unheard_of(&mut self, conn: ConnId) {
+    /// A client's connection is gone: abandons the messages it submitted whose acceptance was not acknowledged.
+    pub(crate) fn abandon_unacknowledged(&mut self, conn: ConnId) {
         let gone: Vec<MsgId> = self
             .fresh
             .iter()
@@ -165,16 +165,16 @@
             .collect();
         for id in gone {
             self.fresh.retain(|f| f.0 != id);
-            self.abandon(id);
+            self.abandon_message(id);
         }
     }
 
-    /// A message whose client went before it heard that it was taken on: nothing more is sent of it.
-    pub(crate) fn abandon(&mut self, id: MsgId) {
+    /// Abandons a message whose client disconnected before its acceptance was acknowledged. It is not sent any more.
+    pub(crate) fn abandon_message(&mut self, id: MsgId) {
         let Some(m) = self.messages.get(&id) else { return };
         tracing::debug!(id = m.submission.identity, "its client went before it heard");
         if let Some((call, part)) = m.out {
-            self.stop(call, part);
+            self.cancel_or_abandon(call, part);
         }
         self.events.push(Event::Left { id });
         self.over(id);
@@ -194,7 +194,7 @@
         }
     }
 
-    /// The end of a message of the platform's is told: by a notice, or to a client that waits for its first answer.
+    /// Reports the end of a platform's message: by a notice, or to a client that waits for its first answer.
     pub(crate) fn tell_end(&mut self, id: MsgId, m: Message, answer: Answer) {
         tracing::debug!(now = self.now, id = m.submission.identity, ?answer, "its end");
         self.forget_identity(&m);
--- a/crates/engine/src/applying/again.rs
+++ b/crates/engine/src/applying/again.rs
@@ -1,4 +1,4 @@
-//! Final answers that are kept, and told again when the same named message is handed in once more.
+//! Final answers that are kept, and told again when the same named message is submitted once more.
 
 use crate::Micros;
 use crate::desk::From;
--- a/crates/engine/src/applying/handin.rs
+++ b/crates/engine/src/applying/handin.rs
@@ -19,7 +19,7 @@
 }
 
 impl Node {
-    /// What holds for a message that is handed in.
+    /// What holds for a message that is submitted.
     pub(crate) fn keep_for(&self, client: usize, class: usize, s: &Submission) -> Keep {
         let Some(keeping) = self.keeping.as_ref() else { return Keep::default() };
         let (rules, fence) = keeping.of(client);
@@ -53,7 +53,7 @@
         }
     }
 
-    /// The longest validity of a held message that is handed in again.
+    /// The longest validity of a held message that is submitted again.
     pub(crate) fn validity_for(&self, client: usize, class: usize, a: &Accepted) -> Option<Micros> {
         let s = Submission {
             destination: a.destination.clone(),
@@ -63,7 +63,7 @@
         self.keep_for(client, class, &s).validity
     }
 
-    /// A name was remembered: it counts under its rule, and the oldest there beyond the number are given up.
+    /// A name was remembered: it counts under its rule, and the oldest there beyond the number are dropped.
     pub(crate) fn count_name(&mut self, client: usize, keep: Keep, name: Name, id: u64, until: Micros) {
         if keep.names == 0 {
             return;
@@ -74,7 +74,7 @@
         self.trim_names(client, keep.names);
     }
 
-    /// Guards against a name that is given up and taken for new: it stays in the table, unsure, for as long as it
+    /// Guards against a name that is dropped and taken for new: it stays in the table, unsure, for as long as it
     /// would have counted.
     pub(super) fn trim_names(&mut self, client: usize, part: u32) {
         let now = self.wall();
--- a/crates/engine/src/calls.rs
+++ b/crates/engine/src/calls.rs
@@ -1,4 +1,4 @@
-//! Calls out, and what an end on the wire proves of each of their messages. Free of I/O.
+//! Outstanding calls, and the outcome of each of their messages where no answer came. Free of I/O.
 
 use crate::Micros;
 use heronroute::{EndpointId, MsgId, Outcome};
@@ -11,19 +11,19 @@
     TimedOut,
     /// The connection ended, or never stood.
     Closed,
-    /// It was called off, by the decision library or because its message was over.
-    CalledOff,
+    /// It was cancelled, by the decision library or because its message was over.
+    Cancelled,
 }
 
-/// What such an end proves. Only where not one octet of the message had been handed to the system is it sure that
-/// nothing ran: guards against calling a message unsent that lies in a buffer on its way.
-pub fn proves(end: End, begun: bool) -> Outcome {
+/// The outcome of a message after such an end. Only where not one octet of it had been handed to the system is it
+/// certain that nothing ran. Guards against calling a message unsent that lies in a buffer on its way.
+pub fn outcome_of(end: End, begun: bool) -> Outcome {
     match (end, begun) {
         (End::TimedOut, true) => Outcome::TimedOut,
         (End::Closed, true) => Outcome::Reset,
-        (End::CalledOff, true) => Outcome::Cancelled,
+        (End::Cancelled, true) => Outcome::Cancelled,
         (End::TimedOut | End::Closed, false) => Outcome::ConnectFailed,
-        (End::CalledOff, false) => Outcome::Skipped,
+        (End::Cancelled, false) => Outcome::Skipped,
     }
 }
 
@@ -42,8 +42,8 @@
     pub range: (u64, u64),
     /// It has no outcome yet.
     pub open: bool,
-    /// Its answer is not waited for any more; its outcome comes with the call's end.
-    pub unwaited: Option<End>,
+    /// How it was abandoned, where its answer is no longer waited for; its outcome comes with the call's end.
+    pub abandoned: Option<End>,
 }
 
 /// One call: one or more messages to one endpoint, together.
@@ -76,13 +76,13 @@
         self.next
     }
 
-    /// A message of a call is not waited for any more. Whether that holds for all of the call's messages.
-    pub fn unwait(&mut self, id: u64, part: usize, end: End) -> bool {
+    /// Abandons a message of a call. Returns whether no message of the call is waited for any more.
+    pub fn stop_waiting(&mut self, id: u64, part: usize, end: End) -> bool {
         let Some(call) = self.calls.get_mut(&id) else { return false };
         if let Some(p) = call.parts.get_mut(part) {
-            p.unwaited = p.unwaited.or(Some(end));
+            p.abandoned = p.abandoned.or(Some(end));
         }
-        call.parts.iter().all(|p| !p.open || p.unwaited.is_some())
+        call.parts.iter().all(|p| !p.open || p.abandoned.is_some())
     }
 
     /// A call.
@@ -98,7 +98,7 @@
     /// Adds a message to a call that was not sent yet; gives its place in it.
     pub fn add(&mut self, id: u64, msg: MsgId, attempt: u32, until: Micros, leave_by: Micros) -> usize {
         let Some(call) = self.calls.get_mut(&id) else { return 0 };
-        call.parts.push(Part { msg, attempt, until, leave_by, range: (0, 0), open: true, unwaited: None });
+        call.parts.push(Part { msg, attempt, until, leave_by, range: (0, 0), open: true, abandoned: None });
         call.parts.len() - 1
     }
 
@@ -127,7 +127,7 @@
         self.on_conn.get(&conn).cloned().unwrap_or_default()
     }
 
-    /// Octets were taken back out of a connection's stream: what lies behind moves up.
+    /// Octets were withdrawn from a connection's stream: what lies behind them moves up.
     pub fn shift(&mut self, conn: u64, from: u64, by: u64) {
         for id in self.on_conn.get(&conn).into_iter().flatten() {
             for part in self.calls.get_mut(id).into_iter().flat_map(|c| &mut c.parts) {
@@ -176,9 +176,9 @@
 
     #[test]
     fn only_what_never_left_is_proved_unsent() {
-        for end in [End::TimedOut, End::Closed, End::CalledOff] {
-            assert!(proves(end, false).never_ran());
-            assert!(!proves(end, true).never_ran());
+        for end in [End::TimedOut, End::Closed, End::Cancelled] {
+            assert!(outcome_of(end, false).never_ran());
+            assert!(!outcome_of(end, true).never_ran());
         }
     }
 
--- a/crates/engine/src/carry/links.rs
+++ b/crates/engine/src/carry/links.rs
@@ -1,7 +1,7 @@
 //! Connections to receivers: opened, heard, rested, ended.
 
 use super::plain;
-use crate::calls::{End as CallEnd, proves};
+use crate::calls::{End as CallEnd, outcome_of};
 use crate::ids::ConnId;
 use crate::link::{Link, LinkEvent};
 use crate::node::{Conn, Gone, Key, LinkEvents, Node, Use};
@@ -84,7 +84,7 @@
                 }
                 LinkEvent::Answered { call, part, reply } => self.outcome(call, part, reply),
                 LinkEvent::Waits(wait) => {
-                    self.wait_told(endpoint);
+                    self.cancel_for_wait(endpoint);
                     self.events.push(Event::Remembered {
                         endpoint,
                         wait,
@@ -151,10 +151,10 @@
             }
         }
         if let Some(Conn { stream, what: Use::Receiver { link, .. }, .. }) = self.conns.get_mut(&conn) {
-            link.abandon(stream);
+            link.discard_unsent(stream);
         }
         for (call, part, begun) in begun.into_iter().rev() {
-            self.outcome(call, part, plain(proves(CallEnd::Closed, begun)));
+            self.outcome(call, part, plain(outcome_of(CallEnd::Closed, begun)));
         }
         for call in waiting {
             let parts = self.calls.get(call).map_or(0, |c| c.parts.len());
--- a/crates/engine/src/carry/mod.rs
+++ b/crates/engine/src/carry/mod.rs
@@ -1,10 +1,10 @@
 //! The receivers' side: the decision library's actions carried out, connections, calls, probes.
 
+mod cancel;
 mod known;
 mod links;
 mod outcome;
 mod probe;
-mod recall;
 mod send;
 
 use crate::link::Reply;
--- a/crates/engine/src/carry/outcome.rs
+++ b/crates/engine/src/carry/outcome.rs
@@ -1,8 +1,8 @@
-//! How calls end, and what is learnt of endpoints by it.
+//! How calls end, and what is learned about endpoints from it.
 
 use super::plain;
 use crate::answers::End;
-use crate::calls::{End as CallEnd, proves};
+use crate::calls::{End as CallEnd, outcome_of};
 use crate::ids::ConnId;
 use crate::link::Reply;
 use crate::node::{Key, Node, Use};
@@ -11,7 +11,7 @@
 use heronroute_journal::entry::{self, What};
 
 impl Node {
-    /// The outcome of one message of a call, told to the decision library. Where the message is over with it, its
+    /// Reports the outcome of one message of a call to the decision library. Where the message is over with it, its
     /// client is answered.
     pub(crate) fn outcome(&mut self, call: u64, part: usize, reply: Reply) {
         let Some(c) = self.calls.get(call) else { return };
@@ -51,7 +51,7 @@
         }
         self.note_wait(endpoint, reply);
         if reply.wait > 0 {
-            self.wait_told(endpoint);
+            self.cancel_for_wait(endpoint);
         }
         // What the library believed before it hears of this, to be held against what passed.
         if tracing::enabled!(tracing::Level::DEBUG) {
@@ -85,8 +85,8 @@
         if reply.outcome == Outcome::Done {
             self.answer(p.msg, End::Delivered);
         } else if reply.over {
-            // The platform holds it for over: its client went. Guards against one that heard that it was taken on just
-            // then, for whom an end is awaited: a notice too many does no harm.
+            // The platform holds it for over: its client went. Guards against one that was notified of the acceptance
+            // just then, for whom an end is awaited: a notice too many does no harm.
             self.answer(p.msg, End::Failed);
         }
         if !over {
@@ -101,7 +101,7 @@
                 }
                 self.place(endpoint);
             }
-            None => _ = self.remotes[endpoint].pool.give_up(call),
+            None => _ = self.remotes[endpoint].pool.remove_waiting(call),
         }
     }
 
@@ -118,24 +118,24 @@
         let Some(p) = self.calls.get(call).and_then(|c| c.parts.get(part)).copied() else { return };
         if self.now < p.until {
             self.timers.set(Key::Part(call, part), p.until);
-            self.pull(call, part, CallEnd::CalledOff, true);
+            self.withdraw_unsent(call, part, CallEnd::Cancelled, true);
             return;
         }
-        self.give_up(call, part, CallEnd::TimedOut);
+        self.abandon(call, part, CallEnd::TimedOut);
     }
 
-    /// No answer is waited for any more. The connection takes no more calls: it may be dead, or stuck behind this
-    /// one. Guards against connections dropped unseen being used again.
-    pub(crate) fn give_up(&mut self, call: u64, part: usize, end: CallEnd) {
+    /// Stops waiting for an answer. The connection takes no more calls: it may be dead, or stuck behind this one.
+    /// Guards against reuse of connections that were dropped unnoticed.
+    pub(crate) fn abandon(&mut self, call: u64, part: usize, end: CallEnd) {
         let Some(c) = self.calls.get(call) else { return };
         let (conn, endpoint) = (c.conn, c.endpoint);
         if self.cfg.platform.is_some() && c.parts.len() > 1 {
-            return self.give_up_shared(call, part, end);
+            return self.abandon_shared(call, part, end);
         }
         if let Some(conn) = conn {
             self.remotes[endpoint].pool.suspect(conn);
         }
-        if !self.begun(call, part) && self.pull(call, part, end, false) {
+        if !self.begun(call, part) && self.withdraw_unsent(call, part, end, false) {
             return;
         }
         if let Some(Use::Receiver { link, .. }) =
@@ -143,15 +143,15 @@
         {
             link.forget(call, part, false);
         }
-        // What has been written, or can't be taken back, may run.
-        self.outcome(call, part, plain(proves(end, true)));
+        // What has been written, or can't be cancelled, may run.
+        self.outcome(call, part, plain(outcome_of(end, true)));
     }
 
-    /// The same where messages share a call that is given up only as a whole, with its connection. Guards against a
-    /// second copy: a message that is not waited for any more, but is still out on an open connection beside others
-    /// that are, must not go again before all of them are over.
-    fn give_up_shared(&mut self, call: u64, part: usize, end: CallEnd) {
-        if !self.calls.unwait(call, part, end) {
+    /// The same where messages share a call, which is abandoned only as a whole, with its connection. Guards against a
+    /// second copy: an abandoned message that is still out on an open connection, beside others that are waited for,
+    /// must not be sent again before all of them are over.
+    fn abandon_shared(&mut self, call: u64, part: usize, end: CallEnd) {
+        if !self.calls.stop_waiting(call, part, end) {
             return;
         }
         let Some(c) = self.calls.get(call) else { return };
@@ -165,7 +165,7 @@
             }
         }
         for (part, p) in parts.iter().enumerate().filter(|(_, p)| p.open) {
-            self.outcome(call, part, plain(proves(p.unwaited.unwrap_or(end), begun)));
+            self.outcome(call, part, plain(outcome_of(p.abandoned.unwrap_or(end), begun)));
         }
     }
 }
--- a/crates/engine/src/carry/send.rs
+++ b/crates/engine/src/carry/send.rs
@@ -50,7 +50,7 @@
                     m.out = Some((call, part));
                     self.timers.set(Key::Part(call, part), until.min(leave_by));
                 }
-                Action::Cancel { id, attempt } => self.call_off(*id, *attempt),
+                Action::Cancel { id, attempt } => self.cancel_attempt(*id, *attempt),
                 Action::Refuse { id, retry_after } => self.answer(*id, End::Refused(*retry_after)),
                 Action::Fail { id } => self.answer(*id, End::Failed),
                 Action::Timer { at, .. } => self.timers.set(Key::Module, *at),
@@ -79,14 +79,14 @@
         }
     }
 
-    /// A call may leave; where it was called off meanwhile there is nothing of it any more.
+    /// A call may leave, unless it was cancelled meanwhile.
     pub(crate) fn start_call(&mut self, call: u64, endpoint: EndpointId) {
         if self.calls.get(call).is_none() {
             return;
         }
         let remote = &mut self.remotes[endpoint];
-        if call <= remote.recalled {
-            return self.take_back_call(call);
+        if call <= remote.cancelled_up_to {
+            return self.cancel_unsent_call(call);
         }
         remote.pool.queue(call);
         self.place(endpoint);
@@ -95,7 +95,7 @@
     /// Puts waiting calls on connections, and opens what is lacking.
     pub(crate) fn place(&mut self, endpoint: EndpointId) {
         let window = self.cfg.kinds[self.remotes[endpoint].kind].window;
-        self.take_back_late(endpoint);
+        self.cancel_expired(endpoint);
         while let Some((call, conn)) = self.remotes[endpoint].pool.place(window) {
             self.write_call(call, conn);
         }
--- a/crates/engine/src/desk/admit.rs
+++ b/crates/engine/src/desk/admit.rs
@@ -1,4 +1,4 @@
-//! Whether a message is taken on, on which terms, and taking it on.
+//! Whether a message is accepted, on which terms, and its acceptance.
 
 use super::{From, Terms};
 use crate::front::{Handing, No};
@@ -13,7 +13,7 @@
 const LIGHT: f64 = 0.5;
 
 impl Node {
-    /// Whether a message is taken on, and on which terms. Nothing is counted before everything is known to be right.
+    /// Whether a message is accepted, and on which terms. Nothing is counted before everything is known to be right.
     pub(crate) fn judge(&mut self, from: &From, submission: &Submission, light: bool) -> Result<Terms, No> {
         let named = self.class_names.get(&submission.service).copied();
         let class = named.or(submission.service.is_empty().then_some(0)).ok_or(No::Class)?;
@@ -56,7 +56,7 @@
             again: submission.again,
         });
         let named = self.remember(&from, handing, id, keep);
-        // Only a message with a name can be handed in once more.
+        // Only a message with a name can be submitted once more.
         let answer_for = if named.is_some() { keep.answer_for } else { 0 };
         self.write_accepted(
             &from,
--- a/crates/engine/src/desk/fronts.rs
+++ b/crates/engine/src/desk/fronts.rs
@@ -106,7 +106,7 @@
         match ask {
             Ask::Enter { name, proof, token, session } => self.enter(conn, &name, &proof, token, session),
             Ask::Submit { token, submission, handing } => self.submit(conn, token, *submission, *handing),
-            Ask::HandIn { token, add } => self.hand_in(conn, token, *add),
+            Ask::HandIn { token, add } => self.submit_from_platform(conn, token, *add),
             Ask::Query { token, id, source } => self.query(conn, token, &id, &source),
             Ask::Withdraw { token, id, source } => self.withdraw(conn, token, &id, &source),
             Ask::Heard { token, taken } => {
--- a/crates/engine/src/desk/keep.rs
+++ b/crates/engine/src/desk/keep.rs
@@ -2,11 +2,11 @@
 
 use super::From;
 use crate::Micros;
+use crate::entry_codec::to_entry;
 use crate::front::{Handing, Speaks};
 use crate::ids::ID_SENDER_BITS;
 use crate::node::{Message, Node, Use};
 use crate::standing::Still;
-use crate::written::written;
 use heronroute::MsgId;
 use heronroute_held::Trail;
 use heronroute_journal::entry::{Accepted, What};
@@ -39,7 +39,7 @@
                 digest: handing.handle.map_or(0, |h| h.digest),
                 ..rest
             };
-            What::Accepted(written(client, mailbox, submission, &handing.reply, rest))
+            What::Accepted(to_entry(client, mailbox, submission, &handing.reply, rest))
         });
     }
 
--- a/crates/engine/src/desk/mod.rs
+++ b/crates/engine/src/desk/mod.rs
@@ -1,4 +1,4 @@
-//! The clients' side, the same for all fronts: who is let in, what is taken on, which answers go where.
+//! The clients' side, the same for all fronts: who is let in, what is accepted, which answers go where.
 
 mod admit;
 mod fronts;
@@ -16,19 +16,19 @@
 /// Where a message comes from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct From {
-    /// The connection and request; none for a message handed in for a client that is gone.
+    /// The connection and request; none for a message submitted for a client that is gone.
     pub conn: Option<ConnId>,
     pub token: u32,
     pub client: usize,
     pub mailbox: BoxId,
 }
 
-/// What a message is taken on for.
+/// The terms on which a message is accepted.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Terms {
     pub(crate) class: usize,
     pub(crate) dest: DestId,
-    /// It is given up after this.
+    /// It expires after this.
     pub(crate) span: Micros,
     /// What its client's rules say of it.
     pub(crate) keep: Keep,
--- a/crates/engine/src/desk/query.rs
+++ b/crates/engine/src/desk/query.rs
@@ -15,7 +15,7 @@
         if let Some((front, out)) = self.front(conn) {
             front.accepted(token, &show_id(id), out);
         } else if self.messages.get(&id).is_some_and(|m| m.speaks == Speaks::Resp) {
-            self.abandon(id);
+            self.abandon_message(id);
         }
         self.front_wake(conn);
     }
@@ -63,7 +63,7 @@
             return self.refuse(conn, token, No::TooLate);
         }
         if let Some((call, part)) = m.out {
-            self.take_back(call, part);
+            self.cancel_unsent(call, part);
         }
         let gone = self.messages.get(&id).is_some_and(|m| m.out.is_some() || m.ran_at.is_some());
         if gone {
--- a/crates/engine/src/desk/submit.rs
+++ b/crates/engine/src/desk/submit.rs
@@ -1,4 +1,4 @@
-//! A message is handed in: whether it came before, and what is said where it is not taken on.
+//! Submission of a message: whether it was submitted before, and the reply where it is not accepted.
 
 use super::From;
 use crate::front::{Handing, No};
@@ -18,7 +18,7 @@
             return self.refuse(conn, token, No::NotEntered);
         };
         let (now, cfg) = (self.now, &self.cfg);
-        self.turns.count(now, client, |c| cfg.clients.get(c).map_or(1.0, |c| c.weight));
+        self.read_budgets.count(now, client, |c| cfg.clients.get(c).map_or(1.0, |c| c.weight));
         let from = From { conn: Some(conn), token, client, mailbox };
         let (verdict, by_name) = self.known(client, mailbox, &handing);
         let judged = match verdict {
@@ -57,7 +57,7 @@
         }
     }
 
-    /// Whether a message was handed in before: in this session, or, by the second, under the client's own name for it.
+    /// Whether a message was submitted before: in this session, or, by the second, under the client's own name for it.
     fn known(&self, client: usize, mailbox: BoxId, handing: &Handing) -> (Verdict, bool) {
         let kept = self.mailboxes.get(mailbox).and_then(|m| m.kept.as_ref());
         if let (Some(kept), Some(handle)) = (kept, handing.handle) {
--- a/crates/engine/src/directory/mod.rs
+++ b/crates/engine/src/directory/mod.rs
@@ -30,7 +30,7 @@
     Nothing,
     /// A connection to there.
     Connect(SocketAddr),
-    /// The connection at hand is given up.
+    /// The connection at hand is abandoned.
     Drop,
 }
 
--- a/crates/engine/src/directory/watched.rs
+++ b/crates/engine/src/directory/watched.rs
@@ -28,7 +28,7 @@
 const LASTS: Micros = 1_000_000;
 /// An attempt, from the connect to the first sign of life: the agent answers at once.
 const QUICK: Micros = 600_000;
-/// The same after an attempt that was answered by a head and nothing whole in time. Guards against one that is given up
+/// The same after an attempt that was answered by a head and nothing whole in time. Guards against one that is abandoned
 /// for ever: an agent that begins with the empty line which it owes every 2 s, or a list that takes its time.
 const PATIENT: Micros = 2_200_000;
 /// An empty line comes every 2 s while nothing changes. Guards against a watch that is silent for good, over which a
--- a/crates/engine/src/written.rs
+++ b/crates/engine/src/entry_codec.rs
@@ -1,11 +1,11 @@
-//! Messages as the journal has them, and back.
+//! Conversion of messages to the journal's entries and back.
 
 use crate::outbox::Reply;
 use heronroute_journal::entry::Accepted;
 use heronroute_smpp::submission::{Submission, Wanted};
 
-/// A message as the journal has it; `rest` has what is not the submission's own.
-pub(crate) fn written(
+/// The entry of an accepted message. `rest` holds the fields that are not the submission's own.
+pub(crate) fn to_entry(
     client: &str,
     mailbox: &str,
     s: &Submission,
@@ -28,7 +28,8 @@
     }
 }
 
-pub(crate) fn submission(a: &Accepted) -> Submission {
+/// The submission of a message from its entry.
+pub(crate) fn to_submission(a: &Accepted) -> Submission {
     Submission {
         service: a.class.clone(),
         source: a.source.clone(),
@@ -45,6 +46,7 @@
     }
 }
 
-pub(crate) fn reply(a: &Accepted) -> Reply {
+/// Where the message's answer goes, from its entry.
+pub(crate) fn to_reply(a: &Accepted) -> Reply {
     Reply { topic: a.reply.clone(), correlation: a.correlation.clone() }
 }
--- a/crates/engine/src/front/mod.rs
+++ b/crates/engine/src/front/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A front turns octets into what a client asks for, and what the sender says into octets, in its protocol's own
 //! words. It keeps the protocol's session (states, windows, timers) and decides nothing about messages: whether one
-//! is taken on, whose it is and what it is told stands in `desk`, the same for all fronts. Adding a protocol
+//! is accepted, whose it is and what it is told stands in `desk`, the same for all fronts. Adding a protocol
 //! means adding a front here and a listener in the settings.
 
 mod mqtt;
@@ -74,7 +74,7 @@
 pub struct Parting {
     /// For how long its session is kept.
     pub expiry: Micros,
-    /// A message to be handed in for the client, after a while.
+    /// A message to be submitted for the client, after a while.
     pub will: Option<(Micros, Box<Submission>, Reply)>,
 }
 
@@ -194,7 +194,7 @@
     Message,
     /// It has left already.
     TooLate,
-    /// It may have been handed in before; what would tell was forgotten.
+    /// It may have been submitted before; what would tell was forgotten.
     Unsure,
 }
 
@@ -225,7 +225,7 @@
     fn entered(&self) -> bool;
     /// Whether it takes answers.
     fn receives(&self) -> bool;
-    /// A message was taken on, under this identity.
+    /// A message was accepted, under this identity.
     fn accepted(&mut self, token: u32, id: &str, out: &mut BytesMut);
     /// A request is refused.
     fn refused(&mut self, token: u32, no: No, out: &mut BytesMut);
--- a/crates/engine/src/front/mqtt.rs
+++ b/crates/engine/src/front/mqtt.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// What a client handed in, in the words that all fronts share.
+/// What a client submitted, in the words that all fronts share.
 fn message(h: Handed) -> (Submission, Handing) {
     let key = h.key.as_deref().unwrap_or_default();
     let name = h.name.as_deref().unwrap_or_default();
--- a/crates/engine/src/front/resp.rs
+++ b/crates/engine/src/front/resp.rs
@@ -1,8 +1,10 @@
 //! Clients of the platform: RESP2, one `OUT.ADD` a message, answered in the order of the requests.
 //!
-//! Guards against clients that send what can't be read, half a command, or nothing: each hears an error line or the
-//! end of its connection within [`SILENCE`]; and against one that sends hundreds of commands at once: only so many are
-//! looked at before the first of them is answered.
+//! Guards against clients that send malformed commands, half a command, or nothing: each gets an error line or the end
+//! of its connection within [`REQUEST_TIMEOUT`].
+//!
+//! Guards also against a client that pipelines hundreds of commands: at most [`MAX_PIPELINED`] are unanswered at a
+//! time.
 
 use super::{Ask, Delivery, Denied, Entered, Front, No};
 use crate::Micros;
@@ -17,97 +19,97 @@
 
 /// A body of 64 KiB, and what stands before it.
 const LIMITS: Limits = Limits { args: 8, octets: 66 * 1024 };
-/// Requests of a connection that are looked at before the first is answered.
-const AT_ONCE: usize = 32;
+/// Requests of a connection that are processed before the first is answered, at most.
+const MAX_PIPELINED: usize = 32;
 /// A first request, and the rest of one that has begun, must come within this.
-const SILENCE: Micros = 2_000_000;
+const REQUEST_TIMEOUT: Micros = 2_000_000;
 /// A connection without a request is closed after this.
-const IDLE: Micros = 8_000_000;
+const IDLE_TIMEOUT: Micros = 8_000_000;
 /// The rest of a request that has begun when the sender ends must come within this. Less than the sender waits for its
 /// last calls.
-const LAST_REQUEST: Micros = 400_000;
+const SHUTDOWN_TIMEOUT: Micros = 400_000;
 
 /// One client's connection.
 #[derive(Debug)]
 pub struct RespFront {
     reader: Reader,
-    /// Requests that were not answered towards the client yet, in order; with the answer once there is one.
-    due: VecDeque<Option<BytesMut>>,
-    /// The token of the first of them.
-    first: u32,
-    /// Since when nothing was asked, or a request has been coming.
-    since: Micros,
+    /// Requests whose reply was not written yet, in order; with the reply once there is one.
+    replies: VecDeque<Option<BytesMut>>,
+    /// The token of the first of these requests.
+    first_token: u32,
+    /// When the last request was complete, or the next one began.
+    last_activity: Micros,
     served: bool,
-    /// Reading stopped at the most requests at once: whole ones may be behind them.
-    held_up: bool,
+    /// Processing stopped at [`MAX_PIPELINED`]: complete requests may stand behind them.
+    batch_limited: bool,
     /// Nothing more is read; the connection ends once all is answered.
     closing: bool,
-    /// The sender ends: the connection does so too once it rests, or then.
-    leaves_by: Option<Micros>,
+    /// The sender shuts down: the connection ends once it rests, or at this time.
+    shutdown_deadline: Option<Micros>,
 }
 
 impl RespFront {
     /// A new connection.
     pub fn new(now: Micros) -> Self {
-        let (reader, due) = (Reader::new(LIMITS), VecDeque::new());
+        let (reader, replies) = (Reader::new(LIMITS), VecDeque::new());
         RespFront {
             reader,
-            due,
-            first: 0,
-            since: now,
+            replies,
+            first_token: 0,
+            last_activity: now,
             served: false,
-            held_up: false,
+            batch_limited: false,
             closing: false,
-            leaves_by: None,
+            shutdown_deadline: None,
         }
     }
 
-    fn pass_on(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>) {
-        self.held_up = true;
-        while !self.closing && self.due.len() < AT_ONCE {
+    fn process_commands(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>) {
+        self.batch_limited = true;
+        while !self.closing && self.replies.len() < MAX_PIPELINED {
             match self.reader.next_command() {
                 Ok(Some(command)) => {
                     self.served = true;
-                    self.since = now;
+                    self.last_activity = now;
                     self.command(command, asks);
                 }
                 Ok(None) => {
-                    self.held_up = false;
+                    self.batch_limited = false;
                     break;
                 }
                 Err(e) => {
-                    self.say(|out| error(&format!("ERR {}", e.0), out));
+                    self.queue_reply(|out| error(&format!("ERR {}", e.0), out));
                     self.closing = true;
                 }
             }
         }
-        if self.leaves_by.is_some_and(|at| now >= at) {
-            self.break_off();
+        if self.shutdown_deadline.is_some_and(|at| now >= at) {
+            self.refuse_unfinished();
         }
-        self.tell(out);
+        self.flush_replies(out);
         if self.is_over() {
             self.closing = true;
             asks.push(Ask::Over(None));
         }
     }
 
-    /// Whole requests may stand behind those that were looked at, and there is room for them. Guards against a batch that waits
-    /// although all before it are answered; and, as nothing is looked at once the connection is being closed, against a
-    /// thread that looks again without end.
-    fn may_go_on(&self) -> bool {
-        self.held_up && !self.closing && self.due.len() < AT_ONCE
+    /// Whether complete requests may stand behind those that were processed, and there is room for them. Guards against
+    /// a batch that waits although all requests before it are answered. Nothing is processed once the connection is
+    /// being closed, which guards against a thread that wakes again without end.
+    fn may_continue(&self) -> bool {
+        self.batch_limited && !self.closing && self.replies.len() < MAX_PIPELINED
     }
 
     /// Nothing more is owed on the connection, and nothing more is read from it.
     fn is_over(&self) -> bool {
-        self.due.is_empty() && (self.closing || self.leaves_by.is_some() && !self.reader.begun())
+        self.replies.is_empty() && (self.closing || self.shutdown_deadline.is_some() && !self.reader.begun())
     }
 
-    /// Refuses the request that has begun, as the sender can't wait for the rest of it. Guards against an end without an
-    /// answer that crosses the request's last octet.
-    fn break_off(&mut self) {
+    /// Refuses the request that has begun, as the sender can't wait for the rest of it. Guards against an end without
+    /// an answer that crosses the request's last octet.
+    fn refuse_unfinished(&mut self) {
         if !self.closing && self.reader.begun() {
-            self.say(|out| error("BUSY", out));
+            self.queue_reply(|out| error("BUSY", out));
         }
         self.closing = true;
     }
@@ -117,39 +119,44 @@
         if name.eq_ignore_ascii_case(add::NAME) {
             match Add::read(command) {
                 Ok(add) => {
-                    asks.push(Ask::HandIn { token: self.first + self.due.len() as u32, add: Box::new(add) });
-                    self.due.push_back(None);
+                    asks.push(Ask::HandIn {
+                        token: self.first_token + self.replies.len() as u32,
+                        add: Box::new(add),
+                    });
+                    self.replies.push_back(None);
                 }
-                Err(e) => self.say(|out| error(&format!("ERR {e}"), out)),
+                Err(e) => self.queue_reply(|out| error(&format!("ERR {e}"), out)),
             }
         } else if name.eq_ignore_ascii_case(b"PING") && command.is_empty() {
-            self.say(|out| simple("PONG", out));
+            self.queue_reply(|out| simple("PONG", out));
         } else {
-            self.say(|out| error("ERR unknown command", out));
+            self.queue_reply(|out| error("ERR unknown command", out));
         }
     }
 
-    fn say(&mut self, write: impl FnOnce(&mut BytesMut)) {
+    fn queue_reply(&mut self, write: impl FnOnce(&mut BytesMut)) {
         let mut text = BytesMut::new();
         write(&mut text);
-        self.due.push_back(Some(text));
+        self.replies.push_back(Some(text));
     }
 
-    /// Answers in the order of the requests.
-    fn tell(&mut self, out: &mut BytesMut) {
-        while let Some(Some(text)) = self.due.front() {
+    /// Writes the replies that are ready, in the order of the requests.
+    fn flush_replies(&mut self, out: &mut BytesMut) {
+        while let Some(Some(text)) = self.replies.front() {
             out.extend_from_slice(text);
-            self.due.pop_front();
-            self.first = self.first.wrapping_add(1);
+            self.replies.pop_front();
+            self.first_token = self.first_token.wrapping_add(1);
         }
     }
 
     fn answer(&mut self, token: u32, text: impl FnOnce(&mut BytesMut), out: &mut BytesMut) -> bool {
-        let Some(due) = self.due.get_mut(token.wrapping_sub(self.first) as usize) else { return false };
+        let Some(reply) = self.replies.get_mut(token.wrapping_sub(self.first_token) as usize) else {
+            return false;
+        };
         let mut line = BytesMut::new();
         text(&mut line);
-        *due = Some(line);
-        self.tell(out);
+        *reply = Some(line);
+        self.flush_replies(out);
         true
     }
 }
@@ -157,28 +164,28 @@
 impl Front for RespFront {
     fn receive(&mut self, now: Micros, _: Micros, octets: &[u8], out: &mut BytesMut, asks: &mut Vec<Ask>) {
         if !octets.is_empty() && !self.reader.begun() {
-            self.since = now;
+            self.last_activity = now;
         }
         self.reader.push(octets);
-        self.pass_on(now, out, asks);
+        self.process_commands(now, out, asks);
     }
 
     fn wake(&self) -> Micros {
-        if self.is_over() || self.may_go_on() {
+        if self.is_over() || self.may_continue() {
             return 0;
         }
-        match (self.due.is_empty(), self.leaves_by) {
+        match (self.replies.is_empty(), self.shutdown_deadline) {
             // An answer is awaited, for which nothing can be done now.
             (false, _) => Micros::MAX,
             (true, Some(at)) => at,
-            (true, None) if self.reader.begun() || !self.served => self.since + SILENCE,
-            (true, None) => self.since + IDLE,
+            (true, None) if self.reader.begun() || !self.served => self.last_activity + REQUEST_TIMEOUT,
+            (true, None) => self.last_activity + IDLE_TIMEOUT,
         }
     }
 
     fn tick(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>) {
-        self.pass_on(now, out, asks);
-        if self.due.is_empty() && !self.closing && !self.may_go_on() && now >= self.wake() {
+        self.process_commands(now, out, asks);
+        if self.replies.is_empty() && !self.closing && !self.may_continue() && now >= self.wake() {
             if self.reader.begun() {
                 error("ERR a request that was not finished", out);
             }
@@ -234,17 +241,20 @@
     }
 
     fn leave(&mut self, now: Micros, out: &mut BytesMut, asks: &mut Vec<Ask>) {
-        self.leaves_by.get_or_insert(now + LAST_REQUEST);
-        self.pass_on(now, out, asks);
+        self.shutdown_deadline.get_or_insert(now + SHUTDOWN_TIMEOUT);
+        self.process_commands(now, out, asks);
     }
 
     fn listens(&self) -> bool {
         // Of a sender that ends no further request is read: what has not been read is sent again elsewhere.
-        let wanted = self.leaves_by.is_none() || self.reader.begun();
-        !self.closing && wanted && self.due.len() < AT_ONCE && self.reader.waiting() < 2 * LIMITS.octets
+        let wanted = self.shutdown_deadline.is_none() || self.reader.begun();
+        !self.closing
+            && wanted
+            && self.replies.len() < MAX_PIPELINED
+            && self.reader.waiting() < 2 * LIMITS.octets
     }
 
     fn rests(&self) -> Option<Micros> {
-        (self.due.is_empty() && !self.reader.begun()).then_some(self.since)
+        (self.replies.is_empty() && !self.reader.begun()).then_some(self.last_activity)
     }
 }
--- a/crates/engine/src/heir.rs
+++ b/crates/engine/src/heir.rs
@@ -2,7 +2,7 @@
 //!
 //! The copy of a journal ends where the link did. A message that was to be in both regions was there before it was attempted, and
 //! so was each attempt before it left: what the copy says of it is all that was done. Of any other the last attempts may be
-//! lacking: it may have run at any time since it was taken on, but for one that may be repeated anyway.
+//! lacking: it may have run at any time since it was accepted, but for one that may be repeated anyway.
 
 use heronroute::Effect;
 use heronroute_journal::Open;
--- a/crates/engine/src/hold/again.rs
+++ b/crates/engine/src/hold/again.rs
@@ -1,12 +1,12 @@
-//! A held message is handed in again.
+//! A held message is submitted again.
 
 use super::STEPS;
 use crate::desk::From;
+use crate::entry_codec;
 use crate::front::Handing;
 use crate::ids::{key_of, show_id};
 use crate::node::Node;
 use crate::outbox::Reply;
-use crate::written::{self};
 use heronroute::{DestId, Event, MsgId};
 use heronroute_held::{Ask, Decision, Effect, Past, Refusal, Trail, What, decide};
 use heronroute_journal::entry::{self, Accepted};
@@ -82,7 +82,7 @@
             reply: Reply { topic: a.reply.clone(), correlation: a.correlation.clone() },
             ..Handing::default()
         };
-        let submission = written::submission(&a);
+        let submission = entry_codec::to_submission(&a);
         let key = submission.key.as_ref().filter(|_| ordered).map(|k| key_of(client, k));
         self.events.push(Event::Message {
             id: own,
--- a/crates/engine/src/hold/asked.rs
+++ b/crates/engine/src/hold/asked.rs
@@ -21,7 +21,7 @@
             ["list"] => (self.list_held(client, None), "HELD"),
             ["list", after] => (self.list_held(client, read_id(after).map(|i| i.0)), "HELD"),
             ["show", id] => with(Deed::See, id).map_or_else(nowhere, |id| (self.show_trail(id), "HELD")),
-            ["drop", id] => with(Deed::GiveUp, id).map_or_else(nowhere, |id| self.give_up_held(id)),
+            ["drop", id] => with(Deed::GiveUp, id).map_or_else(nowhere, |id| self.drop_held(id)),
             ["release"] => self.release(client, None),
             ["release", d] if d.parse::<i64>().is_ok() => self.release(client, d.parse().ok()),
             ["stop"] => {
--- a/crates/engine/src/hold/file.rs
+++ b/crates/engine/src/hold/file.rs
@@ -1,10 +1,10 @@
 //! What is filed, written and dropped.
 
 use super::{STEPS, filed};
+use crate::entry_codec::to_entry;
 use crate::ids::show_id;
 use crate::node::{Message, Node};
 use crate::stats::place;
-use crate::written::written;
 use heronroute::MsgId;
 use heronroute_held::{Trail, What};
 use heronroute_journal::entry::{self, Accepted, Held, Released};
@@ -16,7 +16,7 @@
     pub(crate) fn file(&mut self, id: MsgId, m: &mut Message, answer: Answer) {
         let (Some(mut trail), now) = (m.trail.take(), self.wall()) else { return };
         trail.add(now, What::Answered(place(answer) as u32), STEPS);
-        // One that was handed in again and not delivered stays its owner's, whatever it ended with.
+        // One that was submitted again and not delivered stays its owner's, whatever it ended with.
         let handed_in = trail.steps().filter(|(_, what)| matches!(what, What::HandedIn(_))).last();
         if let (Some((at, _)), Some(r)) = (handed_in, self.releasing.get_mut(&m.client)) {
             r.release.answered(answer == Answer::Delivered, now - at);
@@ -32,7 +32,7 @@
             let mailbox = self.mailboxes.get(m.mailbox).map_or("", |b| b.name.as_str());
             let class = self.cfg.class_names.get(m.class).cloned().unwrap_or_default();
             let rest = Accepted { id: id.0, class, dest, taken: m.taken, ..Accepted::default() };
-            written(client, mailbox, &m.submission, &m.to, rest)
+            to_entry(client, mailbox, &m.submission, &m.to, rest)
         });
         filed.message = held.as_ref().map(|a| a.encode_to_vec().into());
         let parts = self.parts_for(m.client, Some(m.class), &m.submission.destination, key);
@@ -65,7 +65,7 @@
         }
     }
 
-    pub(crate) fn give_up_held(&mut self, id: u64) -> (String, &'static str) {
+    pub(crate) fn drop_held(&mut self, id: u64) -> (String, &'static str) {
         let Some(store) = &mut self.held else { return ("stat:NOTFOUND".to_string(), "NOTFOUND") };
         if store.get(id).is_some_and(|f| f.under_way || f.kept) {
             return ("stat:UNDERWAY".to_string(), "UNDERWAY");
--- a/crates/engine/src/hold/mod.rs
+++ b/crates/engine/src/hold/mod.rs
@@ -1,4 +1,4 @@
-//! Trails, and messages held for their clients: recorded, asked about, handed in again, given up, taken up after a
+//! Trails, and messages held for their clients: recorded, asked about, submitted again, dropped, taken up after a
 //! restart. `heronroute_held` decides; here it is carried out.
 //!
 //! Guards against a second effect by a hand-in: what went before it goes along (in the journal as an attempt that may
--- a/crates/engine/src/keeping/answers.rs
+++ b/crates/engine/src/keeping/answers.rs
@@ -1,5 +1,5 @@
-//! Final answers that are kept after they were taken, to be told again when the same named message is handed in once
-//! more. Bounded for each client: beyond it those that would go first are given up, and such a repeat is acknowledged
+//! Final answers that are kept after they were taken, to be told again when the same named message is submitted once
+//! more. Bounded for each client: beyond it those that would go first are dropped, and such a repeat is acknowledged
 //! and hears nothing.
 
 use crate::Micros;
--- a/crates/engine/src/keeping/fence.rs
+++ b/crates/engine/src/keeping/fence.rs
@@ -1,8 +1,8 @@
 //! A fence around one client: what comes goes by the stricter of its rules as they are applied and as they are approved.
 //!
 //! What is applied stays as it is, and is read back as it is. What is approved stands beside it with parts of its own, so
-//! that what is taken on under a smaller figure counts there: nothing that was kept before is let go for it. Once
-//! the fence is lifted, that stays under the figures that it was taken on under, until it is gone.
+//! that what is accepted under a smaller figure counts there: nothing that was kept before is let go for it. Once
+//! the fence is lifted, that stays under the figures that it was accepted under, until it is gone.
 
 use super::rules::{Keep, Rules};
 use heronroute_held::Parts;
--- a/crates/engine/src/keeping/names.rs
+++ b/crates/engine/src/keeping/names.rs
@@ -1,7 +1,7 @@
 //! How many names are remembered under each rule of a client.
 //!
 //! The names themselves are in the table that all clients share; here only their order is kept, for rules that set a
-//! number. The oldest beyond it is given up: it is unsure until its time is over.
+//! number. The oldest beyond it is dropped: it is unsure until its time is over.
 
 use crate::Micros;
 use heronroute_seen::Name;
@@ -48,7 +48,7 @@
         }
     }
 
-    /// The messages whose names would be given up if so many were remembered, without giving them up; looks at `looks` names at
+    /// The messages whose names would be dropped if so many were remembered, without dropping them; looks at `looks` names at
     /// most, and says whether that was not enough.
     pub(crate) fn weigh(
         &self,
@@ -102,7 +102,7 @@
             rng_seed: prop::test_runner::RngSeed::Fixed(34), failure_persistence: None, ..ProptestConfig::default()
         })]
 
-        /// What is weighed is what is given up, also where some are over in between; with few looks it is no more than that.
+        /// What is weighed is what is dropped, also where some are over in between; with few looks it is no more than that.
         #[test]
         fn what_is_weighed_is_what_is_given_up(
             untils in prop::collection::vec(0i64..100, 0..30), most in 0u64..20, room in 0usize..20, looks in 0usize..40,
--- a/crates/engine/src/keeping/rules.rs
+++ b/crates/engine/src/keeping/rules.rs
@@ -13,7 +13,7 @@
 /// What holds for a message at its hand-in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Keep {
-    /// It is given up after this at the latest.
+    /// It expires after this at the latest.
     pub validity: Option<Micros>,
     /// Its name counts so long.
     pub remember: Option<Micros>,
@@ -112,7 +112,7 @@
         rule.and_then(|r| self.places.get(usize::from(r))).map_or(0, |p| p.part)
     }
 
-    /// What holds for a message that is handed in.
+    /// What holds for a message that is submitted.
     pub(crate) fn keep(&self, class: &str, to: &str, key: &str) -> Keep {
         let found = self.at_hand_in.look(class, to.as_bytes(), key.as_bytes());
         Keep {
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -7,7 +7,7 @@
 //! in a line of their own, so that they never hold up those that need this region alone.
 
 use crate::Micros;
-use crate::ran::Ran;
+use crate::uptime::Uptime;
 use heronroute_journal::Entry;
 use heronroute_journal::entry::What;
 use heronroute_journal::shed::{Marks, Shed};
@@ -33,9 +33,9 @@
     both: VecDeque<(u64, H)>,
     /// Where there is another region.
     copied: Option<Copied>,
-    /// When the entries that were handed over last, by number, were handed over, on the clock of `ran`.
+    /// When the entries that were handed over last, by number, were handed over, on the clock of `uptime`.
     handed: VecDeque<(u64, Micros)>,
-    ran: Ran,
+    uptime: Uptime,
     usage: Usage,
     shed: Shed,
 }
@@ -51,7 +51,7 @@
 
 impl<H> Ledger<H> {
     /// A ledger with a journal of these limits, or none. `lag`: entries may take so long to become durable before
-    /// nothing more is taken on.
+    /// nothing more is accepted.
     pub fn new(limits: Option<Limits>, lag: Micros) -> Self {
         let most_disk = limits.map_or(u64::MAX, |l| l.most);
         Ledger {
@@ -63,7 +63,7 @@
             both: VecDeque::new(),
             copied: None,
             handed: VecDeque::new(),
-            ran: Ran::new(lag / PAUSE),
+            uptime: Uptime::new(lag / PAUSE),
             usage: Usage::default(),
             shed: Shed::new(Marks { most_disk, reserve: RESERVE, most_lag: lag }),
         }
@@ -112,7 +112,7 @@
         self.both_ready()
     }
 
-    /// Whether a message that has to be in both regions may not be taken on, as the other one is not reached or lags.
+    /// Whether a message that has to be in both regions may not be accepted, as the other one is not reached or lags.
     pub fn refuses_both(&self) -> bool {
         self.on && self.copied.is_some_and(|c| !c.stands)
     }
@@ -125,9 +125,9 @@
 
     /// The entries to hand over, in order. To be called in each turn.
     pub fn hand_over(&mut self, now: Micros) -> Vec<Entry> {
-        let ran = self.ran.look(now);
+        let uptime = self.uptime.advance(now);
         if !self.entries.is_empty() {
-            self.handed.push_back((self.written, ran));
+            self.handed.push_back((self.written, uptime));
         }
         std::mem::take(&mut self.entries)
     }
@@ -145,17 +145,17 @@
         ready
     }
 
-    /// Whether a message may not be taken on, for want of disk or because it is slow. `coming`: octets of its body and of
-    /// others that were handed in and stand in no entry yet.
+    /// Whether a message may not be accepted, for want of disk or because it is slow. `coming`: octets of its body and of
+    /// others that were submitted and stand in no entry yet.
     pub fn refuses(&mut self, now: Micros, open: usize, coming: usize) -> bool {
-        let ran = self.ran.look(now);
-        let lag = self.handed.front().map_or(0, |(_, at)| ran - at);
+        let uptime = self.uptime.advance(now);
+        let lag = self.handed.front().map_or(0, |(_, at)| uptime - at);
         self.on && self.shed.refuses(self.usage, open, coming as u64, lag)
     }
 
     /// When [`Ledger::hand_over`] is next needed though nothing happened: while entries are on their way to the disk.
     pub fn wake(&self) -> Option<Micros> {
-        (!self.handed.is_empty()).then(|| self.ran.next())
+        (!self.handed.is_empty()).then(|| self.uptime.next_update())
     }
 
     /// Whether all that was written is durable and nothing is held.
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -1,4 +1,4 @@
-//! Whether a submission is taken on at all, before the decision library hears of it. Free of I/O.
+//! Whether a submission is accepted at all, before the decision library hears of it. Free of I/O.
 //!
 //! Guards against one client's flood filling the room of all, and against promising what could not be kept: what
 //! is turned away here is turned away at once, in the protocol's words, and what was accepted is untouched.
@@ -96,12 +96,12 @@
         }
     }
 
-    /// From now on nothing is taken on.
+    /// From now on nothing is accepted.
     pub fn leave(&mut self) {
         self.leaving = true;
     }
 
-    /// Whether this client's submission is taken on; if so, it counts.
+    /// Whether this client's submission is accepted; if so, it counts.
     ///
     /// # Errors
     /// Why not.
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -198,8 +198,8 @@
 
     fn close(&mut self, _: Micros, _: &mut Stream) {}
 
-    // Guards against a second copy: the rest of a call that was given up must not leave while its message goes elsewhere.
-    fn abandon(&mut self, stream: &mut Stream) {
+    // Guards against a second copy: the rest of an abandoned call must not leave while its message goes elsewhere.
+    fn discard_unsent(&mut self, stream: &mut Stream) {
         stream.out.clear();
     }
 
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -26,7 +26,7 @@
     pub guarded: bool,
     /// Its answer is waited for so long.
     pub wait: Micros,
-    /// What the client handed in.
+    /// What the client submitted.
     pub submission: &'a Submission,
 }
 
@@ -82,15 +82,16 @@
     /// Nobody waits for this answer any more; if it comes it is passed over. `unsent`: it never left, so that
     /// none will come.
     fn forget(&mut self, call: u64, part: usize, unsent: bool);
-    /// What was asked last has not begun to leave, and nothing else is awaited: what can be read by now answers nothing.
+    /// What was asked last has not begun to leave, and nothing else is awaited: what can be read by now answers
+    /// nothing.
     fn unbegun(&self, _: &Stream) -> bool {
         false
     }
     /// Writes what must go before the connection is closed in good order.
     fn close(&mut self, now: Micros, stream: &mut Stream);
-    /// All calls on the connection have come to their end, and it is about to be closed: takes back what has not left, as
-    /// far as the protocol lets it stop halfway.
-    fn abandon(&mut self, _stream: &mut Stream) {}
+    /// All calls on the connection are over, and it is about to be closed: discards what has not left, as far as the
+    /// protocol allows stopping halfway.
+    fn discard_unsent(&mut self, _stream: &mut Stream) {}
     /// When [`Link::tick`] is next needed.
     fn wake(&self) -> Micros;
     /// Acts on timers of the protocol itself.
--- a/crates/engine/src/mailboxes.rs
+++ b/crates/engine/src/mailboxes.rs
@@ -30,7 +30,7 @@
     pub recent: Recent,
 }
 
-/// A message to be handed in for a client that is gone.
+/// A message to be submitted for a client that is gone.
 #[derive(Debug)]
 pub struct Will {
     /// When.
--- a/crates/engine/src/node/answer.rs
+++ b/crates/engine/src/node/answer.rs
@@ -31,7 +31,7 @@
         // An attempt that has not begun to leave is taken back first: it can't be sent after the answer, and the
         // answer may then say that nothing ran.
         if let Some((call, part)) = self.messages.get(&id).and_then(|m| m.out) {
-            self.take_back(call, part);
+            self.cancel_unsent(call, part);
         }
         let Some(m) = self.messages.get(&id) else { return };
         let may_run = m.ran_at.is_some() || m.out.is_some();
@@ -52,7 +52,7 @@
         self.stats.answers[stats::place(answer)] += 1;
         let done = self.wall();
         if m.speaks == Speaks::Resp && (m.reply.is_some() || answer == Answer::Delivered) {
-            // It was never taken on, or nothing more is owed: no answer to be kept.
+            // It was never accepted, or nothing more is owed: no answer to be kept.
             return self.tell_end(id, m, answer);
         }
         self.ledger.write(|| {
--- a/crates/engine/src/node/api.rs
+++ b/crates/engine/src/node/api.rs
@@ -35,7 +35,7 @@
     Keep(String),
     /// Write these in the journal, then say [`Node::durable`].
     Journal(Vec<Entry>),
-    /// The answer to [`Node::copying`]: from here on all that is taken on counts as the partner's too.
+    /// The answer to [`Node::copying`]: from here on all that is accepted counts as the partner's too.
     Copying,
     /// This life's work, as far as it has its home here, is written down whole; see [`Node::inherit`].
     Inherited(String),
--- a/crates/engine/src/node/conns.rs
+++ b/crates/engine/src/node/conns.rs
@@ -4,8 +4,8 @@
 use super::api::Output;
 use super::state::{Conn, Key, Use};
 use crate::ids::ConnId;
+use crate::read_budget;
 use crate::stream::Stream;
-use crate::turns::{self};
 
 /// Octets that may wait for a client that does not read; beyond that nothing more is read from it.
 const CLIENT_BACKLOG: usize = 256 * 1024;
@@ -38,8 +38,8 @@
     /// Octets to be read from a connection in one turn.
     pub fn turn(&self, conn: ConnId) -> usize {
         match self.conns.get(&conn).map(|c| &c.what) {
-            Some(Use::Client { place: Some((client, _)), .. }) => self.turns.octets(*client),
-            _ => turns::MOST,
+            Some(Use::Client { place: Some((client, _)), .. }) => self.read_budgets.octets(*client),
+            _ => read_budget::MAX_READ,
         }
     }
 
--- a/crates/engine/src/node/leave.rs
+++ b/crates/engine/src/node/leave.rs
@@ -13,7 +13,7 @@
 const LAST_CALLS: Micros = 700_000;
 
 impl Node {
-    /// Goes out of service: nothing more is taken on, what is held is answered, sessions are unbound once nothing
+    /// Goes out of service: nothing more is accepted, what is held is answered, sessions are unbound once nothing
     /// is owed to them, at the latest after the time set for it.
     pub fn leave(&mut self, now: Micros) {
         self.now = now.max(self.now);
@@ -55,7 +55,7 @@
         self.timers.set(Key::Leave, self.now + LAST_CALLS);
     }
 
-    /// Refuses what was handed in since the last round. Guards against requests that were read, see no further round,
+    /// Refuses what was submitted since the last round. Guards against requests that were read, see no further round,
     /// and whose clients would hear nothing before the process ends.
     fn refuse_fresh(&mut self) {
         self.fresh_octets = 0;
@@ -82,7 +82,7 @@
     }
 
     /// The time to leave is up: whatever is still held is answered with what is known of it.
-    pub(crate) fn give_up_all(&mut self) {
+    pub(crate) fn abandon_all(&mut self) {
         // What stands still is in the journal, and its partner may have it.
         let goes_on = self.messages.iter().filter(|(_, m)| m.still == Still::No);
         let open: Vec<MsgId> = goes_on.map(|(id, _)| *id).collect();
--- a/crates/engine/src/node/members.rs
+++ b/crates/engine/src/node/members.rs
@@ -78,6 +78,6 @@
         }
         tracing::debug!(now = self.now, whole = listing.whole, changes = entries.len(), ?down, "a list");
         self.events.push(Event::Members { whole: listing.whole, entries });
-        down.into_iter().for_each(|e| self.recall(e));
+        down.into_iter().for_each(|e| self.cancel_unsent_calls(e));
     }
 }
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -26,11 +26,11 @@
 use crate::ledger::Ledger;
 use crate::limits::Limits;
 use crate::mailboxes::Mailboxes;
+use crate::read_budget::ReadBudgets;
 use crate::routes::Trie;
 use crate::standing::Standing;
 use crate::stats::Stats;
 use crate::timers::Timers;
-use crate::turns::Turns;
 use heronroute::{Action, DestId, Dispatcher, Event, MsgId};
 use heronroute_config::Config;
 use heronroute_held::Store;
@@ -64,7 +64,7 @@
     pub(crate) mailboxes: Mailboxes,
     /// Names that clients gave their messages.
     pub(crate) seen: Option<Seen>,
-    pub(crate) turns: Turns,
+    pub(crate) read_budgets: ReadBudgets,
     /// What is held for clients, and trails.
     pub(crate) held: Option<Store>,
     /// Held messages whose answer was not taken yet.
@@ -93,7 +93,7 @@
     /// Notices to the platform, where that is spoken.
     pub(crate) notices: Option<Notices<MsgId>>,
     pub(crate) notices_conn: Option<ConnId>,
-    /// Handed in since the last round, with their destinations: not taken on yet.
+    /// Submitted since the last round, with their destinations: not accepted yet.
     pub(crate) fresh: Vec<(MsgId, i64)>,
     /// Octets of their bodies.
     pub(crate) fresh_octets: usize,
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -74,7 +74,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         actions.clear();
         self.dispatcher.round(self.now, &events, &mut actions);
-        self.take_on_fresh(&actions);
+        self.accept_fresh(&actions);
         self.carry_out(&actions);
         self.note_known(events.iter().filter_map(|e| match e {
             Event::Outcome { endpoint, .. } => Some(*endpoint),
@@ -121,7 +121,7 @@
             }
             Key::Notices => self.notices_due(),
             Key::Leave if self.cfg.platform.is_some() => self.freeze(),
-            Key::Leave => self.give_up_all(),
+            Key::Leave => self.abandon_all(),
         }
     }
 }
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -13,11 +13,11 @@
 use crate::ledger::Ledger;
 use crate::limits::{Limits, Part};
 use crate::mailboxes::Mailboxes;
+use crate::read_budget::ReadBudgets;
 use crate::routes::Trie;
 use crate::standing::Standing;
 use crate::stats::Stats;
 use crate::timers::Timers;
-use crate::turns::Turns;
 use heronroute::{DestId, Discovery, Dispatcher, SettingsError};
 use heronroute_config::{Config, Listing, parse_listing};
 use heronroute_held::{Room, Store};
@@ -90,7 +90,7 @@
             open_of: [0; FRONTS],
             mailboxes: Mailboxes::default(),
             seen: cfg.mqtt.as_ref().map(|m| Seen::new(m.remembered, start.wall, start.seed)),
-            turns: Turns::new(now),
+            read_budgets: ReadBudgets::new(now),
             held: cfg.held.map(|h| {
                 let trails = Room { age: i64::MAX, count: h.trails, octets: u64::MAX };
                 Store::new(trails, Room { age: h.age, count: h.count, octets: h.octets })
@@ -153,7 +153,7 @@
         if let Some(book) = start.book {
             node.restart(book);
         }
-        // All that was taken on before may be in a copy.
+        // All that was accepted before may be in a copy.
         let next = node.next_id;
         node.region = node.region.map(|r| r.began(next));
         node.schedule_directory();
--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -86,7 +86,7 @@
         speaks: Speaks,
         /// Whose it is and where its answers go, once it is let in.
         place: Option<(usize, BoxId)>,
-        /// Messages handed in here that have no answer.
+        /// Messages submitted here that have no answer.
         open: usize,
         /// It was refused last for its part of its client's room.
         shedding: bool,
@@ -158,8 +158,8 @@
     pub number: u32,
     pub kind: usize,
     pub dest: DestId,
-    /// Calls up to this one were decided before it drained or told a wait.
-    pub recalled: u64,
+    /// Calls up to this one were decided before the endpoint drained or announced a wait.
+    pub cancelled_up_to: u64,
     /// What the journal knows of it.
     pub place: entry::Place,
     pub pool: Pool,
@@ -178,7 +178,7 @@
             number: 0,
             kind,
             dest,
-            recalled: 0,
+            cancelled_up_to: 0,
             place,
             pool: Pool::default(),
             probe: None,
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -39,8 +39,8 @@
         self.waiting.iter().copied().collect()
     }
 
-    /// A waiting call is given up; whether it was waiting.
-    pub fn give_up(&mut self, call: u64) -> bool {
+    /// Removes a waiting call, and returns whether it was waiting.
+    pub fn remove_waiting(&mut self, call: u64) -> bool {
         let before = self.waiting.len();
         self.waiting.retain(|c| *c != call);
         self.waiting.len() < before
--- /dev/null
+++ b/crates/engine/src/read_budget.rs
@@ -0,0 +1,118 @@
+//! How much is read from a client's connections in one turn of the event loop. Free of I/O.
+//!
+//! Guards against one client's flood taking the sender's time from the others, on any number of connections and any
+//! front. While several clients are active, one with more than three times the requests of the others (by weight, on
+//! average) is read in smaller pieces, the smaller the more requests it makes.
+//!
+//! Floods are found by a sketch of bounded size. It never misses a client with much traffic, and overestimates one with
+//! little by a known error only. The lower bound is used, so that no client is limited because of the sketch's error.
+
+use crate::Micros;
+use heronroute_fair::{Heavy, Sketch};
+use std::collections::BTreeMap;
+
+/// Octets read from one connection in a turn, at most and at least.
+pub const MAX_READ: usize = 64 * 1024;
+/// See [`MAX_READ`].
+pub const MIN_READ: usize = 2 * 1024;
+/// Counters of the sketch.
+const SKETCH_COUNTERS: usize = 256;
+/// How often the budgets are computed anew.
+const REFRESH_INTERVAL: Micros = 250_000;
+/// Requests below which no client is limited.
+const MIN_REQUESTS: u64 = 200;
+/// A client with more than so many times the others' requests floods.
+const FLOOD_RATIO: f64 = 3.0;
+
+/// The read budget of each client.
+#[derive(Debug)]
+pub struct ReadBudgets {
+    sketch: Sketch<usize>,
+    /// Clients that are limited, with their octets per turn.
+    limited: BTreeMap<usize, usize>,
+    next_refresh: Micros,
+}
+
+impl ReadBudgets {
+    /// No client is limited at first.
+    pub fn new(now: Micros) -> Self {
+        ReadBudgets {
+            sketch: Sketch::new(SKETCH_COUNTERS),
+            limited: BTreeMap::new(),
+            next_refresh: now + REFRESH_INTERVAL,
+        }
+    }
+
+    /// Counts a client's request.
+    pub fn count(&mut self, now: Micros, client: usize, weight: impl Fn(usize) -> f64) {
+        self.sketch.add(client);
+        if now >= self.next_refresh {
+            self.next_refresh = now + REFRESH_INTERVAL;
+            self.refresh(weight);
+        }
+    }
+
+    fn refresh(&mut self, weight: impl Fn(usize) -> f64) {
+        self.limited.clear();
+        let total = self.sketch.total();
+        if total >= MIN_REQUESTS {
+            // Those with at least a hundredth of the traffic are active; of a lone one nothing is taken.
+            let active = self.sketch.heavy(0.01);
+            let share = |h: &Heavy<usize>| weight(h.party).max(1e-9);
+            let weights: f64 = active.iter().map(share).sum();
+            let requests: f64 = active.iter().map(|h| h.most as f64).sum();
+            for h in active.iter().filter(|_| active.len() > 1) {
+                let others = (requests - h.most as f64).max(1.0) / (weights - share(h)).max(1e-9);
+                let over = h.least as f64 / share(h) / others;
+                if over > FLOOD_RATIO {
+                    // By the square, as the others' turns come no oftener than this one ends.
+                    let octets = (MAX_READ as f64 / (over * over)) as usize;
+                    self.limited.insert(h.party, octets.clamp(MIN_READ, MAX_READ));
+                }
+            }
+        }
+        self.sketch.fade();
+    }
+
+    /// Octets to be read from one of a client's connections in a turn, at most.
+    pub fn octets(&self, client: usize) -> usize {
+        self.limited.get(&client).copied().unwrap_or(MAX_READ)
+    }
+
+    /// Number of clients that are limited.
+    pub fn limited(&self) -> usize {
+        self.limited.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_flood_is_read_in_small_pieces_while_others_are_there() {
+        let mut t = ReadBudgets::new(0);
+        for i in 0..4_000 {
+            t.count(i * 100, if i % 3 == 0 { 1 } else { 0 }, |_| 1.0);
+        }
+        assert_eq!((t.octets(0), t.octets(1)), (MAX_READ, MAX_READ), "twice the other's is no flood");
+        let mut t = ReadBudgets::new(0);
+        for i in 0..40_000 {
+            let who = if i % 20 < 14 { 0 } else { 1 + (i % 20 - 14) as usize };
+            t.count(i * 100, who, |_| 1.0);
+        }
+        assert_eq!(t.octets(0), MIN_READ, "70 % beside six with 5 % each");
+        assert!((1..7).all(|c| t.octets(c) == MAX_READ));
+        // The same with a weight that entitles it to this.
+        let mut t = ReadBudgets::new(0);
+        (0..40_000).for_each(|i| {
+            let who = if i % 20 < 14 { 0 } else { 1 + (i % 20 - 14) as usize };
+            t.count(i * 100, who, |c| if c == 0 { 14.0 } else { 1.0 });
+        });
+        assert_eq!(t.limited(), 0);
+        // Alone.
+        let mut t = ReadBudgets::new(0);
+        (0..40_000).for_each(|i| t.count(i * 100, 0, |_| 1.0));
+        assert_eq!(t.limited(), 0);
+    }
+}
--- a/crates/engine/src/region/back.rs
+++ b/crates/engine/src/region/back.rs
@@ -54,7 +54,7 @@
         if let Still::Found(answer) = found {
             return self.answer_with(id, answer);
         }
-        // By its name: a class may be gone since the message was taken on.
+        // By its name: a class may be gone since the message was accepted.
         let class = self.class_names.get(&m.submission.service).copied();
         let class = class.or(m.submission.service.is_empty().then_some(m.class));
         let settings = class.and_then(|c| self.cfg.settings.classes.get(c));
@@ -127,7 +127,7 @@
         self.let_partner_hold(upto);
     }
 
-    /// Messages held for their clients are the partner's too: guards against one handed in again at both.
+    /// Messages held for their clients are the partner's too: guards against one submitted again at both.
     fn let_partner_hold(&mut self, upto: u64) {
         let mut after = None;
         loop {
--- a/crates/engine/src/region/lapse.rs
+++ b/crates/engine/src/region/lapse.rs
@@ -30,7 +30,7 @@
         for id in ids {
             let out = self.messages.get(&id).and_then(|m| m.out);
             if let Some((call, part)) = out
-                && !self.take_back(call, part)
+                && !self.cancel_unsent(call, part)
             {
                 half.extend(self.half_written(call, part));
             }
@@ -62,9 +62,9 @@
     /// An attempt of a message that stood still and goes on: two are never out.
     pub(super) fn break_off(&mut self, id: MsgId) {
         if let Some((call, part)) = self.messages.get(&id).and_then(|m| m.out)
-            && !self.take_back(call, part)
+            && !self.cancel_unsent(call, part)
         {
-            self.give_up(call, part, CallEnd::CalledOff);
+            self.abandon(call, part, CallEnd::Cancelled);
         }
     }
 }
--- a/crates/engine/src/region/mod.rs
+++ b/crates/engine/src/region/mod.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    /// What this process had taken on in an earlier life, or in this one before it was given up for dead, is its partner's:
+    /// What this process had accepted in an earlier life, or in this one before it was declared dead, is its partner's:
     /// all with a number below `upto`. None: that is not known yet, and all of it stands still until it is.
     pub fn fenced(&mut self, now: Micros, upto: Option<u64>) {
         self.now = now.max(self.now);
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -2,13 +2,13 @@
 
 use crate::Micros;
 use crate::answers::End;
+use crate::entry_codec::{to_reply, to_submission};
 use crate::front::Speaks;
 use crate::ids::{ID_SENDER_BITS, key_of, show_id};
 use crate::mailboxes::{BoxId, Kept};
 use crate::node::{Key, Message, Node};
 use crate::resume::{Resume, resume};
 use crate::standing::Still;
-use crate::written::{reply, submission};
 use heronroute::{DestId, Event, MsgId};
 use heronroute_journal::entry::Answer as Answered;
 use heronroute_journal::{Book, Open};
@@ -169,8 +169,8 @@
                 false => Speaks::Mqtt,
             },
             class,
-            submission: submission(a),
-            to: reply(a),
+            submission: to_submission(a),
+            to: to_reply(a),
             taken: a.taken,
             deadline: self.now + (a.deadline - self.wall()),
             reply: None,
@@ -214,7 +214,7 @@
             self.owe_notice(MsgId(a.id), &a.identity, answer);
             return true;
         }
-        if !submission(a).owes_receipt(answer == Answer::Delivered) {
+        if !to_submission(a).owes_receipt(answer == Answer::Delivered) {
             self.taken(MsgId(a.id));
             return false;
         }
@@ -226,7 +226,7 @@
             source: a.source.clone(),
             destination: a.destination.clone(),
         };
-        self.owe(mailbox, receipt, reply(a));
+        self.owe(mailbox, receipt, to_reply(a));
         true
     }
 }
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -169,7 +169,7 @@
         let Use::Client { speaks, place, front, .. } = &mut c.what else { return };
         self.sessions[*speaks as usize] -= 1;
         if *speaks == Speaks::Resp {
-            return self.unheard_of(conn);
+            return self.abandon_unacknowledged(conn);
         }
         let Some((client, mailbox)) = *place else { return };
         let parting = front.parting();
@@ -240,7 +240,7 @@
         self.mailbox_timer(mailbox);
     }
 
-    /// The message that a client left for the case that it is gone. Where it can't be taken on, nobody is there to
+    /// The message that a client left for the case that it is gone. Where it can't be accepted, nobody is there to
     /// hear of it; that is counted.
     fn hand_in_will(&mut self, mailbox: BoxId) {
         let Some(m) = self.mailboxes.get_mut(mailbox) else { return };
--- a/crates/engine/src/standing.rs
+++ b/crates/engine/src/standing.rs
@@ -29,7 +29,7 @@
     pub(crate) until: Micros,
     /// What has a number below may be in the partner's copy.
     pub(crate) copied_below: u64,
-    /// Entries are sent to the partner: all that is taken on from now on is in its copy as well.
+    /// Entries are sent to the partner: all that is accepted from now on is in its copy as well.
     pub(crate) copying: bool,
     /// The right is over, and what the partner may have stands still.
     pub(crate) lapsed: bool,
--- /dev/null
+++ b/crates/engine/src/uptime.rs
@@ -0,0 +1,56 @@
+//! The time during which a node ran, measured by the times at which it was called. Free of I/O.
+//!
+//! Guards against a pause of the whole process being taken for a slow disk. Entries on their way to the disk would seem
+//! to have waited for the whole pause, and everything read from the sockets afterwards would be refused.
+//!
+//! While entries are not yet durable, an idle node too asks to be called again soon ([`Uptime::next_update`]). Where
+//! much more time passed between two calls, the node did not run, and the gap counts as one step.
+
+use crate::Micros;
+
+/// A clock that stands still while it is not updated.
+#[derive(Clone, Copy, Debug)]
+pub struct Uptime {
+    max_step: Micros,
+    updated_at: Micros,
+    total: Micros,
+}
+
+impl Uptime {
+    /// At most `max_step` counts between two updates.
+    pub fn new(max_step: Micros) -> Self {
+        Uptime { max_step: max_step.max(2), updated_at: 0, total: 0 }
+    }
+
+    /// Updates the clock and returns the total uptime.
+    pub fn advance(&mut self, now: Micros) -> Micros {
+        self.total += now.saturating_sub(self.updated_at).clamp(0, self.max_step);
+        self.updated_at = now.max(self.updated_at);
+        self.total
+    }
+
+    /// When the next update is due so that no uptime is lost: after half a step, as a call may be late by as much.
+    pub fn next_update(&self) -> Micros {
+        self.updated_at.saturating_add(self.max_step / 2)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_gap_counts_as_a_step_and_looks_in_time_miss_nothing() {
+        let mut r = Uptime::new(200);
+        let begin = r.advance(5_000);
+        assert_eq!((r.advance(5_200) - begin, r.advance(5_199) - begin), (200, 200), "it never goes back");
+        assert_eq!(r.advance(9_000) - begin, 400);
+        for _ in 0..100 {
+            r.advance(r.next_update());
+        }
+        assert_eq!((r.advance(0) - begin, r.next_update()), (10_400, 19_100));
+        let mut least = Uptime::new(0);
+        least.advance(7);
+        assert!(least.next_update() > 7, "no call asks for another at once");
+    }
+}
