Engine: unit tests stand in tests.rs files beside their modules

Need: tests stand in test files, not inside source files. 19 modules of the engine had them inside.

Change: each `mod tests` moved to `MODULE/tests.rs`, as private parts are used.

Measured: 150 tests of heronroute-engine before and after, all passed; the same names.

--- /dev/null
+++ b/crates/engine/src/keeping/rules/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of the compiled rules.
+
+use super::*;
+
+#[test]
+fn each_field_stands_in_one_table() {
+    for field in Field::ALL {
+        assert!(AT_HAND_IN.contains(&field) != LATER.contains(&field), "{}", field.name());
+    }
+}
+
+#[test]
+fn what_is_read_back_is_what_each_table_has() {
+    let figures = Figures {
+        hold_count: Some(5),
+        remembered: Some(6),
+        release: Some(7),
+        validity: Some(8),
+        ..Figures::default()
+    };
+    let rule = |name: &str, to: &str| Rule {
+        name: name.into(),
+        to: to.into(),
+        figures: figures.clone(),
+        ..Rule::default()
+    };
+    let set = RuleSet { version: 3, rules: vec![rule("a", ""), rule("b", "1")] };
+    let mut rules = Rules::new(&set, Arc::new(Plan::default()), Turn::default(), None);
+    let parts: Vec<u32> = rules.places.iter().map(|p| p.part).collect();
+    let rooms =
+        |count| parts.iter().map(|p| (*p, PartRoom { count, ..PartRoom::default() })).collect::<Vec<_>>();
+    assert_eq!(rules.read_back(&rooms(Some(5)), |_| Some(6)), set);
+    let mut other = set.clone();
+    other.rules.iter_mut().for_each(|r| r.figures.hold_count = Some(4));
+    assert_eq!(rules.read_back(&rooms(Some(4)), |_| Some(6)), other, "the store has another room");
+    other.rules.iter_mut().for_each(|r| r.figures.remembered = None);
+    assert_eq!(rules.read_back(&rooms(Some(4)), |_| None), other, "names are not counted");
+    rules.paces.remove(&parts[1]);
+    other.rules[1].figures.release = None;
+    assert_eq!(rules.read_back(&rooms(Some(4)), |_| None), other);
+    // A rule of the same name keeps its part; one that comes back has another.
+    let one = RuleSet { version: 4, rules: vec![rule("b", "")] };
+    let next = Rules::new(&one, Arc::new(Plan::default()), Turn::default(), Some(&rules));
+    assert_eq!(next.places[0].part, parts[1]);
+    let back = Rules::new(&set, Arc::new(Plan::default()), Turn::default(), Some(&next));
+    assert!(!parts.contains(&back.places[0].part) && back.places[1].part == parts[1]);
+}
--- /dev/null
+++ b/crates/engine/src/routes/tests.rs
@@ -0,0 +1,15 @@
+//! Tests of the route table.
+
+use super::*;
+
+#[test]
+fn the_longest_prefix_wins() {
+    let mut t = Trie::default();
+    assert_eq!(t.find("234"), None);
+    for (prefix, value) in [("234", 1), ("23480", 2), ("2348", 3), ("", 0)] {
+        t.insert(prefix, value);
+    }
+    for (address, value) in [("2348012", 2), ("23481", 3), ("234", 1), ("23", 0), ("", 0), ("é", 0)] {
+        assert_eq!(t.find(address), Some(value), "{address}");
+    }
+}
