--- a/crates/engine/src/keeping/names.rs
+++ b/crates/engine/src/keeping/names.rs
@@ -1,7 +1,7 @@
 //! How many names are remembered under each rule of a client.
 //!
 //! The names themselves are in the table that all clients share; here only their order is kept, for rules that set a
-//! number. The oldest beyond it is given up: it is unsure until its time is over.
+//! number. The oldest beyond it is dropped: it is unsure until its time is over.
 
 use crate::Micros;
 use heronroute_seen::Name;
@@ -48,7 +48,7 @@
         }
     }
 
-    /// The messages whose names would be given up if so many were remembered, without giving them up; looks at `looks` names at
+    /// The messages whose names would be dropped if so many were remembered, without dropping them; looks at `looks` names at
     /// most, and says whether that was not enough.
     pub(crate) fn weigh(
         &self,
@@ -93,32 +93,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        #![proptest_config(ProptestConfig {
-            rng_seed: prop::test_runner::RngSeed::Fixed(34), failure_persistence: None, ..ProptestConfig::default()
-        })]
-
-        /// What is weighed is what is given up, also where some are over in between; with few looks it is no more than that.
-        #[test]
-        fn what_is_weighed_is_what_is_given_up(
-            untils in prop::collection::vec(0i64..100, 0..30), most in 0u64..20, room in 0usize..20, looks in 0usize..40,
-        ) {
-            let mut names = Names::new(room);
-            names.limit(1, 2, Some(99));
-            for (id, until) in untils.iter().enumerate() {
-                names.add(1, 2, Name { high: id as u64, low: 0 }, id as u64, *until);
-            }
-            let mut left = looks;
-            let (weighed, more) = names.weigh(50, (1, 2), most, &mut left);
-            names.limit(1, 2, Some(most));
-            let gone: Vec<u64> = names.trim(50, 1, 2).into_iter().map(|(_, id)| id).collect();
-            prop_assert!(if more { gone.starts_with(&weighed) } else { gone == weighed }, "{:?} {:?}", gone, weighed);
-            prop_assert!(!more || left == 0);
-            prop_assert!(names.weigh(50, (1, 3), 0, &mut left).0.is_empty());
-        }
-    }
-}
+mod tests;
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -7,7 +7,7 @@
 //! in a line of their own, so that they never hold up those that need this region alone.
 
 use crate::Micros;
-use crate::ran::Ran;
+use crate::uptime::Uptime;
 use heronroute_journal::Entry;
 use heronroute_journal::entry::What;
 use heronroute_journal::shed::{Marks, Shed};
@@ -33,9 +33,9 @@
     both: VecDeque<(u64, H)>,
     /// Where there is another region.
     copied: Option<Copied>,
-    /// When the entries that were handed over last, by number, were handed over, on the clock of `ran`.
+    /// When the entries that were handed over last, by number, were handed over, on the clock of `uptime`.
     handed: VecDeque<(u64, Micros)>,
-    ran: Ran,
+    uptime: Uptime,
     usage: Usage,
     shed: Shed,
 }
@@ -51,7 +51,7 @@
 
 impl<H> Ledger<H> {
     /// A ledger with a journal of these limits, or none. `lag`: entries may take so long to become durable before
-    /// nothing more is taken on.
+    /// nothing more is accepted.
     pub fn new(limits: Option<Limits>, lag: Micros) -> Self {
         let most_disk = limits.map_or(u64::MAX, |l| l.most);
         Ledger {
@@ -63,7 +63,7 @@
             both: VecDeque::new(),
             copied: None,
             handed: VecDeque::new(),
-            ran: Ran::new(lag / PAUSE),
+            uptime: Uptime::new(lag / PAUSE),
             usage: Usage::default(),
             shed: Shed::new(Marks { most_disk, reserve: RESERVE, most_lag: lag }),
         }
@@ -112,7 +112,7 @@
         self.both_ready()
     }
 
-    /// Whether a message that has to be in both regions may not be taken on, as the other one is not reached or lags.
+    /// Whether a message that has to be in both regions may not be accepted, as the other one is not reached or lags.
     pub fn refuses_both(&self) -> bool {
         self.on && self.copied.is_some_and(|c| !c.stands)
     }
@@ -125,9 +125,9 @@
 
     /// The entries to hand over, in order. To be called in each turn.
     pub fn hand_over(&mut self, now: Micros) -> Vec<Entry> {
-        let ran = self.ran.look(now);
+        let uptime = self.uptime.advance(now);
         if !self.entries.is_empty() {
-            self.handed.push_back((self.written, ran));
+            self.handed.push_back((self.written, uptime));
         }
         std::mem::take(&mut self.entries)
     }
@@ -145,17 +145,17 @@
         ready
     }
 
-    /// Whether a message may not be taken on, for want of disk or because it is slow. `coming`: octets of its body and of
-    /// others that were handed in and stand in no entry yet.
+    /// Whether a message may not be accepted, for want of disk or because it is slow. `coming`: octets of its body and of
+    /// others that were submitted and stand in no entry yet.
     pub fn refuses(&mut self, now: Micros, open: usize, coming: usize) -> bool {
-        let ran = self.ran.look(now);
-        let lag = self.handed.front().map_or(0, |(_, at)| ran - at);
+        let uptime = self.uptime.advance(now);
+        let lag = self.handed.front().map_or(0, |(_, at)| uptime - at);
         self.on && self.shed.refuses(self.usage, open, coming as u64, lag)
     }
 
     /// When [`Ledger::hand_over`] is next needed though nothing happened: while entries are on their way to the disk.
     pub fn wake(&self) -> Option<Micros> {
-        (!self.handed.is_empty()).then(|| self.ran.next())
+        (!self.handed.is_empty()).then(|| self.uptime.next_update())
     }
 
     /// Whether all that was written is durable and nothing is held.
@@ -165,88 +165,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use heronroute_journal::entry::Taken;
-
-    #[test]
-    fn effects_wait_for_what_they_rest_on() {
-        let mut l: Ledger<u32> = Ledger::new(Some(Limits::default()), 1_000);
-        assert_eq!(l.hold(1), Some(1), "it rests on nothing");
-        l.write(|| What::Taken(Taken { id: 1 }));
-        assert_eq!(l.hold(2), None);
-        l.write(|| What::Taken(Taken { id: 2 }));
-        assert_eq!((l.hold(3), l.hand_over(0).len()), (None, 2));
-        let refused = |at| l.refuses(at, 1, 0);
-        assert_eq!(
-            [200, 400, 600, 800, 999, 1_000].map(refused),
-            [false, false, false, false, false, true],
-            "too slow"
-        );
-        assert_eq!(l.wake(), Some(1_100), "not before the next look is due");
-        assert_eq!(l.durable(1, Usage::default()), [2]);
-        assert_eq!(l.durable(2, Usage::default()), [3]);
-        assert!(l.settled() && l.wake().is_none());
-        let mut none: Ledger<u32> = Ledger::new(None, 1);
-        none.write(|| unreachable!());
-        assert_eq!(none.hold(4), Some(4));
-        none.copies();
-        assert_eq!((none.hold_both(5), none.refuses_both()), (Some(5), false), "no journal, nothing held");
-    }
-
-    fn taken(l: &mut Ledger<u32>, id: u64) {
-        l.write(|| What::Taken(Taken { id }));
-    }
-
-    #[test]
-    fn an_effect_may_rest_on_both_regions_and_holds_up_no_other() {
-        let mut l: Ledger<u32> = Ledger::new(Some(Limits::default()), 1_000);
-        l.copies();
-        assert!(l.refuses_both(), "nothing is known of the other region");
-        assert!(l.copied(0, true).is_empty() && !l.refuses_both());
-        assert_eq!(l.hold_both(1), Some(1), "it rests on nothing");
-        taken(&mut l, 1);
-        assert_eq!((l.hold_both(2), l.hold(3)), (None, None));
-        taken(&mut l, 2);
-        assert_eq!((l.hold_both(4), l.hold(5)), (None, None));
-        assert_eq!(l.hand_over(0).len(), 2);
-        assert_eq!(l.durable(2, Usage::default()), [3, 5], "what needs this region alone waits for none");
-        assert!(!l.settled(), "two wait for the other region");
-        assert_eq!(l.hold(6), Some(6));
-        assert_eq!(l.hold_both(7), None);
-        assert_eq!(l.copied(1, true), [2], "in order, one at a time");
-        assert_eq!(l.copied(0, false), [0; 0], "it never goes back");
-        assert!(l.refuses_both() && !l.refuses(0, 1, 0), "only what has to be in both is refused");
-        assert_eq!(l.copied(2, false), [4, 7], "what is there is there, though it lags");
-        assert!(l.settled());
-        assert_eq!(l.hold_both(8), Some(8));
-    }
-
-    #[test]
-    fn the_other_region_alone_is_not_enough() {
-        let mut l: Ledger<u32> = Ledger::new(Some(Limits::default()), 1_000);
-        l.copies();
-        taken(&mut l, 1);
-        taken(&mut l, 2);
-        assert_eq!(l.hold_both(1), None);
-        assert_eq!(l.copied(2, true), [0; 0], "it is not durable here");
-        assert_eq!(l.durable(1, Usage::default()), [0; 0]);
-        assert_eq!(l.hold_both(2), None);
-        assert_eq!(l.durable(2, Usage::default()), [1, 2]);
-        // More than was ever written is no promise of what comes.
-        assert_eq!(l.copied(9, true), [0; 0]);
-        taken(&mut l, 3);
-        assert_eq!((l.hold_both(3), l.durable(3, Usage::default())), (None, vec![0; 0]));
-        assert_eq!(l.copied(3, true), [3]);
-    }
-
-    #[test]
-    fn without_another_region_nothing_more_is_held() {
-        let mut l: Ledger<u32> = Ledger::new(Some(Limits::default()), 1_000);
-        taken(&mut l, 1);
-        assert_eq!((l.hold_both(1), l.hold(2)), (None, None));
-        assert_eq!(l.copied(9, true), [0; 0]);
-        assert_eq!(l.durable(1, Usage::default()), [1, 2], "one line, in order");
-        assert_eq!((l.hold_both(3), l.refuses_both(), l.settled()), (Some(3), false, true));
-    }
-}
+mod tests;
