--- a/crates/engine/tests/link_orders.rs
+++ b/crates/engine/tests/link_orders.rs
@@ -181,17 +181,17 @@
 
     fn happens(&mut self, event: Event) {
         match event {
-            Event::TimeOut => return self.pass(TIME + SLACK),
-            Event::Moment => return self.pass(20 * MS),
+            Event::TimeOut => self.pass(TIME + SLACK),
+            Event::Moment => self.pass(20 * MS),
             Event::Drain => {
                 self.drained = true;
                 let watch = self.w.ours.iter().find(|(_, (at, _))| at.port() == 2).map(|(conn, _)| *conn);
                 let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
                 let text = format!("{head}{:x}\r\n{DRAINING}\n\r\n", DRAINING.len() + 1);
                 self.w.node.received(self.w.now, watch.unwrap(), text.as_bytes());
-                return self.pass(0);
+                self.pass(0);
             }
-            _ if !self.out() => return,
+            _ if !self.out() => {}
             Event::Answer(status) => {
                 if self.answers() {
                     self.delivered |= status == Status::Done;
