--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -78,31 +78,3 @@
         names,
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const GOOD: &str = r#"{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff",
-        "limits":{"cores":1.0,"memory_mb":32,"sockets":256,"disk_mb":3},
-        "known":{"version":4,"full":true,"servers":[]},
-        "settings":{"Azs":["a"],"Shapes":["m"],"Customers":[{"Name":"t"}],"Profiles":[{"Name":"c"}],
-        "FamilyInfo":{"Workers":2},"Limits":{"MaxOpen":9,"MaxAttempts":3}}}"#;
-
-    #[test]
-    fn fields_by_name() {
-        let s = read(GOOD).unwrap();
-        assert_eq!((s.seed, s.known.version, s.limits.sockets, s.settings.slots), (255, 4, 256, 2));
-        assert_eq!((s.names.classes, s.names.tenants), (vec!["c".to_string()], vec!["t".to_string()]));
-        for (from, to, says) in [
-            ("\"listen\":\"127.0.0.1:1\",", "", "listen"),
-            ("\"ff\"", "\"xyz\"", "seed"),
-            ("\"sockets\":256", "\"sockets\":\"many\"", "line"),
-            ("\"Workers\":2", "\"Workers\":0", "slots"),
-            ("\"sockets\":256", "\"sockets\":3", "limits"),
-        ] {
-            let e = read(&GOOD.replace(from, to)).unwrap_err();
-            assert!(e.contains(says), "{e}");
-        }
-    }
-}
