Reading an answer is one function each for a whole, a partial and an unreadable one

`Answers::receive` of platform was one loop of over 50 lines. Each arm is a function of its own now; conditions and their order are the same.

--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -2,7 +2,7 @@
 
 use super::outcome::{Fate, fates, in_micros};
 use heronroute::{Micros, Outcome};
-use heronroute_http::{Reader, Side};
+use heronroute_http::{Message, Reader, Side, Unreadable};
 
 /// Octets of an answer's body at most.
 const MOST_BODY: usize = 64 * 1024;
@@ -69,48 +69,53 @@
             self.reader.end();
         }
         loop {
-            match self.reader.next_message() {
+            return match self.reader.next_message() {
                 // Interim answers say nothing yet.
-                Ok(Some(m)) if (100..200).contains(&m.status()) => {}
-                Ok(Some(m)) => {
-                    let Some(ids) = self.asked.take() else {
-                        return Some(Heard::Spent("an answer that nobody asked for"));
-                    };
-                    // Guards against a second copy, or noise, behind a good answer: what comes next on this
-                    // connection belongs to nothing.
-                    let mut spent = m.last || ended || self.reader.begun();
-                    let turned_away = std::mem::take(&mut self.fresh) && m.last;
-                    let fates = fates(&m, &ids, turned_away, &mut spent);
-                    return Some(Heard::Answer { fates, spent });
-                }
-                Ok(None) => {
-                    // Guards against an answer that says 200 and does not come to its end: the call has been
-                    // delivered all the same.
-                    if self.reader.status_so_far() == Some(200)
-                        && self.asked.as_ref().is_some_and(|ids| ids.len() == 1)
-                    {
-                        self.asked = None;
-                        let fates = vec![Fate::of(Outcome::Done, self.wait())];
-                        return Some(Heard::Answer { fates, spent: true });
-                    }
-                    // Guards against a wait that binds from the answer's head on, and would be heard with its last octet
-                    // only, or never where it breaks off.
-                    if !self.told && self.asked.is_some() && self.wait() > 0 {
-                        self.told = true;
-                        return Some(Heard::Wait(self.wait()));
-                    }
-                    return ended.then_some(Heard::Spent("closed by the endpoint"));
-                }
-                Err(e) => {
-                    let Some(ids) = self.asked.take() else { return Some(Heard::Spent(e.0)) };
-                    // A spoilt answer: the request has run, and only the first line can still be true.
-                    let says = self.reader.status_so_far();
-                    let done = ids.len() == 1 && says == Some(200);
-                    let outcome = if done { Outcome::Done } else { Outcome::Error };
-                    let fates = vec![Fate::of(outcome, self.wait()); ids.len().max(1)];
-                    return Some(Heard::Answer { fates, spent: true });
-                }
-            }
+                Ok(Some(m)) if (100..200).contains(&m.status()) => continue,
+                Ok(Some(m)) => Some(self.whole(&m, ended)),
+                Ok(None) => self.partial(ended),
+                Err(e) => Some(self.unreadable(e)),
+            };
         }
     }
+
+    /// A whole answer came.
+    fn whole(&mut self, m: &Message, ended: bool) -> Heard {
+        let Some(ids) = self.asked.take() else {
+            return Heard::Spent("an answer that nobody asked for");
+        };
+        // Guards against a second copy, or noise, behind a good answer: what comes next on this connection belongs to
+        // nothing.
+        let mut spent = m.last || ended || self.reader.begun();
+        let turned_away = std::mem::take(&mut self.fresh) && m.last;
+        let fates = fates(m, &ids, turned_away, &mut spent);
+        Heard::Answer { fates, spent }
+    }
+
+    /// The answer is not whole yet, or never will be.
+    fn partial(&mut self, ended: bool) -> Option<Heard> {
+        // Guards against an answer that says 200 and does not come to its end: the call has been delivered all the same.
+        if self.reader.status_so_far() == Some(200) && self.asked.as_ref().is_some_and(|ids| ids.len() == 1) {
+            self.asked = None;
+            let fates = vec![Fate::of(Outcome::Done, self.wait())];
+            return Some(Heard::Answer { fates, spent: true });
+        }
+        // Guards against a wait that binds from the answer's head on, and would be heard with its last octet only, or
+        // never where it breaks off.
+        if !self.told && self.asked.is_some() && self.wait() > 0 {
+            self.told = true;
+            return Some(Heard::Wait(self.wait()));
+        }
+        ended.then_some(Heard::Spent("closed by the endpoint"))
+    }
+
+    /// The answer can't be read: the request has run, and only the first line can still be true.
+    fn unreadable(&mut self, e: Unreadable) -> Heard {
+        let Some(ids) = self.asked.take() else { return Heard::Spent(e.0) };
+        let says = self.reader.status_so_far();
+        let done = ids.len() == 1 && says == Some(200);
+        let outcome = if done { Outcome::Done } else { Outcome::Error };
+        let fates = vec![Fate::of(outcome, self.wait()); ids.len().max(1)];
+        Heard::Answer { fates, spent: true }
+    }
 }
