Names of `call` in platform by the field: AnswerReader, AnswerEvent, MessageOutcome

Names in `call` were metaphors (`Fate`, `Heard`, `spent`) or parts of words.

Doc comments follow. The engine's uses are changed with it, three names of platform tests too. Octets, texts that are logged and decisions are the same.

--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -105,7 +105,7 @@
     match kind.protocol {
         Protocol::Platform => {
             let name = |n: &Option<String>| n.as_ref().map_or(0, String::len);
-            heronroute_platform::call::size(
+            heronroute_platform::call::max_batch_entry_size(
                 name(&submission.identity),
                 name(&submission.key),
                 submission.body.len(),
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -5,14 +5,14 @@
 use crate::Micros;
 use crate::stream::Stream;
 use heronroute_http::write_request;
-use heronroute_platform::call::{Answers, Heard, Item, write};
+use heronroute_platform::call::{AnswerEvent, AnswerReader, MessageOutcome, OutgoingMessage, write_call};
 use std::cmp::Reverse;
 
 /// One connection.
 #[derive(Debug)]
 pub struct PlatformLink {
     host: String,
-    answers: Answers,
+    answers: AnswerReader,
     /// The call that is out and the places of its messages; none for a probe.
     out: Option<(u64, Vec<usize>)>,
     /// Where what was asked last begins in the stream.
@@ -21,35 +21,35 @@
 
 impl PlatformLink {
     pub fn new(host: String) -> Self {
-        PlatformLink { host, answers: Answers::default(), out: None, from: 0 }
+        PlatformLink { host, answers: AnswerReader::default(), out: None, from: 0 }
     }
 
-    fn heard(&mut self, heard: Option<Heard>, events: &mut Vec<LinkEvent>) {
+    fn heard(&mut self, heard: Option<AnswerEvent>, events: &mut Vec<LinkEvent>) {
         match heard {
-            Some(Heard::Answer { fates, spent }) => {
-                if spent {
+            Some(AnswerEvent::Answered { outcomes, unusable }) => {
+                if unusable {
                     events.push(LinkEvent::Spent);
                 }
-                let reply = |f: &heronroute_platform::call::Fate| Reply {
-                    outcome: f.outcome,
-                    wait: f.wait,
-                    over: f.over,
+                let reply = |message: &MessageOutcome| Reply {
+                    outcome: message.outcome,
+                    wait: message.retry_after,
+                    over: message.is_final,
                     report: None,
                 };
                 match self.out.take() {
                     Some((call, parts)) => {
-                        let each = parts.into_iter().zip(&fates);
-                        events.extend(each.map(|(part, f)| LinkEvent::Answered {
+                        let each = parts.into_iter().zip(&outcomes);
+                        events.extend(each.map(|(part, message)| LinkEvent::Answered {
                             call,
                             part,
-                            reply: reply(f),
+                            reply: reply(message),
                         }));
                     }
-                    None => events.extend(fates.first().map(|f| LinkEvent::Probed(reply(f)))),
+                    None => events.extend(outcomes.first().map(|message| LinkEvent::Probed(reply(message)))),
                 }
             }
-            Some(Heard::Wait(wait)) => events.push(LinkEvent::Waits(wait)),
-            Some(Heard::Spent(why)) => events.push(LinkEvent::Over(why)),
+            Some(AnswerEvent::RetryAfter(wait)) => events.push(LinkEvent::Waits(wait)),
+            Some(AnswerEvent::Unusable(why)) => events.push(LinkEvent::Over(why)),
             None => {}
         }
     }
@@ -69,13 +69,17 @@
         // that is waited for longest, whose wait is the call's.
         cargo.sort_by_key(|c| Reverse(c.wait));
         // Any key is passed on; only guarded classes have one.
-        let items: Vec<Item<'_>> = cargo
+        let items: Vec<OutgoingMessage<'_>> = cargo
             .iter()
-            .map(|c| Item { id: &c.id, key: c.submission.key.as_deref(), body: &c.submission.body })
+            .map(|c| OutgoingMessage {
+                id: &c.id,
+                key: c.submission.key.as_deref(),
+                body: &c.submission.body,
+            })
             .collect();
         let wait = cargo.first().map_or(0, |c| c.wait);
-        write(&items, wait, &self.host, &mut stream.out);
-        self.answers.ask(cargo.iter().map(|c| c.id.clone()).collect());
+        write_call(&items, wait, &self.host, &mut stream.out);
+        self.answers.request_sent(cargo.iter().map(|c| c.id.clone()).collect());
         self.out = Some((call, cargo.iter().map(|c| c.part).collect()));
         vec![(from, stream.position()); cargo.len()]
     }
@@ -83,7 +87,7 @@
     fn probe(&mut self, _: Micros, stream: &mut Stream) {
         self.from = stream.position();
         write_request("GET", "/ping", &self.host, &[], b"", &mut stream.out);
-        self.answers.ask(Vec::new());
+        self.answers.request_sent(Vec::new());
         self.out = None;
     }
 
@@ -104,7 +108,7 @@
     fn forget(&mut self, _: u64, _: usize, unsent: bool) {
         if unsent {
             self.out = None;
-            self.answers.unask();
+            self.answers.request_withdrawn();
         }
     }
 
--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -1,121 +1,127 @@
-//! Answers on one connection, as their octets come.
+//! Reads the answers on one connection from octets as they arrive.
 
-use super::outcome::{Fate, fates, in_micros};
+use super::outcome::{MessageOutcome, in_micros, message_outcomes};
 use heronroute::{Micros, Outcome};
 use heronroute_http::{Message, Reader, Side, Unreadable};
 
 /// Octets of an answer's body at most.
-const MOST_BODY: usize = 64 * 1024;
+const MAX_BODY: usize = 64 * 1024;
 
-/// What was heard on a connection.
+/// What the octets received on a connection mean for the call in flight.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Heard {
-    /// The call is answered, for each of its messages in order. `spent`: the connection is of no more use.
-    Answer {
-        /// By message.
-        fates: Vec<Fate>,
-        /// See above.
-        spent: bool,
+pub enum AnswerEvent {
+    /// The call, or the probe, is answered.
+    Answered {
+        /// The outcome of each message, in the order of the call; one entry for a probe.
+        outcomes: Vec<MessageOutcome>,
+        /// The connection can't be used any more.
+        unusable: bool,
     },
-    /// An answer is on its way whose head tells a wait.
-    Wait(Micros),
-    /// The connection is of no more use, and answered nothing.
-    Spent(&'static str),
+    /// An answer has begun, and its head demands a wait before the next call.
+    RetryAfter(Micros),
+    /// The connection can't be used any more, for this reason, and no call was answered.
+    Unusable(&'static str),
 }
 
 /// Reads answers on one connection, which carries one call at a time.
 #[derive(Debug)]
-pub struct Answers {
+pub struct AnswerReader {
     reader: Reader,
-    /// Ids of the messages of the call that is out; empty for a probe.
-    asked: Option<Vec<String>>,
-    /// The wait of the answer that is being read was handed on.
-    told: bool,
-    /// Nothing was answered here yet.
-    fresh: bool,
+    /// Ids of the messages of the call in flight; empty for a probe.
+    in_flight: Option<Vec<String>>,
+    /// The wait that the current answer demands was reported.
+    retry_after_reported: bool,
+    /// No complete answer was read on this connection yet.
+    is_new: bool,
 }
 
-impl Default for Answers {
+impl Default for AnswerReader {
     fn default() -> Self {
-        Answers { reader: Reader::new(Side::Responses, MOST_BODY), asked: None, told: false, fresh: true }
+        AnswerReader {
+            reader: Reader::new(Side::Responses, MAX_BODY),
+            in_flight: None,
+            retry_after_reported: false,
+            is_new: true,
+        }
     }
 }
 
-impl Answers {
-    /// A call has been written, or a probe (of no messages).
-    pub fn ask(&mut self, ids: Vec<String>) {
-        (self.asked, self.told) = (Some(ids), false);
+impl AnswerReader {
+    /// A call with these messages was written, or a probe (no messages).
+    pub fn request_sent(&mut self, ids: Vec<String>) {
+        self.in_flight = Some(ids);
+        self.retry_after_reported = false;
     }
 
-    /// The call was taken back: none of it left.
-    pub fn unask(&mut self) {
-        self.asked = None;
+    /// The call was withdrawn before any of its octets left.
+    pub fn request_withdrawn(&mut self) {
+        self.in_flight = None;
     }
 
-    /// The wait that the answer being read tells, 0 if none.
-    fn wait(&self) -> Micros {
+    /// The wait that the head of the current answer demands, or 0.
+    fn retry_after(&self) -> Micros {
         self.reader.wait_so_far().map_or(0, in_micros)
     }
 
-    /// Octets came, or (`ended`) the peer closed its side.
-    pub fn receive(&mut self, octets: &[u8], ended: bool) -> Option<Heard> {
-        // Guards against a second copy of an answer that comes in pieces: what of it comes before the next call would
-        // be taken, with the rest, for that call's answer.
-        if self.asked.is_none() && !octets.is_empty() {
-            return Some(Heard::Spent("octets that nobody asked for"));
+    /// Accepts octets. `closed`: the endpoint closed its side behind them.
+    pub fn receive(&mut self, octets: &[u8], closed: bool) -> Option<AnswerEvent> {
+        // Guards against a second copy of an answer that arrives in pieces: the part of it that arrives before the next
+        // call would be taken, with the rest, for the answer to that call.
+        if self.in_flight.is_none() && !octets.is_empty() {
+            return Some(AnswerEvent::Unusable("octets that nobody asked for"));
         }
         self.reader.push(octets);
-        if ended {
+        if closed {
             self.reader.end();
         }
         loop {
             return match self.reader.next_message() {
-                // Interim answers say nothing yet.
-                Ok(Some(m)) if (100..200).contains(&m.status()) => continue,
-                Ok(Some(m)) => Some(self.whole(&m, ended)),
-                Ok(None) => self.partial(ended),
-                Err(e) => Some(self.unreadable(e)),
+                // Interim answers carry no outcome.
+                Ok(Some(answer)) if (100..200).contains(&answer.status()) => continue,
+                Ok(Some(answer)) => Some(self.complete(&answer, closed)),
+                Ok(None) => self.incomplete(closed),
+                Err(error) => Some(self.unreadable(error)),
             };
         }
     }
 
-    /// A whole answer came.
-    fn whole(&mut self, m: &Message, ended: bool) -> Heard {
-        let Some(ids) = self.asked.take() else {
-            return Heard::Spent("an answer that nobody asked for");
+    /// The answer is complete.
+    fn complete(&mut self, answer: &Message, closed: bool) -> AnswerEvent {
+        let Some(ids) = self.in_flight.take() else {
+            return AnswerEvent::Unusable("an answer that nobody asked for");
         };
-        // Guards against a second copy, or noise, behind a good answer: what comes next on this connection belongs to
-        // nothing.
-        let mut spent = m.last || ended || self.reader.begun();
-        let turned_away = std::mem::take(&mut self.fresh) && m.last;
-        let fates = fates(m, &ids, turned_away, &mut spent);
-        Heard::Answer { fates, spent }
+        // Guards against a second copy, or noise, behind a good answer: what follows on this connection belongs to no
+        // call.
+        let mut unusable = answer.last || closed || self.reader.begun();
+        let closed_at_once = std::mem::take(&mut self.is_new) && answer.last;
+        let outcomes = message_outcomes(answer, &ids, closed_at_once, &mut unusable);
+        AnswerEvent::Answered { outcomes, unusable }
     }
 
-    /// The answer is not whole yet, or never will be.
-    fn partial(&mut self, ended: bool) -> Option<Heard> {
-        // Guards against an answer that says 200 and does not come to its end: the call has been delivered all the same.
-        if self.reader.status_so_far() == Some(200) && self.asked.as_ref().is_some_and(|ids| ids.len() == 1) {
-            self.asked = None;
-            let fates = vec![Fate::of(Outcome::Done, self.wait())];
-            return Some(Heard::Answer { fates, spent: true });
+    /// The answer is not complete yet, or never will be.
+    fn incomplete(&mut self, closed: bool) -> Option<AnswerEvent> {
+        // Guards against an answer with status 200 that never completes: its message has been delivered all the same.
+        let single = self.in_flight.as_ref().is_some_and(|ids| ids.len() == 1);
+        if single && self.reader.status_so_far() == Some(200) {
+            self.in_flight = None;
+            let outcomes = vec![MessageOutcome::of(Outcome::Done, self.retry_after())];
+            return Some(AnswerEvent::Answered { outcomes, unusable: true });
         }
-        // Guards against a wait that binds from the answer's head on, and would be heard with its last octet only, or
-        // never where it breaks off.
-        if !self.told && self.asked.is_some() && self.wait() > 0 {
-            self.told = true;
-            return Some(Heard::Wait(self.wait()));
+        // Guards against a wait that binds from the head on, but would be reported only with the last octet, or never if
+        // the answer breaks off.
+        if !self.retry_after_reported && self.in_flight.is_some() && self.retry_after() > 0 {
+            self.retry_after_reported = true;
+            return Some(AnswerEvent::RetryAfter(self.retry_after()));
         }
-        ended.then_some(Heard::Spent("closed by the endpoint"))
+        closed.then_some(AnswerEvent::Unusable("closed by the endpoint"))
     }
 
-    /// The answer can't be read: the request has run, and only the first line can still be true.
-    fn unreadable(&mut self, e: Unreadable) -> Heard {
-        let Some(ids) = self.asked.take() else { return Heard::Spent(e.0) };
-        let says = self.reader.status_so_far();
-        let done = ids.len() == 1 && says == Some(200);
-        let outcome = if done { Outcome::Done } else { Outcome::Error };
-        let fates = vec![Fate::of(outcome, self.wait()); ids.len().max(1)];
-        Heard::Answer { fates, spent: true }
+    /// The answer can't be read. The request has run, and only the status line can still be true.
+    fn unreadable(&mut self, error: Unreadable) -> AnswerEvent {
+        let Some(ids) = self.in_flight.take() else { return AnswerEvent::Unusable(error.0) };
+        let delivered = ids.len() == 1 && self.reader.status_so_far() == Some(200);
+        let outcome = if delivered { Outcome::Done } else { Outcome::Error };
+        let outcomes = vec![MessageOutcome::of(outcome, self.retry_after()); ids.len().max(1)];
+        AnswerEvent::Answered { outcomes, unusable: true }
     }
 }
--- a/crates/platform/src/call/mod.rs
+++ b/crates/platform/src/call/mod.rs
@@ -1,9 +1,9 @@
-//! Calls to endpoints: one message, or several in one; and what their answers prove.
+//! Calls to endpoints, which carry one message or a batch, and the outcomes that their answers prove.
 
 mod answers;
 mod outcome;
 mod request;
 
-pub use answers::{Answers, Heard};
-pub use outcome::Fate;
-pub use request::{Item, size, write};
+pub use answers::{AnswerEvent, AnswerReader};
+pub use outcome::MessageOutcome;
+pub use request::{OutgoingMessage, max_batch_entry_size, write_call};
--- a/crates/platform/src/call/outcome.rs
+++ b/crates/platform/src/call/outcome.rs
@@ -1,68 +1,89 @@
-//! What a whole answer proves of each message of its call.
+//! Derives the outcome of each message of a call from a complete answer.
 
 use heronroute::{Micros, Outcome};
 use heronroute_http::Message;
 use serde_json::Value;
 use std::collections::BTreeSet;
 
-/// How one message fared.
+/// The outcome of one attempt to deliver a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Fate {
+pub struct MessageOutcome {
     /// How the attempt ended.
     pub outcome: Outcome,
-    /// The wait that was told.
-    pub wait: Micros,
-    /// The message is over; nothing more is owed.
-    pub over: bool,
+    /// The wait that the answer demands before the next attempt, or 0.
+    pub retry_after: Micros,
+    /// No further attempt is needed.
+    pub is_final: bool,
 }
 
-impl Fate {
-    pub(super) fn of(outcome: Outcome, wait: Micros) -> Self {
-        Fate { outcome, wait, over: outcome == Outcome::Done }
+impl MessageOutcome {
+    pub(super) fn of(outcome: Outcome, retry_after: Micros) -> Self {
+        MessageOutcome { outcome, retry_after, is_final: outcome == Outcome::Done }
+    }
+
+    /// The endpoint will never accept the message.
+    fn gone(retry_after: Micros) -> Self {
+        MessageOutcome { outcome: Outcome::Skipped, retry_after, is_final: true }
     }
 }
 
+/// Converts seconds into microseconds, rounded up.
 pub(super) fn in_micros(seconds: f64) -> Micros {
     (seconds * 1e6).ceil() as Micros
 }
 
-/// `turned_away`: the answer is the first on its connection, and closes it. A 503 then speaks of the connection: the
-/// endpoint's table of them is full. One for the call (limit, queue, drain) leaves the connection open. Guards against
-/// a full table being taken for a limit, so that those who hold idle connections never learn to let them go.
-pub(super) fn fates(m: &Message, ids: &[String], turned_away: bool, spent: &mut bool) -> Vec<Fate> {
-    let wait = m.retry_after().map_or(0, in_micros);
-    let no_slot = m.field("x-no-slot").is_some_and(|v| v.trim() == "1");
-    let fate = match m.status() {
-        200 if ids.len() > 1 => return each(&m.body, ids, wait, spent),
-        200 => Fate::of(Outcome::Done, wait),
-        429 => Fate::of(Outcome::Busy, wait),
-        503 if no_slot => Fate::of(Outcome::Skipped, wait),
-        503 if turned_away && wait == 0 => Fate::of(Outcome::Crowded, 0),
-        503 => Fate::of(Outcome::Busy, wait),
-        504 => Fate::of(Outcome::Skipped, wait),
-        410 => Fate { outcome: Outcome::Skipped, wait, over: true },
-        _ => Fate::of(Outcome::Error, wait),
+/// The outcome of each message, in the order of `ids`. Sets `unusable` if the connection can't be used any more.
+///
+/// `closed_at_once`: the answer is the first on its connection and closes it. A 503 then concerns the connection: the
+/// endpoint's table of connections is full. A 503 that concerns the call (limit, queue, drain) leaves the connection
+/// open. Guards against a full table being taken for a limit: senders that hold idle connections would never release
+/// them.
+pub(super) fn message_outcomes(
+    answer: &Message,
+    ids: &[String],
+    closed_at_once: bool,
+    unusable: &mut bool,
+) -> Vec<MessageOutcome> {
+    let retry_after = answer.retry_after().map_or(0, in_micros);
+    let no_slot = answer.field("x-no-slot").is_some_and(|value| value.trim() == "1");
+    let outcome = match answer.status() {
+        200 if ids.len() > 1 => return batch_outcomes(&answer.body, ids, retry_after, unusable),
+        200 => MessageOutcome::of(Outcome::Done, retry_after),
+        429 => MessageOutcome::of(Outcome::Busy, retry_after),
+        503 if no_slot => MessageOutcome::of(Outcome::Skipped, retry_after),
+        503 if closed_at_once && retry_after == 0 => MessageOutcome::of(Outcome::Crowded, 0),
+        503 => MessageOutcome::of(Outcome::Busy, retry_after),
+        504 => MessageOutcome::of(Outcome::Skipped, retry_after),
+        410 => MessageOutcome::gone(retry_after),
+        _ => MessageOutcome::of(Outcome::Error, retry_after),
     };
-    vec![fate; ids.len().max(1)]
+    vec![outcome; ids.len().max(1)]
 }
 
-/// An answer that gives the end of each message. One that is not named, or not in a known word, may have run.
-/// Where it names others than were asked, the connection is `spent`. Guards against a second copy of an earlier answer:
-/// this call's own is still to come, and would be taken for the next one's.
-fn each(body: &[u8], ids: &[String], wait: Micros, spent: &mut bool) -> Vec<Fate> {
-    let told: Value = serde_json::from_slice(body).unwrap_or_default();
-    let lines = told.as_array().map(Vec::as_slice).unwrap_or_default();
-    let named: BTreeSet<&str> = lines.iter().filter_map(|l| l["id"].as_str()).collect();
-    *spent |= named != ids.iter().map(String::as_str).collect();
-    let of = |id: &String| {
-        let state = lines.iter().find(|l| l["id"] == id.as_str()).and_then(|l| l["state"].as_str());
-        match state {
-            Some("ok") => Fate::of(Outcome::Done, wait),
-            Some("later") => Fate::of(Outcome::Busy, wait),
-            Some("gone") => Fate { outcome: Outcome::Skipped, wait, over: true },
-            Some("exhausted") => Fate::of(Outcome::Skipped, wait),
-            _ => Fate::of(Outcome::Error, wait),
+/// The outcomes of a batch, whose answer states one for each message. A message that is missing, or whose state is
+/// unknown, may have run.
+///
+/// Sets `unusable` if the answer names other messages than the call. Guards against a second copy of an earlier answer:
+/// the answer to this call is still to come, and would be taken for the answer to the next one.
+fn batch_outcomes(
+    body: &[u8],
+    ids: &[String],
+    retry_after: Micros,
+    unusable: &mut bool,
+) -> Vec<MessageOutcome> {
+    let answer: Value = serde_json::from_slice(body).unwrap_or_default();
+    let entries = answer.as_array().map(Vec::as_slice).unwrap_or_default();
+    let named: BTreeSet<&str> = entries.iter().filter_map(|entry| entry["id"].as_str()).collect();
+    *unusable |= named != ids.iter().map(String::as_str).collect();
+    let outcome = |id: &String| {
+        let entry = entries.iter().find(|entry| entry["id"] == id.as_str());
+        match entry.and_then(|entry| entry["state"].as_str()) {
+            Some("ok") => MessageOutcome::of(Outcome::Done, retry_after),
+            Some("later") => MessageOutcome::of(Outcome::Busy, retry_after),
+            Some("gone") => MessageOutcome::gone(retry_after),
+            Some("exhausted") => MessageOutcome::of(Outcome::Skipped, retry_after),
+            _ => MessageOutcome::of(Outcome::Error, retry_after),
         }
     };
-    ids.iter().map(of).collect()
+    ids.iter().map(outcome).collect()
 }
--- a/crates/platform/tests/call.rs
+++ b/crates/platform/tests/call.rs
@@ -2,18 +2,20 @@
 
 use bytes::BytesMut;
 use heronroute::{Micros, Outcome};
-use heronroute_platform::call::{Answers, Heard, Item, write};
+use heronroute_platform::call::{AnswerEvent, AnswerReader, OutgoingMessage, write_call};
 use serde_json::{Value, json};
 
-fn answer(ids: &[&str], text: &str) -> Option<Heard> {
-    let mut a = Answers::default();
-    a.ask(ids.iter().map(ToString::to_string).collect());
+fn answer(ids: &[&str], text: &str) -> Option<AnswerEvent> {
+    let mut a = AnswerReader::default();
+    a.request_sent(ids.iter().map(ToString::to_string).collect());
     a.receive(text.as_bytes(), false)
 }
 
 fn one(text: &str) -> (Outcome, Micros, bool, bool) {
     match answer(&["a"], text) {
-        Some(Heard::Answer { fates, spent }) => (fates[0].outcome, fates[0].wait, fates[0].over, spent),
+        Some(AnswerEvent::Answered { outcomes, unusable }) => {
+            (outcomes[0].outcome, outcomes[0].retry_after, outcomes[0].is_final, unusable)
+        }
         other => panic!("{text:?}: {other:?}"),
     }
 }
@@ -44,13 +46,13 @@
     assert_eq!(one(&no("X-Rejected: 1\r\n")).0, Outcome::Busy, "it stays open: the call's own");
     assert_eq!(one(&no("Connection: close\r\nRetry-After: 0.5\r\n")).0, Outcome::Busy, "a wait is told");
     assert_eq!(one(&no("Connection: close\r\nX-No-Slot: 1\r\n")).0, Outcome::Skipped);
-    let mut a = Answers::default();
-    a.ask(vec!["a".into()]);
+    let mut a = AnswerReader::default();
+    a.request_sent(vec!["a".into()]);
     a.receive(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", false);
-    a.ask(vec!["b".into()]);
+    a.request_sent(vec!["b".into()]);
     match a.receive(close.as_bytes(), false) {
-        Some(Heard::Answer { fates, .. }) => {
-            assert_eq!(fates[0].outcome, Outcome::Busy, "it had its place")
+        Some(AnswerEvent::Answered { outcomes, .. }) => {
+            assert_eq!(outcomes[0].outcome, Outcome::Busy, "it had its place")
         }
         other => panic!("{other:?}"),
     }
@@ -67,13 +69,13 @@
         ("HTTP/1.1 200 OK\r\nx: y\r\n", Outcome::Done),
         ("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc", Outcome::Done),
     ] {
-        let (got, _, _, spent) = one(text);
-        assert_eq!((got, spent), (outcome, true), "{text:?}");
+        let (got, _, _, unusable) = one(text);
+        assert_eq!((got, unusable), (outcome, true), "{text:?}");
     }
     assert_eq!(answer(&["a"], "HTTP/1.1 20"), None, "not yet");
     match answer(&["a", "b"], "HTTP/1.1 200 OK\r\ncontent-length: many\r\n\r\n") {
-        Some(Heard::Answer { fates, spent: true }) => {
-            assert!(fates.len() == 2 && fates.iter().all(|f| f.outcome == Outcome::Error));
+        Some(AnswerEvent::Answered { outcomes, unusable: true }) => {
+            assert!(outcomes.len() == 2 && outcomes.iter().all(|f| f.outcome == Outcome::Error));
         }
         other => panic!("{other:?}"),
     }
@@ -81,12 +83,12 @@
 
 #[test]
 fn a_wait_is_heard_with_the_head_also_of_an_answer_that_breaks_off_or_is_spoilt() {
-    let mut a = Answers::default();
-    a.ask(vec!["a".into(), "b".into()]);
+    let mut a = AnswerReader::default();
+    a.request_sent(vec!["a".into(), "b".into()]);
     let head = b"HTTP/1.1 429 No\r\nretry-after: 0.7\r\ncontent-length: 9\r\n\r\nbo";
-    assert_eq!(a.receive(head, false), Some(Heard::Wait(700_000)));
+    assert_eq!(a.receive(head, false), Some(AnswerEvent::RetryAfter(700_000)));
     assert_eq!(a.receive(b"dy", false), None, "once");
-    assert!(matches!(a.receive(b"", true), Some(Heard::Answer { .. } | Heard::Spent(_))));
+    assert!(matches!(a.receive(b"", true), Some(AnswerEvent::Answered { .. } | AnswerEvent::Unusable(_))));
     for text in [
         "HTTP/1.1 429 No\r\nretry-after: 0.7\r\ncontent-length: many\r\n\r\n",
         "HTTP/1.1 429 No\r\nretry-after: 0.7\r\ncontent-length: 3000000000\r\n\r\nxx",
@@ -97,43 +99,51 @@
 }
 
 #[test]
-fn what_follows_a_good_answer_spends_the_connection() {
+fn what_follows_a_good_answer_makes_the_connection_unusable() {
     let good = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
     assert_eq!(one(good), (Outcome::Done, 0, true, false));
     assert_eq!(one(&format!("{good}{good}")), (Outcome::Done, 0, true, true));
     assert_eq!(one(&format!("{good}noise")), (Outcome::Done, 0, true, true));
-    let mut a = Answers::default();
-    assert!(matches!(a.receive(good.as_bytes(), false), Some(Heard::Spent(_))), "nobody asked");
-    assert!(matches!(Answers::default().receive(b"", true), Some(Heard::Spent(_))));
+    let mut a = AnswerReader::default();
+    assert!(matches!(a.receive(good.as_bytes(), false), Some(AnswerEvent::Unusable(_))), "nobody asked");
+    assert!(matches!(AnswerReader::default().receive(b"", true), Some(AnswerEvent::Unusable(_))));
 }
 
 #[test]
-fn what_comes_while_nothing_is_asked_spends_the_connection_from_its_first_octet_on() {
+fn what_comes_while_no_call_is_in_flight_makes_the_connection_unusable_from_its_first_octet_on() {
     let good = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
     for cut in 1..good.len() {
-        let mut a = Answers::default();
-        a.ask(vec!["a".into()]);
-        assert!(matches!(a.receive(good.as_bytes(), false), Some(Heard::Answer { spent: false, .. })));
+        let mut a = AnswerReader::default();
+        a.request_sent(vec!["a".into()]);
+        assert!(matches!(
+            a.receive(good.as_bytes(), false),
+            Some(AnswerEvent::Answered { unusable: false, .. })
+        ));
         // Also where the copy is cut anywhere, or interim answers come.
         for stray in [&good[..cut], "\r\n", "HTTP/1.1 103 Hints\r\n\r\n"] {
-            assert!(matches!(a.receive(stray.as_bytes(), false), Some(Heard::Spent(_))), "{stray:?}");
+            assert!(
+                matches!(a.receive(stray.as_bytes(), false), Some(AnswerEvent::Unusable(_))),
+                "{stray:?}"
+            );
         }
         // Behind a good answer in one read, likewise.
-        let (_, _, _, spent) = one(&format!("{good}{}", &good[..cut]));
-        assert!(spent, "{cut}");
+        let (_, _, _, unusable) = one(&format!("{good}{}", &good[..cut]));
+        assert!(unusable, "{cut}");
     }
-    let mut a = Answers::default();
-    a.ask(vec!["a".into()]);
-    a.unask();
-    assert!(matches!(a.receive(b"H", false), Some(Heard::Spent(_))), "asked, and taken back");
+    let mut a = AnswerReader::default();
+    a.request_sent(vec!["a".into()]);
+    a.request_withdrawn();
+    assert!(matches!(a.receive(b"H", false), Some(AnswerEvent::Unusable(_))), "asked, and taken back");
 }
 
 #[test]
-fn an_answer_that_names_others_than_were_asked_proves_nothing_and_spends_the_connection() {
+fn an_answer_that_names_others_than_were_asked_proves_nothing_and_makes_the_connection_unusable() {
     let said = |body: &str| {
         let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
-        let Some(Heard::Answer { fates, spent }) = answer(&["a", "b"], &text) else { panic!("{body}") };
-        (fates.iter().map(|f| f.outcome).collect::<Vec<_>>(), spent)
+        let Some(AnswerEvent::Answered { outcomes, unusable }) = answer(&["a", "b"], &text) else {
+            panic!("{body}")
+        };
+        (outcomes.iter().map(|f| f.outcome).collect::<Vec<_>>(), unusable)
     };
     use Outcome::*;
     let line = |id: &str| format!(r#"{{"id":"{id}","state":"ok"}}"#);
@@ -149,23 +159,23 @@
 fn the_end_of_each_of_several() {
     let body = r#"[{"id":"b","state":"later"},{"id":"a","state":"ok"},{"id":"c","state":"gone"}]"#;
     let text = format!("HTTP/1.1 200 OK\r\nretry-after: 1.5\r\ncontent-length: {}\r\n\r\n{body}", body.len());
-    let Some(Heard::Answer { fates, .. }) = answer(&["a", "b", "c", "d"], &text) else { panic!() };
+    let Some(AnswerEvent::Answered { outcomes, .. }) = answer(&["a", "b", "c", "d"], &text) else { panic!() };
     use Outcome::*;
-    assert_eq!(fates.iter().map(|f| f.outcome).collect::<Vec<_>>(), [Done, Busy, Skipped, Error]);
-    assert_eq!(fates.iter().map(|f| f.over).collect::<Vec<_>>(), [true, false, true, false]);
-    assert_eq!(fates[1].wait, 1_500_000);
+    assert_eq!(outcomes.iter().map(|f| f.outcome).collect::<Vec<_>>(), [Done, Busy, Skipped, Error]);
+    assert_eq!(outcomes.iter().map(|f| f.is_final).collect::<Vec<_>>(), [true, false, true, false]);
+    assert_eq!(outcomes[1].retry_after, 1_500_000);
 }
 
 #[test]
 fn calls_as_the_protocol_has_them() {
     let mut out = BytesMut::new();
-    let item = |id| Item { id, key: Some("k1"), body: b"hello" };
-    write(&[item("a")], 1_500_900, "h:1", &mut out);
+    let item = |id| OutgoingMessage { id, key: Some("k1"), body: b"hello" };
+    write_call(&[item("a")], 1_500_900, "h:1", &mut out);
     let text = String::from_utf8_lossy(&out).into_owned();
     assert!(text.starts_with("POST /inbox HTTP/1.1\r\nhost: h:1\r\nX-Call-Id: a\r\nX-Budget-Ms: 1500\r\n"));
     assert!(text.ends_with("Idempotency-Key: k1\r\ncontent-length: 5\r\n\r\nhello"));
     out.clear();
-    write(&[item("a"), Item { key: None, ..item("b") }], 1_000, "h:1", &mut out);
+    write_call(&[item("a"), OutgoingMessage { key: None, ..item("b") }], 1_000, "h:1", &mut out);
     let text = String::from_utf8_lossy(&out).into_owned();
     assert!(text.starts_with("POST /inbox/bulk HTTP/1.1\r\n"));
     let body: Value = serde_json::from_str(text.split("\r\n\r\n").nth(1).unwrap()).unwrap();
