Errors of platform are enums: AddError, StartUpError, NoticeError

`Add::read` gave `&'static str`, `start::read` and `Notices::receive` gave `String`. They give thiserror enums now. `catalog::Unreadable`, `objects::Spoilt` and `watch::Over` derive what they wrote out by hand, and `Unreadable` of http and resp is an `Error`. The engine logs the error of notices as the same text.

Tests of the texts come with it (add, start, watch, notices).

Left: `Unreadable` of http and resp and `AnswerEvent::Unusable` still hold a `&'static str`, as the engine's `LinkEvent::Over` does.

--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -60,7 +60,7 @@
         let (taken, apart) = match n.receive(now, octets, &mut c.stream.out) {
             Ok(taken) => (taken, n.apart()),
             Err(why) => {
-                tracing::warn!(why, "notices could not be told; they are told again");
+                tracing::warn!(why = why.to_string(), "notices could not be told; they are told again");
                 n.ended(now);
                 (Vec::new(), true)
             }
--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -62,7 +62,8 @@
 }
 
 /// The stream can't be read on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
 pub struct Unreadable(pub &'static str);
 
 #[derive(Clone, Debug)]
--- a/crates/platform/src/add.rs
+++ b/crates/platform/src/add.rs
@@ -34,32 +34,63 @@
     (fits && text.iter().all(sign)).then(|| String::from_utf8_lossy(text).into_owned())
 }
 
+/// Why the arguments of a command can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AddError {
+    /// Not four arguments.
+    #[error("OUT.ADD takes a key, an id, names and values, and a body")]
+    Arguments,
+    /// The id is empty, too long, or holds other characters than ids may.
+    #[error("the id can't be read")]
+    Id,
+    /// The names and values are not UTF-8.
+    #[error("names and values are no text")]
+    Pairs,
+    /// A name stands without `=`.
+    #[error("a name without a value")]
+    NameWithoutValue,
+    /// The deadline is not a whole number of milliseconds.
+    #[error("the deadline is no number")]
+    Deadline,
+    /// The destination is not a whole number.
+    #[error("the destination is no number")]
+    Destination,
+    /// The idempotency key is empty, too long, or holds other characters than keys may.
+    #[error("the idempotency key can't be read")]
+    Key,
+    /// There is no deadline, or it is 0.
+    #[error("a deadline is wanted")]
+    NoDeadline,
+    /// There is no destination.
+    #[error("a destination is wanted")]
+    NoDestination,
+}
+
 impl Add {
     /// Reads the arguments behind the command's name.
     ///
     /// # Errors
-    /// Says what is wrong.
-    pub fn read(args: Vec<Vec<u8>>) -> Result<Add, &'static str> {
-        let [_, id, pairs, body]: [Vec<u8>; 4] =
-            args.try_into().map_err(|_| "OUT.ADD takes a key, an id, names and values, and a body")?;
-        let mut add = Add { id: plain(&id).ok_or("the id can't be read")?, body, ..Add::default() };
-        let pairs = std::str::from_utf8(&pairs).map_err(|_| "names and values are no text")?;
+    /// The first argument that is missing or can't be read.
+    pub fn read(args: Vec<Vec<u8>>) -> Result<Add, AddError> {
+        let [_, id, pairs, body]: [Vec<u8>; 4] = args.try_into().map_err(|_| AddError::Arguments)?;
+        let mut add = Add { id: plain(&id).ok_or(AddError::Id)?, body, ..Add::default() };
+        let pairs = std::str::from_utf8(&pairs).map_err(|_| AddError::Pairs)?;
         let (mut left, mut dest) = (None, None);
         for pair in pairs.split(',') {
-            let (name, value) = pair.split_once('=').ok_or("a name without a value")?;
+            let (name, value) = pair.split_once('=').ok_or(AddError::NameWithoutValue)?;
             match name {
                 "c" => add.class = value.to_string(),
                 "t" => add.tenant = value.to_string(),
-                "d" => left = Some(value.parse().map_err(|_| "the deadline is no number")?),
-                "dest" => dest = Some(value.parse().map_err(|_| "the destination is no number")?),
-                "k" => add.key = Some(plain(value.as_bytes()).ok_or("the idempotency key can't be read")?),
+                "d" => left = Some(value.parse().map_err(|_| AddError::Deadline)?),
+                "dest" => dest = Some(value.parse().map_err(|_| AddError::Destination)?),
+                "k" => add.key = Some(plain(value.as_bytes()).ok_or(AddError::Key)?),
                 "r" => add.again = value == "1",
                 // Others may be added some day.
                 _ => {}
             }
         }
-        add.left_ms = left.filter(|l| *l > 0).ok_or("a deadline is wanted")?;
-        add.dest = dest.ok_or("a destination is wanted")?;
+        add.left_ms = left.filter(|l| *l > 0).ok_or(AddError::NoDeadline)?;
+        add.dest = dest.ok_or(AddError::NoDestination)?;
         Ok(add)
     }
 }
--- a/crates/platform/src/catalog.rs
+++ b/crates/platform/src/catalog.rs
@@ -2,7 +2,6 @@
 
 use heronroute::Status;
 use serde_json::Value;
-use std::fmt;
 use std::net::SocketAddr;
 
 /// One endpoint.
@@ -38,11 +37,13 @@
 }
 
 /// What is no list.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum Unreadable {
     /// No JSON.
+    #[error("{0}")]
     Json(serde_json::Error),
     /// A field that is missing, or not what it should be.
+    #[error("{name}: should be {should_be}")]
     Field {
         /// Its name.
         name: &'static str,
@@ -51,17 +52,6 @@
     },
 }
 
-impl fmt::Display for Unreadable {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Unreadable::Json(e) => write!(f, "{e}"),
-            Unreadable::Field { name, should_be } => write!(f, "{name}: should be {should_be}"),
-        }
-    }
-}
-
-impl std::error::Error for Unreadable {}
-
 fn lacks(name: &'static str, should_be: &'static str) -> Unreadable {
     Unreadable::Field { name, should_be }
 }
--- a/crates/platform/src/notice.rs
+++ b/crates/platform/src/notice.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use heronroute::Micros;
-use heronroute_http::{Reader, Side, write_request};
+use heronroute_http::{Reader, Side, Unreadable, write_request};
 use serde_json::json;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -82,6 +82,17 @@
     Drop,
 }
 
+/// Why a connection for notices can't be used any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoticeError {
+    /// The platform refused notices, or answered without a request.
+    #[error("notices were answered {0}")]
+    Status(u16),
+    /// The answer can't be read.
+    #[error(transparent)]
+    Unreadable(#[from] Unreadable),
+}
+
 impl<N> Notices<N> {
     /// None is owed.
     pub fn new(address: SocketAddr) -> Self {
@@ -176,8 +187,8 @@
     /// Octets came. Gives the messages whose notices were taken; an error where the connection is of no more use.
     ///
     /// # Errors
-    /// Says why.
-    pub fn receive(&mut self, now: Micros, octets: &[u8], out: &mut BytesMut) -> Result<Vec<N>, String> {
+    /// Why the connection can't be used any more.
+    pub fn receive(&mut self, now: Micros, octets: &[u8], out: &mut BytesMut) -> Result<Vec<N>, NoticeError> {
         self.reader.push(octets);
         let mut taken = Vec::new();
         loop {
@@ -193,8 +204,8 @@
                     }
                     self.write(now, out);
                 }
-                Ok(Some(m)) => return Err(format!("notices were answered {}", m.status())),
-                Err(e) => return Err(e.0.to_string()),
+                Ok(Some(m)) => return Err(NoticeError::Status(m.status())),
+                Err(e) => return Err(e.into()),
             }
         }
     }
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -3,8 +3,6 @@
 //! An object is found by its nesting, not by lines: it may be written on one line or indented over several, and it may
 //! come in pieces of any size. Only where it begins and ends is found here; whether it is JSON is for its reader.
 
-use std::fmt;
-
 /// Octets of an object at most.
 pub const MOST_OBJECT: usize = 4 << 20;
 
@@ -18,25 +16,16 @@
 }
 
 /// A stream that can't be read on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Spoilt {
     /// Something other than white space between two objects.
+    #[error("an octet {0:#04x} between two objects")]
     Stray(u8),
     /// An object of more than [`MOST_OBJECT`] octets.
+    #[error("an object of more than {MOST_OBJECT} octets")]
     TooLong,
 }
 
-impl fmt::Display for Spoilt {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Spoilt::Stray(octet) => write!(f, "an octet {octet:#04x} between two objects"),
-            Spoilt::TooLong => write!(f, "an object of more than {MOST_OBJECT} octets"),
-        }
-    }
-}
-
-impl std::error::Error for Spoilt {}
-
 /// Where in an object the stream is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Place {
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -1,8 +1,8 @@
 //! A sender's configuration.
 
-use crate::catalog::List;
+use crate::catalog::{List, Unreadable};
 use crate::settings::{Names, ProfileData};
-use heronroute::Settings;
+use heronroute::{Settings, SettingsError};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -49,23 +49,46 @@
     settings: ProfileData,
 }
 
+/// Why a configuration can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum StartUpError {
+    /// Not JSON, or a field is missing or of another type.
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    /// The seed can't be read.
+    #[error("seed: should be a hexadecimal number")]
+    Seed,
+    /// The list of known endpoints can't be read.
+    #[error("known: {0}")]
+    Known(#[source] Unreadable),
+    /// The decision library rejects the settings.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A list of names is empty.
+    #[error("settings: at least one class, kind and tenant must be named")]
+    Names,
+    /// The limits are too low.
+    #[error("limits: memory_mb, disk_mb and sockets must leave room to work")]
+    Limits,
+}
+
 /// Reads a configuration.
 ///
 /// # Errors
 /// Names the field that is missing or wrong.
-pub fn read(text: &str) -> Result<StartUp, String> {
-    let raw: Raw = serde_json::from_str(text).map_err(|e| e.to_string())?;
-    let seed = u64::from_str_radix(&raw.seed, 16).map_err(|_| "seed: should be a hexadecimal number")?;
-    let known = raw.known.as_ref().map(List::of).transpose().map_err(|e| format!("known: {e}"))?;
+pub fn read(text: &str) -> Result<StartUp, StartUpError> {
+    let raw: Raw = serde_json::from_str(text)?;
+    let seed = u64::from_str_radix(&raw.seed, 16).map_err(|_| StartUpError::Seed)?;
+    let known = raw.known.as_ref().map(List::of).transpose().map_err(StartUpError::Known)?;
     let names = raw.settings.names();
     let settings = raw.settings.settings();
-    settings.validate().map_err(|e| e.to_string())?;
+    settings.validate()?;
     if names.classes.is_empty() || names.kinds.is_empty() || names.tenants.is_empty() {
-        return Err("settings: at least one class, kind and tenant must be named".to_string());
+        return Err(StartUpError::Names);
     }
     let l = raw.limits;
     if !(l.memory_mb >= 1.0 && l.disk_mb > 0.0 && l.sockets >= 32) {
-        return Err("limits: memory_mb, disk_mb and sockets must leave room to work".to_string());
+        return Err(StartUpError::Limits);
     }
     Ok(StartUp {
         name: raw.name,
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -6,7 +6,6 @@
 use crate::catalog::{List, Unreadable};
 use crate::objects::{Objects, Piece, Spoilt};
 use bytes::{Buf, BytesMut};
-use std::fmt;
 
 /// Octets of a head at most.
 const MOST_HEAD: usize = 16 * 1024;
@@ -31,37 +30,28 @@
 }
 
 /// Why a watch is over.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum Over {
     /// The question was answered otherwise than by 200.
+    #[error("status {0}")]
     Status(u16),
     /// No HTTP, or a head that is too long.
+    #[error("no answer that can be read")]
     Head,
     /// Chunks that can't be told apart.
+    #[error("chunks that can't be told apart")]
     Chunk,
     /// The answer came to its end.
+    #[error("the watch was ended")]
     Ended,
     /// Octets that are no objects.
+    #[error("{0}")]
     Spoilt(Spoilt),
     /// An object that is no list.
+    #[error("no list: {0}")]
     Unreadable(Unreadable),
 }
 
-impl fmt::Display for Over {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Over::Status(status) => write!(f, "status {status}"),
-            Over::Head => write!(f, "no answer that can be read"),
-            Over::Chunk => write!(f, "chunks that can't be told apart"),
-            Over::Ended => write!(f, "the watch was ended"),
-            Over::Spoilt(e) => write!(f, "{e}"),
-            Over::Unreadable(e) => write!(f, "no list: {e}"),
-        }
-    }
-}
-
-impl std::error::Error for Over {}
-
 /// Writes the request for the whole list, as an answer of its own.
 pub fn ask_whole(host: &str, out: &mut BytesMut) {
     heronroute_http::write_request("GET", "/catalog/members", host, &[], b"", out);
--- a/crates/platform/tests/add.rs
+++ b/crates/platform/tests/add.rs
@@ -1,8 +1,8 @@
 //! The arguments of `OUT.ADD`: those that are read, and those that are refused.
 
-use heronroute_platform::add::Add;
+use heronroute_platform::add::{Add, AddError};
 
-fn read(id: &str, pairs: &str) -> Result<Add, &'static str> {
+fn read(id: &str, pairs: &str) -> Result<Add, AddError> {
     Add::read(["k", id, pairs, "body"].map(|a| a.as_bytes().to_vec()).to_vec())
 }
 
@@ -28,3 +28,24 @@
     }
     assert!(Add::read(vec![b"k".to_vec()]).is_err());
 }
+
+#[test]
+fn each_error_has_its_text_as_clients_read_it() {
+    for (id, pairs, text) in [
+        ("", "d=8,dest=7", "the id can't be read"),
+        ("a", "junk", "a name without a value"),
+        ("a", "d=soon,dest=7", "the deadline is no number"),
+        ("a", "d=8,dest=x", "the destination is no number"),
+        ("a", "d=8,dest=7,k=", "the idempotency key can't be read"),
+        ("a", "d=0,dest=7", "a deadline is wanted"),
+        ("a", "d=8", "a destination is wanted"),
+    ] {
+        assert_eq!(read(id, pairs).unwrap_err().to_string(), text, "{id:?} {pairs:?}");
+    }
+    let error = Add::read(vec![b"k".to_vec()]).unwrap_err();
+    assert_eq!(error.to_string(), "OUT.ADD takes a key, an id, names and values, and a body");
+    let no_utf8 = ["k", "a", "", "body"].map(|a| a.as_bytes().to_vec());
+    let [key, id, _, body] = no_utf8;
+    let error = Add::read(vec![key, id, vec![0xff], body]).unwrap_err();
+    assert_eq!(error.to_string(), "names and values are no text");
+}
--- a/crates/platform/tests/notices.rs
+++ b/crates/platform/tests/notices.rs
@@ -111,3 +111,18 @@
     }
     assert!((50..=120).contains(&tries), "{tries} in 10 s");
 }
+
+#[test]
+fn each_error_of_a_connection_has_its_text() {
+    for (answer, text) in [
+        ("HTTP/1.1 400 Bad\r\ncontent-length: 0\r\n\r\n", "notices were answered 400"),
+        ("noise\r\n\r\n", "no HTTP response"),
+    ] {
+        let (mut notices, mut out) = (Notices::new(at(1)), BytesMut::new());
+        notices.owe(1, "a", End::Failed);
+        notices.tick(0, &mut out);
+        notices.connected(0, &mut out);
+        let error = notices.receive(0, answer.as_bytes(), &mut out).unwrap_err();
+        assert_eq!(error.to_string(), text);
+    }
+}
--- a/crates/platform/tests/start.rs
+++ b/crates/platform/tests/start.rs
@@ -20,7 +20,29 @@
         ("\"Workers\":2", "\"Workers\":0", "slots"),
         ("\"sockets\":256", "\"sockets\":3", "limits"),
     ] {
-        let e = read(&GOOD.replace(from, to)).unwrap_err();
+        let e = read(&GOOD.replace(from, to)).unwrap_err().to_string();
         assert!(e.contains(says), "{e}");
     }
 }
+
+#[test]
+fn each_error_has_its_text() {
+    for (from, to, text) in [
+        ("\"ff\"", "\"xyz\"", "seed: should be a hexadecimal number"),
+        ("\"version\":4", "\"version\":-4", "known: version: should be a whole number"),
+        ("{\"Name\":\"t\"}", "", "settings: at least one class, kind and tenant must be named"),
+        (
+            "\"sockets\":256",
+            "\"sockets\":3",
+            "limits: memory_mb, disk_mb and sockets must leave room to work",
+        ),
+        (
+            "\"Workers\":2",
+            "\"Workers\":0",
+            "settings: slots, max_open, max_attempts and senders must be at least 1",
+        ),
+        ("\"name\":\"n1\",", "", "missing field `name` at line 5 column 71"),
+    ] {
+        assert_eq!(read(&GOOD.replace(from, to)).unwrap_err().to_string(), text);
+    }
+}
--- a/crates/platform/tests/watch.rs
+++ b/crates/platform/tests/watch.rs
@@ -1,5 +1,6 @@
 //! The answer to a watch.
 
+use heronroute_platform::objects::MOST_OBJECT;
 use heronroute_platform::watch::{Over, Said, Watch};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -65,3 +66,24 @@
     w.receive(format!("{HEAD}9\r\n{}\r\n", &indented()[..9]).as_bytes(), &mut said).unwrap();
     assert_eq!((said, w.has_begun_list()), (vec![Said::Head], true));
 }
+
+#[test]
+fn each_end_of_a_watch_has_its_text() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let plain = "HTTP/1.1 200 OK\r\n\r\n";
+    for (answer, text) in [
+        ("HTTP/1.1 404 No\r\n\r\n".to_string(), "status 404".to_string()),
+        ("noise\r\n\r\n".to_string(), "no answer that can be read".to_string()),
+        (format!("{chunked}zz\r\n"), "chunks that can't be told apart".to_string()),
+        (format!("{chunked}0\r\n"), "the watch was ended".to_string()),
+        (format!("{plain}\t}}"), "an octet 0x7d between two objects".to_string()),
+        (format!("{plain}{{\"version\":1}}"), "no list: full: should be true or false".to_string()),
+        (
+            format!("{plain}{{\"{}", "a".repeat(MOST_OBJECT)),
+            format!("an object of more than {MOST_OBJECT} octets"),
+        ),
+    ] {
+        let over = Watch::default().receive(answer.as_bytes(), &mut Vec::new()).unwrap_err();
+        assert_eq!(over.to_string(), text);
+    }
+}
--- a/crates/resp/src/read.rs
+++ b/crates/resp/src/read.rs
@@ -15,7 +15,8 @@
 pub type Command = Vec<Vec<u8>>;
 
 /// The stream can't be read on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
 pub struct Unreadable(pub &'static str);
 
 /// Octets of a line that declares a length, its end included.
