Doc comments of platform, http and resp in ordinary technical English

Comments spoke of what is told, heard, handed in and owed. They name submitted and accepted messages, pending and acknowledged notices, complete and incomplete messages now, one idea a sentence. The comment of the notices module said that 204 settles a notice; each 2xx does, as the code has it. The descriptions of two packages follow, and the private `lacks` is `invalid_field`. No other code is changed.

--- a/crates/http/src/batch.rs
+++ b/crates/http/src/batch.rs
@@ -1,9 +1,9 @@
-//! The body of a call that carries several messages, as protobuf.
+//! The protobuf body of a call that carries several messages.
 
 /// Content type of a batch.
 pub const BATCH_TYPE: &str = "application/x-protobuf; messageType=\"heronroute.receiver.Batch\"";
 
-/// Several messages in one call: they share its fate.
+/// Several messages in one call, which share its outcome.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Batch {
     /// The messages, in order.
@@ -14,10 +14,10 @@
 /// One message of a batch.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Item {
-    /// Identity of the message, the same for each attempt; repeats of it are dropped within the class's window.
+    /// Identity of the message, which is the same for each attempt. Repeats are dropped within the class's window.
     #[prost(string, tag = "1")]
     pub id: String,
-    /// Class, by its service_type.
+    /// Class, as its service_type.
     #[prost(string, tag = "2")]
     pub class: String,
     /// Source address.
@@ -26,7 +26,7 @@
     /// Destination address.
     #[prost(string, tag = "4")]
     pub destination: String,
-    /// The key, in classes that keep order.
+    /// The ordering key, in classes that keep order.
     #[prost(string, tag = "5")]
     pub key: String,
     /// The body.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,9 +1,10 @@
-//! HTTP/1.1 (RFC 9112) as state machines without I/O, as far as the service needs it.
+//! The part of HTTP/1.1 (RFC 9112) that the service needs, as state machines without I/O.
 //!
-//! Does: cuts a stream into requests or responses (heads read by `httparse`; bodies by Content-Length, chunked,
-//! or up to the end of the connection), and writes requests and responses; pipelining both ways.
-//! Decides: what makes a message whole, and when a stream can't be read on.
-//! Never: touches a socket, reads a clock, or knows what a request means.
+//! - Splits a stream into requests or responses, also pipelined ones. `httparse` parses the heads. Bodies end by
+//!   Content-Length, by the chunked coding, or with the connection.
+//! - Writes requests and responses.
+//!
+//! This crate opens no sockets, reads no clock, and does not interpret requests.
 
 #![forbid(unsafe_code)]
 
--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -1,55 +1,54 @@
-//! From octets to requests or responses.
+//! Parses octets into requests or responses.
 
 use crate::MOST_HEAD;
 use bytes::{Buf, BytesMut};
 
-/// Which side of a connection is read.
+/// The kind of messages on a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
-    /// Requests come in.
+    /// The stream carries requests.
     Requests,
-    /// Responses come in.
+    /// The stream carries responses.
     Responses,
 }
 
-/// The first line of a message.
+/// The start line of a message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Start {
-    /// Of a request.
+    /// The start line of a request.
     Request {
         /// The method.
         method: String,
-        /// The target, as written.
+        /// The target, as received.
         target: String,
     },
-    /// Of a response.
+    /// The start line of a response.
     Response {
         /// The status.
         status: u16,
     },
 }
 
-/// A whole message.
+/// A complete message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
-    /// Its first line.
+    /// Its start line.
     pub start: Start,
-    /// Fields in order, names in lower case.
+    /// Its header fields in order, with names in lower case.
     pub fields: Vec<(String, String)>,
     /// Its body.
     pub body: Vec<u8>,
-    /// The connection ends after it.
+    /// The connection is closed after it.
     pub last: bool,
 }
 
 impl Message {
-    /// The first field of a name (in lower case).
+    /// The first header field with this name, which is in lower case.
     pub fn field(&self, name: &str) -> Option<&str> {
         self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
-    /// The wait that `Retry-After` tells, in seconds, also with decimals as some write them. It may be a date too; a
-    /// receiver's clock is its own, so only seconds are heeded.
+    /// The wait in `Retry-After`, in seconds; decimals are accepted. A date is ignored, as the receiver's clock may differ.
     pub fn retry_after(&self) -> Option<f64> {
         let seconds = self.field("retry-after")?.trim().parse::<f64>().ok()?;
         (seconds.is_finite() && seconds >= 0.0).then(|| seconds.min(1e6))
@@ -61,7 +60,7 @@
     }
 }
 
-/// The stream can't be read on.
+/// The stream can't be read any further, for this reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{0}")]
 pub struct Unreadable(pub &'static str);
@@ -76,7 +75,7 @@
     ToEnd { head: Message },
 }
 
-/// Cuts a stream into messages.
+/// Splits a stream into messages.
 #[derive(Debug)]
 pub struct Reader {
     side: Side,
@@ -84,20 +83,20 @@
     buffer: BytesMut,
     state: State,
     closed: bool,
-    /// Status of the response that is being read, once its head was.
+    /// The status of the current response, once its head was read.
     status: Option<u16>,
-    /// The wait that its head tells, likewise.
+    /// The wait in its head, likewise.
     wait: Option<f64>,
 }
 
 impl Reader {
-    /// A reader that takes bodies of up to `most_body` octets.
+    /// Creates a reader that accepts bodies of up to `most_body` octets.
     pub fn new(side: Side, most_body: usize) -> Self {
         let (buffer, state) = (BytesMut::new(), State::Head);
         Reader { side, most_body, buffer, state, closed: false, status: None, wait: None }
     }
 
-    /// Takes octets from the stream.
+    /// Accepts octets from the stream.
     pub fn push(&mut self, octets: &[u8]) {
         self.buffer.extend_from_slice(octets);
     }
@@ -107,13 +106,12 @@
         self.closed = true;
     }
 
-    /// Whether something has come of a message that isn't whole.
+    /// Whether the stream holds octets of a message that was not returned yet.
     pub fn begun(&self) -> bool {
         !self.buffer.is_empty() || !matches!(self.state, State::Head)
     }
 
-    /// The status of the response that is being read, as soon as its first line is there; also where the rest of it
-    /// can't be read.
+    /// The status of the current response, as soon as its start line has arrived, even if the rest can't be read.
     pub fn status_so_far(&self) -> Option<u16> {
         self.status.or_else(|| {
             let end = self.buffer.iter().take(MOST_HEAD).position(|b| *b == b'\n')?;
@@ -124,16 +122,15 @@
         })
     }
 
-    /// The wait that the response being read tells, in seconds, as soon as its head is there; also where its body can't be
-    /// read.
+    /// The wait in the current response, in seconds, as soon as its head has arrived, even if its body can't be read.
     pub fn wait_so_far(&self) -> Option<f64> {
         self.wait
     }
 
-    /// The next message, if it is whole.
+    /// The next message, if it is complete.
     ///
     /// # Errors
-    /// Where nothing after it can be read.
+    /// If the stream can't be read any further.
     pub fn next_message(&mut self) -> Result<Option<Message>, Unreadable> {
         let next = self.cut();
         if matches!(next, Ok(Some(_))) {
@@ -176,7 +173,7 @@
                     };
                 }
                 State::Chunk { mut head, left } => {
-                    // The two octets of the line's end travel with the chunk and are cut off.
+                    // The two octets of the end of line are read with the chunk and removed.
                     if self.buffer.len() < left {
                         self.state = State::Chunk { head, left };
                         return Ok(None);
@@ -263,7 +260,7 @@
         self.framing(head).map(Some)
     }
 
-    /// How the body's end is found, by RFC 9112, section 6.3.
+    /// Determines the length of the body as in RFC 9112, section 6.3.
     fn framing(&self, mut head: Message) -> Result<State, Unreadable> {
         let status = head.status();
         if (100..200).contains(&status) || status == 204 || status == 304 {
@@ -272,7 +269,7 @@
         let lengths: Vec<&str> =
             head.fields.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v.as_str()).collect();
         if let Some(coding) = head.field("transfer-encoding") {
-            // Both at once is how requests are smuggled: refused.
+            // Guards against request smuggling, which uses both at once.
             if !coding.eq_ignore_ascii_case("chunked") || !lengths.is_empty() {
                 return Err(Unreadable("a transfer coding that is not served"));
             }
--- a/crates/http/src/write.rs
+++ b/crates/http/src/write.rs
@@ -1,4 +1,4 @@
-//! From requests and responses to octets.
+//! Writes requests and responses as octets.
 
 use bytes::BytesMut;
 use std::fmt::Write;
@@ -35,7 +35,7 @@
 
 fn write_rest(fields: &[(&str, &str)], body: &[u8], out: &mut BytesMut) {
     for (name, value) in fields {
-        // A line's end within a value would begin a field of its own.
+        // Guards against an end of line within a value, which would start another field.
         let clean: String = value.chars().filter(|c| !c.is_control()).collect();
         _ = write!(out, "{name}: {clean}\r\n");
     }
--- a/crates/platform/src/add.rs
+++ b/crates/platform/src/add.rs
@@ -1,6 +1,6 @@
 //! The arguments of `OUT.ADD`.
 
-/// A message that is handed in, as its client wrote it.
+/// A submitted message, as the client wrote it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Add {
     /// Its id.
@@ -9,13 +9,13 @@
     pub class: String,
     /// Its tenant, by name.
     pub tenant: String,
-    /// Milliseconds in which it may be delivered.
+    /// Milliseconds that remain to deliver it.
     pub left_ms: u64,
     /// Its destination.
     pub dest: i64,
     /// The idempotency key.
     pub key: Option<String>,
-    /// Handed in again after a refusal.
+    /// The client submits it again after a refusal.
     pub again: bool,
     /// Its body.
     pub body: Vec<u8>,
@@ -24,10 +24,10 @@
 /// The command's name.
 pub const NAME: &[u8] = b"OUT.ADD";
 
-/// Octets of an id or a key.
+/// Octets of an id or a key at most.
 const MOST_NAME: usize = 64;
 
-/// Ids and keys travel in head fields and in JSON: plain signs only.
+/// An id or a key. They are sent in header fields and in JSON, so only letters, digits and `-_.:` are accepted.
 fn plain(text: &[u8]) -> Option<String> {
     let fits = (1..=MOST_NAME).contains(&text.len());
     let sign = |b: &u8| b.is_ascii_alphanumeric() || b"-_.:".contains(b);
@@ -67,7 +67,7 @@
 }
 
 impl Add {
-    /// Reads the arguments behind the command's name.
+    /// Parses the arguments that follow the command's name.
     ///
     /// # Errors
     /// The first argument that is missing or can't be read.
@@ -85,7 +85,7 @@
                 "dest" => dest = Some(value.parse().map_err(|_| AddError::Destination)?),
                 "k" => add.key = Some(plain(value.as_bytes()).ok_or(AddError::Key)?),
                 "r" => add.again = value == "1",
-                // Others may be added some day.
+                // Unknown names are ignored: later clients may send more.
                 _ => {}
             }
         }
--- a/crates/platform/src/catalog.rs
+++ b/crates/platform/src/catalog.rs
@@ -1,4 +1,4 @@
-//! Lists of endpoints, as the platform's discovery writes them.
+//! Lists of endpoints, as the platform's discovery sends them.
 
 use heronroute::Status;
 use serde_json::Value;
@@ -7,9 +7,9 @@
 /// One endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
-    /// Its id, the same for all senders.
+    /// Its id, which is the same for all senders.
     pub id: String,
-    /// Where this sender reaches it.
+    /// The address under which this sender reaches it.
     pub addr: SocketAddr,
     /// Its zone.
     pub zone: String,
@@ -17,62 +17,63 @@
     pub kind: String,
     /// The destination that it belongs to.
     pub cell: i64,
-    /// Its standing.
+    /// Its status.
     pub status: Status,
-    /// Its weight, where one is given.
+    /// Its weight, if the list states one.
     pub weight: Option<f64>,
 }
 
-/// A list, or the changes to one.
+/// A full list, or changes to an earlier one.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct List {
     /// Its version.
     pub version: u64,
-    /// What it does not name is gone.
+    /// The list is full: endpoints that it does not name are removed.
     pub full: bool,
-    /// Its lines.
+    /// Its entries.
     pub entries: Vec<Entry>,
-    /// Lines that could not be read. They change nothing among changes; a whole list does not name them.
+    /// The number of entries that could not be read. Among changes they have no effect; a full list counts as not naming
+    /// them.
     pub passed_over: usize,
 }
 
-/// What is no list.
+/// Why a document is not a list.
 #[derive(Debug, thiserror::Error)]
 pub enum Unreadable {
-    /// No JSON.
+    /// It is not JSON.
     #[error("{0}")]
     Json(serde_json::Error),
-    /// A field that is missing, or not what it should be.
+    /// A field is missing or of the wrong type.
     #[error("{name}: should be {should_be}")]
     Field {
-        /// Its name.
+        /// The name of the field.
         name: &'static str,
-        /// What it should be.
+        /// The expected value.
         should_be: &'static str,
     },
 }
 
-fn lacks(name: &'static str, should_be: &'static str) -> Unreadable {
+fn invalid_field(name: &'static str, should_be: &'static str) -> Unreadable {
     Unreadable::Field { name, should_be }
 }
 
 impl List {
-    /// Reads a list.
+    /// Parses a list. A single entry that can't be read is skipped: the others are still valid.
     ///
     /// # Errors
-    /// Where it is none. A single line that can't be read is passed over: the others still hold.
+    /// If the document is not a list.
     pub fn read(text: &[u8]) -> Result<Self, Unreadable> {
         Self::of(&serde_json::from_slice(text).map_err(Unreadable::Json)?)
     }
 
-    /// The same, of what was read already.
+    /// Converts a list from parsed JSON.
     ///
     /// # Errors
     /// As [`List::read`].
     pub fn of(value: &Value) -> Result<Self, Unreadable> {
-        let version = value["version"].as_u64().ok_or(lacks("version", "a whole number"))?;
-        let full = value["full"].as_bool().ok_or(lacks("full", "true or false"))?;
-        let lines = value["servers"].as_array().ok_or(lacks("servers", "a list"))?;
+        let version = value["version"].as_u64().ok_or(invalid_field("version", "a whole number"))?;
+        let full = value["full"].as_bool().ok_or(invalid_field("full", "true or false"))?;
+        let lines = value["servers"].as_array().ok_or(invalid_field("servers", "a list"))?;
         let entries: Vec<Entry> = lines.iter().filter_map(entry).collect();
         let passed_over = lines.len() - entries.len();
         Ok(List { version, full, entries, passed_over })
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,9 +1,10 @@
-//! What the users' platform says and hears, beside the RESP2 of its clients. Free of I/O.
+//! The protocols of the users' platform, without I/O. The RESP2 that its clients speak is in `heronroute-resp`.
 //!
-//! Does: reads a sender's configuration and the settings in it, the arguments of `OUT.ADD`, lists of endpoints and the
-//! watch on them; writes calls to endpoints, single and several in one, and reads their answers; writes notices.
-//! Decides: what can't be read, and what an answer on the wire proves ([`call`]). Never: touches a socket, reads a
-//! clock, or decides anything about a message.
+//! - Reads a sender's configuration and settings, the arguments of `OUT.ADD`, and lists of endpoints.
+//! - Writes calls to endpoints, and derives from the answers what happened to each message ([`call`]).
+//! - Writes notices of messages that were not delivered.
+//!
+//! This crate opens no sockets, reads no clock, and takes no decision about a message.
 
 #![forbid(unsafe_code)]
 
--- a/crates/platform/src/notice.rs
+++ b/crates/platform/src/notice.rs
@@ -1,8 +1,9 @@
-//! Notices: how a message that was taken on and is not delivered ends. Free of I/O; the clock is passed in.
+//! Notices, which tell the platform how an accepted message ended that was not delivered. Without I/O; the clock is passed
+//! in.
 //!
-//! A notice is owed until the platform has answered 204. Saying one twice does no harm, so what was out when a
-//! connection broke is said again. Their number is bounded by what is held: a message is open until its notice was
-//! taken (see the engine).
+//! A notice is pending until the platform has answered with a 2xx status. Repeats are harmless, so notices in flight when
+//! a connection breaks are sent again. Their number is bounded by the number of held messages: a message stays open until
+//! its notice is acknowledged (see the engine).
 
 use bytes::BytesMut;
 use heronroute::Micros;
@@ -11,16 +12,16 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Notices in one request.
+/// Notices in one request at most.
 const MOST: usize = 200;
-/// The platform answers at once: a connection or an answer that does not come within this is given up. Guards against a
-/// message that counts as lost since the connection for its notice hung: two attempts may fail within the 300 ms in which
-/// a message's end must be told after its time is up.
+/// Timeout of a connection attempt and of an answer. The platform answers at once. Guards against a message that counts as
+/// lost because the connection for its notice hung: a message's end must be reported within 300 ms after its deadline, and
+/// two attempts may fail in that time.
 const PATIENCE: Micros = 100_000;
-/// After attempts that failed in a row the next one is waited for this many times the pause before it, where that is
-/// longer. Guards against asking for ever a platform that is slower than [`PATIENCE`].
+/// After failed attempts the timeout is this many times the pause before the next one, if that is longer. Guards against
+/// retrying for ever at a platform that is slower than [`PATIENCE`].
 const PATIENCE_PER_PAUSE: Micros = 5;
-/// The pause after the first attempt that failed; it doubles with each that follows.
+/// The pause after the first failed attempt. It doubles with each further one.
 const RETRY_FIRST: Micros = 10_000;
 /// The longest pause between attempts.
 const RETRY_MOST: Micros = 200_000;
@@ -30,11 +31,11 @@
 pub enum End {
     /// It failed.
     Failed,
-    /// It is handed back; handing it in again does no harm, after this wait.
+    /// It is returned. The client may submit it again after this wait without harm.
     Returned(Micros),
 }
 
-/// A wait in whole milliseconds, rounded up, as clients and the platform are told it.
+/// A wait in whole milliseconds, rounded up, as it is sent to clients and to the platform; none if it is 0.
 pub fn wait_ms(wait: Micros) -> Option<i64> {
     (wait > 0).then_some((wait + 999) / 1_000)
 }
@@ -52,15 +53,15 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
-    /// No connection, and none before this.
+    /// No connection, and no attempt before this time.
     Apart(Micros),
     Connecting(Micros),
     Rests,
-    /// A request is out, to be answered by then.
+    /// A request is in flight, and its answer is due by this time.
     Out(Micros),
 }
 
-/// The notices owed, and the connection they go on. `N`: the sender's own number for a message.
+/// The pending notices and their connection. `N` identifies a message within the sender.
 #[derive(Debug)]
 pub struct Notices<N> {
     address: SocketAddr,
@@ -71,14 +72,14 @@
     reader: Reader,
 }
 
-/// What is wanted.
+/// What the caller must do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Want {
     /// Nothing.
     Nothing,
-    /// A connection to there.
+    /// Open a connection to this address.
     Connect(SocketAddr),
-    /// The connection is to be given up.
+    /// Close the connection.
     Drop,
 }
 
@@ -94,7 +95,7 @@
 }
 
 impl<N> Notices<N> {
-    /// None is owed.
+    /// No notice is pending.
     pub fn new(address: SocketAddr) -> Self {
         Notices {
             address,
@@ -106,25 +107,25 @@
         }
     }
 
-    /// Notices that were not taken yet.
+    /// The number of notices that were not acknowledged yet.
     pub fn owed(&self) -> usize {
         self.waiting.len() + self.out.len()
     }
 
-    /// One more is owed.
+    /// Adds a notice.
     pub fn owe(&mut self, message: N, id: &str, end: End) {
         self.waiting.push_back((message, line(id, end)));
     }
 
-    /// Where they go from now on. The connection at hand, if there is one, is to be given up: guards against notices
-    /// that go on to an address which is about to close.
+    /// Changes the platform's address. The caller closes the current connection, if there is one. Guards against notices
+    /// that are still sent to an address which is about to close.
     pub fn moved(&mut self, now: Micros, address: SocketAddr) {
         self.address = address;
         self.ended(now);
         (self.state, self.backoff) = (State::Apart(now), RETRY_FIRST);
     }
 
-    /// When [`Notices::tick`] is next needed.
+    /// The time at which [`Notices::tick`] must be called next.
     pub fn wake(&self) -> Micros {
         match self.state {
             State::Apart(at) if self.owed() > 0 => at,
@@ -134,7 +135,7 @@
         }
     }
 
-    /// Acts on time, and on what is owed.
+    /// Handles timeouts, and sends pending notices.
     pub fn tick(&mut self, now: Micros, out: &mut BytesMut) -> Want {
         match self.state {
             State::Apart(at) if at <= now && self.owed() > 0 => {
@@ -153,14 +154,14 @@
         }
     }
 
-    /// The connection stands.
+    /// The connection is established.
     pub fn connected(&mut self, now: Micros, out: &mut BytesMut) {
         self.reader = Reader::new(Side::Responses, 4_096);
         self.state = State::Rests;
         self.write(now, out);
     }
 
-    /// For how long a connection or an answer is waited for.
+    /// The current timeout of a connection attempt and of an answer.
     fn patience(&self) -> Micros {
         PATIENCE.max(PATIENCE_PER_PAUSE * self.backoff)
     }
@@ -184,7 +185,7 @@
         self.state = State::Out(now + self.patience());
     }
 
-    /// Octets came. Gives the messages whose notices were taken; an error where the connection is of no more use.
+    /// Accepts octets, and returns the messages whose notices were acknowledged.
     ///
     /// # Errors
     /// Why the connection can't be used any more.
@@ -210,12 +211,12 @@
         }
     }
 
-    /// Whether the connection is over after what was heard.
+    /// Whether there is no connection.
     pub fn apart(&self) -> bool {
         matches!(self.state, State::Apart(_))
     }
 
-    /// The connection is gone: what was out is owed again.
+    /// The connection was lost: notices in flight are pending again.
     pub fn ended(&mut self, now: Micros) {
         while let Some(n) = self.out.pop_back() {
             self.waiting.push_front(n);
@@ -227,7 +228,7 @@
     }
 }
 
-/// The answer that a client hears for a message that was refused at once.
+/// The answer to a client whose message was refused at once.
 pub fn busy(wait: Micros) -> String {
     wait_ms(wait).map_or("BUSY".to_string(), |ms| format!("BUSY {ms}"))
 }
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -1,24 +1,24 @@
-//! Cuts a stream of octets into JSON objects, one after another, with white space or nothing between them. Free of I/O.
+//! Splits a stream of octets into JSON objects, which follow one another with or without white space. Without I/O.
 //!
-//! An object is found by its nesting, not by lines: it may be written on one line or indented over several, and it may
-//! come in pieces of any size. Only where it begins and ends is found here; whether it is JSON is for its reader.
+//! The end of an object is found by its nesting, not by lines: it may stand on one line or be indented over several, and
+//! may arrive in pieces of any size. Only its extent is determined here; the caller parses it.
 
 /// Octets of an object at most.
 pub const MOST_OBJECT: usize = 4 << 20;
 
-/// What a stream holds.
+/// An element of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Piece {
-    /// The end of a line that held nothing, or of the one on which an object ended.
+    /// The end of an empty line, or of the line on which an object ended.
     EndOfLine,
-    /// A whole object.
+    /// A complete object.
     Object(Vec<u8>),
 }
 
-/// A stream that can't be read on.
+/// Why a stream can't be read any further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Spoilt {
-    /// Something other than white space between two objects.
+    /// An octet other than white space between two objects.
     #[error("an octet {0:#04x} between two objects")]
     Stray(u8),
     /// An object of more than [`MOST_OBJECT`] octets.
@@ -26,35 +26,35 @@
     TooLong,
 }
 
-/// Where in an object the stream is.
+/// The position of the parser within an object.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Place {
     #[default]
     Structure,
     Text,
-    /// Behind a backslash in a text.
+    /// After a backslash in a string.
     Escape,
 }
 
-/// The stream, and the object that has begun.
+/// The state of a stream and its incomplete object.
 #[derive(Debug, Default)]
 pub struct Objects {
     object: Vec<u8>,
-    /// Objects that are open, one within another. None: between two objects.
+    /// Depth of nesting; 0 between two objects.
     depth: usize,
     place: Place,
 }
 
 impl Objects {
-    /// Whether an object has begun that is not whole yet.
+    /// Whether an object is incomplete.
     pub fn has_begun(&self) -> bool {
         self.depth > 0
     }
 
-    /// Takes octets and gives the pieces that they complete.
+    /// Accepts octets, and appends the pieces that they complete.
     ///
     /// # Errors
-    /// Where the stream can't be read on. What was complete before is in `pieces`.
+    /// If the stream can't be read any further. `pieces` holds what was complete before.
     pub fn push(&mut self, octets: &[u8], pieces: &mut Vec<Piece>) -> Result<(), Spoilt> {
         octets.iter().try_for_each(|octet| self.octet(*octet, pieces))
     }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,5 +1,5 @@
-//! The settings that the platform gives a sender, as they stand on the simulator's wire and in a real sender's
-//! configuration: read in one place, so that the two can't drift apart.
+//! The settings that the platform gives a sender. The simulator's protocol and a real sender's configuration share this
+//! one parser, so that they can't diverge.
 
 use heronroute::{
     ClassSettings, Discovery, Effect, Group, KindSettings, Late, Micros, Settings, TenantSettings, Weights,
@@ -109,7 +109,7 @@
     zone: usize,
 }
 
-/// Names and figures that a real sender needs beside what the decision library is told.
+/// Names and values that a real sender needs beside the settings of the decision library.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
     /// Classes, by index.
@@ -120,12 +120,12 @@
     pub kinds: Vec<String>,
     /// Zones, by index.
     pub zones: Vec<String>,
-    /// A connection must stand by then.
+    /// Timeout of a connection attempt.
     pub connect_timeout: Option<Micros>,
 }
 
 impl ProfileData {
-    /// Names, by the indexes that the decision library knows them by.
+    /// Names, by the indexes that the decision library uses.
     pub fn names(&self) -> Names {
         Names {
             classes: self.profiles.iter().map(|p| p.name.clone()).collect(),
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Puts the wire's settings into the library's words; where the wire is silent, its defaults stand.
+    /// Converts to the decision library's settings. A setting that is not given has the library's default.
     pub fn settings(self) -> Settings {
         let d = Settings::default();
         let class = |p: Profile| ClassSettings {
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -6,14 +6,14 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 
-/// What a sender may take up.
+/// Limits on a sender's resources.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     /// Megabytes of memory.
     pub memory_mb: f64,
-    /// Descriptors of a process.
+    /// File descriptors of the process.
     pub sockets: usize,
-    /// Megabytes in the folder that lasts.
+    /// Megabytes on disk, in the directory that outlives the process.
     pub disk_mb: f64,
 }
 
@@ -22,19 +22,19 @@
 pub struct StartUp {
     /// The sender's name.
     pub name: String,
-    /// Where clients connect.
+    /// The address at which clients connect.
     pub listen: SocketAddr,
-    /// Where lists come from and notices go.
+    /// The address of discovery, which sends lists and receives notices.
     pub discovery: SocketAddr,
-    /// Seed of random numbers.
+    /// The seed of random numbers.
     pub seed: u64,
-    /// What it may take up.
+    /// Its limits.
     pub limits: Limits,
-    /// The endpoints as they were last known.
+    /// The last known endpoints.
     pub known: List,
-    /// What the decision library is told.
+    /// Settings of the decision library.
     pub settings: Settings,
-    /// Names that go with it.
+    /// Names that belong to the settings.
     pub names: Names,
 }
 
@@ -72,7 +72,7 @@
     Limits,
 }
 
-/// Reads a configuration.
+/// Parses a configuration.
 ///
 /// # Errors
 /// Names the field that is missing or wrong.
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -1,7 +1,7 @@
-//! A watch: an answer that stays open and holds lists, one JSON object after another, and empty lines between them.
+//! A watch: an HTTP answer that stays open and carries lists as JSON objects, with empty lines between them.
 //!
-//! An object may stand on one line or be indented over several, and may come in pieces of any size (see
-//! [`crate::objects`]). Free of I/O and of time: how long to wait for what is for its user.
+//! An object may stand on one line or be indented over several, and may arrive in pieces of any size (see
+//! [`crate::objects`]). Without I/O and without a clock: timeouts are up to the caller.
 
 use crate::catalog::{List, Unreadable};
 use crate::objects::{Objects, Piece, Spoilt};
@@ -9,50 +9,50 @@
 
 /// Octets of a head at most.
 const MOST_HEAD: usize = 16 * 1024;
-/// Octets of a line that declares the size of a chunk.
+/// Octets of a line that declares the size of a chunk, at most.
 const MOST_SIZE: usize = 64;
 
-/// Writes the request for a watch on what changes after a version.
+/// Writes the request for a watch on changes after a version.
 pub fn ask(version: u64, host: &str, out: &mut BytesMut) {
     let target = format!("/catalog/members?follow=1&since={version}");
     heronroute_http::write_request("GET", &target, host, &[], b"", out);
 }
 
-/// What a watch says.
+/// An event of a watch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Said {
-    /// The answer has begun.
+    /// The head of the answer was read.
     Head,
-    /// An empty line, or the end of a line behind a list: it lives.
+    /// An empty line, or the end of the line after a list. It shows that the watch is alive.
     EndOfLine,
-    /// A list, or changes to it.
+    /// A full list, or changes.
     List(List),
 }
 
-/// Why a watch is over.
+/// Why a watch has ended.
 #[derive(Debug, thiserror::Error)]
 pub enum Over {
-    /// The question was answered otherwise than by 200.
+    /// The request was answered with a status other than 200.
     #[error("status {0}")]
     Status(u16),
-    /// No HTTP, or a head that is too long.
+    /// The answer is not HTTP, or its head is too long.
     #[error("no answer that can be read")]
     Head,
-    /// Chunks that can't be told apart.
+    /// The chunked coding is invalid.
     #[error("chunks that can't be told apart")]
     Chunk,
-    /// The answer came to its end.
+    /// The answer is complete.
     #[error("the watch was ended")]
     Ended,
-    /// Octets that are no objects.
+    /// The body is not a sequence of objects.
     #[error("{0}")]
     Spoilt(Spoilt),
-    /// An object that is no list.
+    /// An object is not a list.
     #[error("no list: {0}")]
     Unreadable(Unreadable),
 }
 
-/// Writes the request for the whole list, as an answer of its own.
+/// Writes the request for the full list, which is answered once and without a watch.
 pub fn ask_whole(host: &str, out: &mut BytesMut) {
     heronroute_http::write_request("GET", "/catalog/members", host, &[], b"", out);
 }
@@ -60,16 +60,16 @@
 #[derive(Clone, Copy, Debug)]
 enum State {
     Head,
-    /// The line with a chunk's size.
+    /// Reading the line with a chunk's size.
     Size,
     Chunk(usize),
-    /// The line's end behind a chunk.
+    /// Reading the end of line after a chunk.
     Behind,
-    /// Not in chunks: up to the end of the connection.
+    /// Not chunked: the body extends to the end of the connection.
     Plain,
 }
 
-/// Reads the answer.
+/// Reads the answer to a watch.
 #[derive(Debug)]
 pub struct Watch {
     state: State,
@@ -84,15 +84,15 @@
 }
 
 impl Watch {
-    /// Whether a list has begun that is not whole yet.
+    /// Whether a list is incomplete.
     pub fn has_begun_list(&self) -> bool {
         self.objects.has_begun()
     }
 
-    /// Takes octets and gives what they say.
+    /// Accepts octets, and appends the events that they complete.
     ///
     /// # Errors
-    /// Where the watch is over or can't be read on. What was said before that is in `said`.
+    /// If the watch has ended or can't be read any further. `said` holds the events before that.
     pub fn receive(&mut self, octets: &[u8], said: &mut Vec<Said>) -> Result<(), Over> {
         self.buffer.extend_from_slice(octets);
         loop {
@@ -121,7 +121,7 @@
         }
     }
 
-    /// Whether the head is whole.
+    /// Reads the head; returns whether it is complete.
     fn head(&mut self, said: &mut Vec<Said>) -> Result<bool, Over> {
         let mut fields = [httparse::EMPTY_HEADER; 64];
         let mut head = httparse::Response::new(&mut fields);
@@ -144,7 +144,7 @@
         }
     }
 
-    /// A line of the chunks' own, where it is whole.
+    /// A line of the chunked coding, if it is complete.
     fn line(&mut self) -> Result<Option<String>, Over> {
         let Some(end) = self.buffer.iter().take(MOST_SIZE).position(|b| *b == b'\n') else {
             return if self.buffer.len() >= MOST_SIZE { Err(Over::Chunk) } else { Ok(None) };
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -1,11 +1,13 @@
-//! RESP2 as a server reads and writes it, free of I/O.
+//! The server side of RESP2, without I/O.
 //!
-//! Does: cuts a stream into commands (arrays of bulk strings), in pieces of any size; writes simple strings and
-//! error lines. Decides: when a stream can't be read on. Never: touches a socket, reads a clock, or knows a command.
+//! - Splits a stream into commands (arrays of bulk strings), which may arrive in pieces of any size.
+//! - Writes simple strings and error lines.
 //!
-//! Lengths and counts are judged as they are declared, before anything of what they promise is kept: what a client
-//! can make the reader hold is [`Limits::octets`] and a line. Libraries (redis-protocol, resp2) were weighed: they
-//! parse whole frames from a buffer and leave it to the caller how long that grows for a declared length.
+//! This crate opens no sockets, reads no clock, and does not interpret commands.
+//!
+//! Lengths and counts are checked when they are declared, before any of the declared data is accepted. A client can make
+//! the reader accept a command of at most [`Limits::octets`]. Libraries (redis-protocol, resp2) were considered: they parse
+//! complete frames from a buffer, and leave it to the caller to bound that buffer.
 
 #![forbid(unsafe_code)]
 
@@ -21,7 +23,7 @@
     _ = write!(out, "+{text}\r\n");
 }
 
-/// Appends an error line. What would end the line early is left out.
+/// Appends an error line. Control characters, which could end the line early, are removed.
 pub fn error(text: &str, out: &mut BytesMut) {
     let clean: String = text.chars().filter(|c| !c.is_control()).collect();
     _ = write!(out, "-{clean}\r\n");
--- a/crates/resp/src/read.rs
+++ b/crates/resp/src/read.rs
@@ -1,67 +1,67 @@
-//! From octets to commands.
+//! Parses octets into commands.
 
 use bytes::{Buf, BytesMut};
 
-/// What a client may declare.
+/// Upper bounds of what a client may declare.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Arguments of a command.
+    /// Arguments of a command, its name included.
     pub args: usize,
     /// Octets of all arguments of a command together.
     pub octets: usize,
 }
 
-/// The arguments of a command.
+/// The arguments of a command, its name first.
 pub type Command = Vec<Vec<u8>>;
 
-/// The stream can't be read on.
+/// The stream can't be read any further, for this reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{0}")]
 pub struct Unreadable(pub &'static str);
 
-/// Octets of a line that declares a length, its end included.
+/// Octets of a line that declares a length at most, its end included.
 const LINE: usize = 16;
 
-/// Cuts a stream into commands.
+/// Splits a stream into commands.
 #[derive(Debug)]
 pub struct Reader {
     limits: Limits,
     buffer: BytesMut,
-    /// Arguments that are still to come; 0 between commands.
+    /// Arguments still expected; 0 between commands.
     to_come: usize,
-    /// Length of the one that is being read.
+    /// Length of the current argument, once it is declared.
     length: Option<usize>,
     args: Command,
-    /// Octets declared for this command so far.
+    /// Octets declared for the current command so far.
     declared: usize,
 }
 
 impl Reader {
-    /// A reader at the beginning of a stream.
+    /// Creates a reader at the start of a stream.
     pub fn new(limits: Limits) -> Self {
         let (buffer, args) = (BytesMut::new(), Vec::new());
         Reader { limits, buffer, to_come: 0, length: None, args, declared: 0 }
     }
 
-    /// Takes octets from the stream.
+    /// Accepts octets from the stream.
     pub fn push(&mut self, octets: &[u8]) {
         self.buffer.extend_from_slice(octets);
     }
 
-    /// Octets that were taken and are not part of a command yet.
+    /// The number of buffered octets that are not part of an argument yet.
     pub fn waiting(&self) -> usize {
         self.buffer.len()
     }
 
-    /// Whether something has come of a command that isn't whole.
+    /// Whether the stream holds octets of a command that was not returned yet.
     pub fn begun(&self) -> bool {
         self.to_come > 0 || !self.buffer.is_empty()
     }
 
-    /// The next command, if it is whole.
+    /// The next command, if it is complete.
     ///
     /// # Errors
-    /// Where nothing after it can be read.
+    /// If the stream can't be read any further.
     pub fn next_command(&mut self) -> Result<Option<Command>, Unreadable> {
         loop {
             if let Some(length) = self.length {
@@ -93,7 +93,7 @@
                 }
                 self.to_come = n;
             } else {
-                // Guards against values of 60 MB: what won't be taken is not waited for either.
+                // Guards against values of 60 MB: a value that would be rejected is not waited for.
                 if n > self.limits.octets.saturating_sub(self.declared) {
                     return Err(Unreadable("too long"));
                 }
@@ -103,7 +103,7 @@
         }
     }
 
-    /// The number of a line that declares a length; signs, blanks and empty numbers are none.
+    /// The number in a line that declares a length or a count. Signs, spaces and empty numbers are errors.
     fn number(&mut self) -> Result<Option<usize>, Unreadable> {
         let head = &self.buffer[..self.buffer.len().min(LINE)];
         let Some(end) = head.iter().position(|b| *b == b'\n') else {
