Parsing a message in http and the settings in platform are small functions

`Reader::cut` of http was one match of 65 lines; each state has a function of its own, which says whether the message is complete, goes on, or waits for octets. Classes and kinds of the settings are converted by functions of their own. Conditions and their order are the same.

--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -75,6 +75,16 @@
     ToEnd { head: Message },
 }
 
+/// The result of one step of the parser.
+enum Step {
+    /// The message is complete.
+    Complete(Message),
+    /// Go on in this state.
+    Next(State),
+    /// Wait in this state for more octets.
+    Wait(State),
+}
+
 /// Splits a stream into messages.
 #[derive(Debug)]
 pub struct Reader {
@@ -141,74 +151,75 @@
 
     fn cut(&mut self) -> Result<Option<Message>, Unreadable> {
         loop {
-            match std::mem::replace(&mut self.state, State::Head) {
-                State::Head => match self.head()? {
-                    Some(state) => self.state = state,
-                    None => return Ok(None),
-                },
-                State::Sized { mut head, left } => {
-                    let n = left.min(self.buffer.len());
-                    head.body.extend_from_slice(&self.buffer[..n]);
-                    self.buffer.advance(n);
-                    if n == left {
-                        return Ok(Some(head));
-                    }
-                    self.state = State::Sized { head, left: left - n };
-                    return Ok(None);
-                }
-                State::ChunkSize { head } => {
-                    let Some(line) = self.line()? else {
-                        self.state = State::ChunkSize { head };
-                        return Ok(None);
-                    };
-                    let size = line.split(';').next().unwrap_or_default().trim();
-                    let size = usize::from_str_radix(size, 16).map_err(|_| Unreadable("bad chunk size"))?;
-                    if size > self.most_body.saturating_sub(head.body.len()) {
-                        return Err(Unreadable("body too large"));
-                    }
-                    self.state = if size == 0 {
-                        State::Trailer { head }
-                    } else {
-                        State::Chunk { head, left: size + 2 }
-                    };
-                }
-                State::Chunk { mut head, left } => {
-                    // The two octets of the end of line are read with the chunk and removed.
-                    if self.buffer.len() < left {
-                        self.state = State::Chunk { head, left };
-                        return Ok(None);
-                    }
-                    if &self.buffer[left - 2..left] != b"\r\n" {
-                        return Err(Unreadable("a chunk without its end"));
-                    }
-                    head.body.extend_from_slice(&self.buffer[..left - 2]);
-                    self.buffer.advance(left);
-                    self.state = State::ChunkSize { head };
-                }
-                State::Trailer { head } => match self.line()? {
-                    Some(line) if line.is_empty() => return Ok(Some(head)),
-                    Some(_) => self.state = State::Trailer { head },
-                    None => {
-                        self.state = State::Trailer { head };
-                        return Ok(None);
-                    }
-                },
-                State::ToEnd { mut head } => {
-                    if head.body.len() + self.buffer.len() > self.most_body {
-                        return Err(Unreadable("body too large"));
-                    }
-                    head.body.extend_from_slice(&self.buffer);
-                    self.buffer.clear();
-                    if self.closed {
-                        return Ok(Some(head));
-                    }
-                    self.state = State::ToEnd { head };
+            let step = match std::mem::replace(&mut self.state, State::Head) {
+                State::Head => self.head()?.map_or(Step::Wait(State::Head), Step::Next),
+                State::Sized { head, left } => self.sized(head, left),
+                State::ChunkSize { head } => self.chunk_size(head)?,
+                State::Chunk { head, left } => self.chunk(head, left)?,
+                State::Trailer { head } => self.trailer(head)?,
+                State::ToEnd { head } => self.until_end(head)?,
+            };
+            match step {
+                Step::Complete(message) => return Ok(Some(message)),
+                Step::Next(state) => self.state = state,
+                Step::Wait(state) => {
+                    self.state = state;
                     return Ok(None);
                 }
             }
         }
     }
 
+    fn sized(&mut self, mut head: Message, left: usize) -> Step {
+        let n = left.min(self.buffer.len());
+        head.body.extend_from_slice(&self.buffer[..n]);
+        self.buffer.advance(n);
+        if n == left { Step::Complete(head) } else { Step::Wait(State::Sized { head, left: left - n }) }
+    }
+
+    fn chunk_size(&mut self, head: Message) -> Result<Step, Unreadable> {
+        let Some(line) = self.line()? else { return Ok(Step::Wait(State::ChunkSize { head })) };
+        let size = line.split(';').next().unwrap_or_default().trim();
+        let size = usize::from_str_radix(size, 16).map_err(|_| Unreadable("bad chunk size"))?;
+        if size > self.most_body.saturating_sub(head.body.len()) {
+            return Err(Unreadable("body too large"));
+        }
+        Ok(Step::Next(match size {
+            0 => State::Trailer { head },
+            _ => State::Chunk { head, left: size + 2 },
+        }))
+    }
+
+    fn chunk(&mut self, mut head: Message, left: usize) -> Result<Step, Unreadable> {
+        // The two octets of the end of line are read with the chunk and removed.
+        if self.buffer.len() < left {
+            return Ok(Step::Wait(State::Chunk { head, left }));
+        }
+        if &self.buffer[left - 2..left] != b"\r\n" {
+            return Err(Unreadable("a chunk without its end"));
+        }
+        head.body.extend_from_slice(&self.buffer[..left - 2]);
+        self.buffer.advance(left);
+        Ok(Step::Next(State::ChunkSize { head }))
+    }
+
+    fn trailer(&mut self, head: Message) -> Result<Step, Unreadable> {
+        Ok(match self.line()? {
+            Some(line) if line.is_empty() => Step::Complete(head),
+            Some(_) => Step::Next(State::Trailer { head }),
+            None => Step::Wait(State::Trailer { head }),
+        })
+    }
+
+    fn until_end(&mut self, mut head: Message) -> Result<Step, Unreadable> {
+        if head.body.len() + self.buffer.len() > self.most_body {
+            return Err(Unreadable("body too large"));
+        }
+        head.body.extend_from_slice(&self.buffer);
+        self.buffer.clear();
+        Ok(if self.closed { Step::Complete(head) } else { Step::Wait(State::ToEnd { head }) })
+    }
+
     fn line(&mut self) -> Result<Option<String>, Unreadable> {
         let Some(at) = self.buffer.iter().position(|b| *b == b'\n') else {
             return if self.buffer.len() > MOST_HEAD { Err(Unreadable("a line too long")) } else { Ok(None) };
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -37,6 +37,29 @@
     }
 }
 
+impl Profile {
+    fn settings(self) -> ClassSettings {
+        ClassSettings {
+            aim: self.objective_us,
+            deadline: self.hard_limit_us,
+            effect: match self.effect.as_str() {
+                "free" => Effect::Free,
+                "guarded" => Effect::Guarded,
+                _ => Effect::SingleShot,
+            },
+            group: match self.group.as_str() {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                _ => Group::Endpoint,
+            },
+            window: self.window_us,
+            ordered: self.serial_by_key,
+            worth: self.worth,
+            late_share: self.late_share,
+        }
+    }
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct FamilyInfo {
@@ -47,6 +70,15 @@
     workers: Option<u32>,
 }
 
+impl FamilyInfo {
+    fn kind(&self, kind: usize) -> KindSettings {
+        KindSettings {
+            batch: self.batch_by_kind.get(kind).copied().unwrap_or(1).max(1),
+            apart: self.kind_apart.get(kind).copied().unwrap_or(false),
+        }
+    }
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Limits {
@@ -139,30 +171,8 @@
     /// Converts to the decision library's settings. A setting that is not given has the library's default.
     pub fn settings(self) -> Settings {
         let d = Settings::default();
-        let class = |p: Profile| ClassSettings {
-            aim: p.objective_us,
-            deadline: p.hard_limit_us,
-            effect: match p.effect.as_str() {
-                "free" => Effect::Free,
-                "guarded" => Effect::Guarded,
-                _ => Effect::SingleShot,
-            },
-            group: match p.group.as_str() {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                _ => Group::Endpoint,
-            },
-            window: p.window_us,
-            ordered: p.serial_by_key,
-            worth: p.worth,
-            late_share: p.late_share,
-        };
         let f = self.family_info;
         let kinds = self.shapes.len().max(f.batch_by_kind.len()).max(f.kind_apart.len());
-        let kind = |k: usize| KindSettings {
-            batch: f.batch_by_kind.get(k).copied().unwrap_or(1).max(1),
-            apart: f.kind_apart.get(k).copied().unwrap_or(false),
-        };
         Settings {
             senders: self.balancers.unwrap_or(d.senders),
             zone: self.zone,
@@ -195,8 +205,8 @@
             cross_zone_price: self.prices.cross_zone,
             handshake_price: self.prices.handshake,
             zone_fees: f.carriage.clone(),
-            classes: self.profiles.into_iter().map(class).collect(),
-            kinds: (0..kinds).map(kind).collect(),
+            classes: self.profiles.into_iter().map(Profile::settings).collect(),
+            kinds: (0..kinds).map(|kind| f.kind(kind)).collect(),
             tenants: self
                 .customers
                 .unwrap_or_default()
