--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -1,55 +1,54 @@
-//! From octets to requests or responses.
+//! Parses octets into requests or responses.
 
 use crate::MOST_HEAD;
 use bytes::{Buf, BytesMut};
 
-/// Which side of a connection is read.
+/// The kind of messages on a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
-    /// Requests come in.
+    /// The stream carries requests.
     Requests,
-    /// Responses come in.
+    /// The stream carries responses.
     Responses,
 }
 
-/// The first line of a message.
+/// The start line of a message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Start {
-    /// Of a request.
+    /// The start line of a request.
     Request {
         /// The method.
         method: String,
-        /// The target, as written.
+        /// The target, as received.
         target: String,
     },
-    /// Of a response.
+    /// The start line of a response.
     Response {
         /// The status.
         status: u16,
     },
 }
 
-/// A whole message.
+/// A complete message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
-    /// Its first line.
+    /// Its start line.
     pub start: Start,
-    /// Fields in order, names in lower case.
+    /// Its header fields in order, with names in lower case.
     pub fields: Vec<(String, String)>,
     /// Its body.
     pub body: Vec<u8>,
-    /// The connection ends after it.
+    /// The connection is closed after it.
     pub last: bool,
 }
 
 impl Message {
-    /// The first field of a name (in lower case).
+    /// The first header field with this name, which is in lower case.
     pub fn field(&self, name: &str) -> Option<&str> {
         self.fields.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
-    /// The wait that `Retry-After` tells, in seconds, also with decimals as some write them. It may be a date too; a
-    /// receiver's clock is its own, so only seconds are heeded.
+    /// The wait in `Retry-After`, in seconds; decimals are accepted. A date is ignored, as the receiver's clock may differ.
     pub fn retry_after(&self) -> Option<f64> {
         let seconds = self.field("retry-after")?.trim().parse::<f64>().ok()?;
         (seconds.is_finite() && seconds >= 0.0).then(|| seconds.min(1e6))
@@ -61,8 +60,9 @@
     }
 }
 
-/// The stream can't be read on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The stream can't be read any further, for this reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
 pub struct Unreadable(pub &'static str);
 
 #[derive(Clone, Debug)]
@@ -75,7 +75,17 @@
     ToEnd { head: Message },
 }
 
-/// Cuts a stream into messages.
+/// The result of one step of the parser.
+enum Step {
+    /// The message is complete.
+    Complete(Message),
+    /// Go on in this state.
+    Next(State),
+    /// Wait in this state for more octets.
+    Wait(State),
+}
+
+/// Splits a stream into messages.
 #[derive(Debug)]
 pub struct Reader {
     side: Side,
@@ -83,20 +93,20 @@
     buffer: BytesMut,
     state: State,
     closed: bool,
-    /// Status of the response that is being read, once its head was.
+    /// The status of the current response, once its head was read.
     status: Option<u16>,
-    /// The wait that its head tells, likewise.
+    /// The wait in its head, likewise.
     wait: Option<f64>,
 }
 
 impl Reader {
-    /// A reader that takes bodies of up to `most_body` octets.
+    /// Creates a reader that accepts bodies of up to `most_body` octets.
     pub fn new(side: Side, most_body: usize) -> Self {
         let (buffer, state) = (BytesMut::new(), State::Head);
         Reader { side, most_body, buffer, state, closed: false, status: None, wait: None }
     }
 
-    /// Takes octets from the stream.
+    /// Accepts octets from the stream.
     pub fn push(&mut self, octets: &[u8]) {
         self.buffer.extend_from_slice(octets);
     }
@@ -106,13 +116,12 @@
         self.closed = true;
     }
 
-    /// Whether something has come of a message that isn't whole.
+    /// Whether the stream holds octets of a message that was not returned yet.
     pub fn begun(&self) -> bool {
         !self.buffer.is_empty() || !matches!(self.state, State::Head)
     }
 
-    /// The status of the response that is being read, as soon as its first line is there; also where the rest of it
-    /// can't be read.
+    /// The status of the current response, as soon as its start line has arrived, even if the rest can't be read.
     pub fn status_so_far(&self) -> Option<u16> {
         self.status.or_else(|| {
             let end = self.buffer.iter().take(MOST_HEAD).position(|b| *b == b'\n')?;
@@ -123,16 +132,15 @@
         })
     }
 
-    /// The wait that the response being read tells, in seconds, as soon as its head is there; also where its body can't be
-    /// read.
+    /// The wait in the current response, in seconds, as soon as its head has arrived, even if its body can't be read.
     pub fn wait_so_far(&self) -> Option<f64> {
         self.wait
     }
 
-    /// The next message, if it is whole.
+    /// The next message, if it is complete.
     ///
     /// # Errors
-    /// Where nothing after it can be read.
+    /// If the stream can't be read any further.
     pub fn next_message(&mut self) -> Result<Option<Message>, Unreadable> {
         let next = self.cut();
         if matches!(next, Ok(Some(_))) {
@@ -143,74 +151,75 @@
 
     fn cut(&mut self) -> Result<Option<Message>, Unreadable> {
         loop {
-            match std::mem::replace(&mut self.state, State::Head) {
-                State::Head => match self.head()? {
-                    Some(state) => self.state = state,
-                    None => return Ok(None),
-                },
-                State::Sized { mut head, left } => {
-                    let n = left.min(self.buffer.len());
-                    head.body.extend_from_slice(&self.buffer[..n]);
-                    self.buffer.advance(n);
-                    if n == left {
-                        return Ok(Some(head));
-                    }
-                    self.state = State::Sized { head, left: left - n };
-                    return Ok(None);
-                }
-                State::ChunkSize { head } => {
-                    let Some(line) = self.line()? else {
-                        self.state = State::ChunkSize { head };
-                        return Ok(None);
-                    };
-                    let size = line.split(';').next().unwrap_or_default().trim();
-                    let size = usize::from_str_radix(size, 16).map_err(|_| Unreadable("bad chunk size"))?;
-                    if size > self.most_body.saturating_sub(head.body.len()) {
-                        return Err(Unreadable("body too large"));
-                    }
-                    self.state = if size == 0 {
-                        State::Trailer { head }
-                    } else {
-                        State::Chunk { head, left: size + 2 }
-                    };
-                }
-                State::Chunk { mut head, left } => {
-                    // The two octets of the line's end travel with the chunk and are cut off.
-                    if self.buffer.len() < left {
-                        self.state = State::Chunk { head, left };
-                        return Ok(None);
-                    }
-                    if &self.buffer[left - 2..left] != b"\r\n" {
-                        return Err(Unreadable("a chunk without its end"));
-                    }
-                    head.body.extend_from_slice(&self.buffer[..left - 2]);
-                    self.buffer.advance(left);
-                    self.state = State::ChunkSize { head };
-                }
-                State::Trailer { head } => match self.line()? {
-                    Some(line) if line.is_empty() => return Ok(Some(head)),
-                    Some(_) => self.state = State::Trailer { head },
-                    None => {
-                        self.state = State::Trailer { head };
-                        return Ok(None);
-                    }
-                },
-                State::ToEnd { mut head } => {
-                    if head.body.len() + self.buffer.len() > self.most_body {
-                        return Err(Unreadable("body too large"));
-                    }
-                    head.body.extend_from_slice(&self.buffer);
-                    self.buffer.clear();
-                    if self.closed {
-                        return Ok(Some(head));
-                    }
-                    self.state = State::ToEnd { head };
+            let step = match std::mem::replace(&mut self.state, State::Head) {
+                State::Head => self.head()?.map_or(Step::Wait(State::Head), Step::Next),
+                State::Sized { head, left } => self.sized(head, left),
+                State::ChunkSize { head } => self.chunk_size(head)?,
+                State::Chunk { head, left } => self.chunk(head, left)?,
+                State::Trailer { head } => self.trailer(head)?,
+                State::ToEnd { head } => self.until_end(head)?,
+            };
+            match step {
+                Step::Complete(message) => return Ok(Some(message)),
+                Step::Next(state) => self.state = state,
+                Step::Wait(state) => {
+                    self.state = state;
                     return Ok(None);
                 }
             }
         }
     }
 
+    fn sized(&mut self, mut head: Message, left: usize) -> Step {
+        let n = left.min(self.buffer.len());
+        head.body.extend_from_slice(&self.buffer[..n]);
+        self.buffer.advance(n);
+        if n == left { Step::Complete(head) } else { Step::Wait(State::Sized { head, left: left - n }) }
+    }
+
+    fn chunk_size(&mut self, head: Message) -> Result<Step, Unreadable> {
+        let Some(line) = self.line()? else { return Ok(Step::Wait(State::ChunkSize { head })) };
+        let size = line.split(';').next().unwrap_or_default().trim();
+        let size = usize::from_str_radix(size, 16).map_err(|_| Unreadable("bad chunk size"))?;
+        if size > self.most_body.saturating_sub(head.body.len()) {
+            return Err(Unreadable("body too large"));
+        }
+        Ok(Step::Next(match size {
+            0 => State::Trailer { head },
+            _ => State::Chunk { head, left: size + 2 },
+        }))
+    }
+
+    fn chunk(&mut self, mut head: Message, left: usize) -> Result<Step, Unreadable> {
+        // The two octets of the end of line are read with the chunk and removed.
+        if self.buffer.len() < left {
+            return Ok(Step::Wait(State::Chunk { head, left }));
+        }
+        if &self.buffer[left - 2..left] != b"\r\n" {
+            return Err(Unreadable("a chunk without its end"));
+        }
+        head.body.extend_from_slice(&self.buffer[..left - 2]);
+        self.buffer.advance(left);
+        Ok(Step::Next(State::ChunkSize { head }))
+    }
+
+    fn trailer(&mut self, head: Message) -> Result<Step, Unreadable> {
+        Ok(match self.line()? {
+            Some(line) if line.is_empty() => Step::Complete(head),
+            Some(_) => Step::Next(State::Trailer { head }),
+            None => Step::Wait(State::Trailer { head }),
+        })
+    }
+
+    fn until_end(&mut self, mut head: Message) -> Result<Step, Unreadable> {
+        if head.body.len() + self.buffer.len() > self.most_body {
+            return Err(Unreadable("body too large"));
+        }
+        head.body.extend_from_slice(&self.buffer);
+        self.buffer.clear();
+        Ok(if self.closed { Step::Complete(head) } else { Step::Wait(State::ToEnd { head }) })
+    }
+
     fn line(&mut self) -> Result<Option<String>, Unreadable> {
         let Some(at) = self.buffer.iter().position(|b| *b == b'\n') else {
             return if self.buffer.len() > MOST_HEAD { Err(Unreadable("a line too long")) } else { Ok(None) };
@@ -262,7 +271,7 @@
         self.framing(head).map(Some)
     }
 
-    /// How the body's end is found, by RFC 9112, section 6.3.
+    /// Determines the length of the body as in RFC 9112, section 6.3.
     fn framing(&self, mut head: Message) -> Result<State, Unreadable> {
         let status = head.status();
         if (100..200).contains(&status) || status == 204 || status == 304 {
@@ -271,7 +280,7 @@
         let lengths: Vec<&str> =
             head.fields.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v.as_str()).collect();
         if let Some(coding) = head.field("transfer-encoding") {
-            // Both at once is how requests are smuggled: refused.
+            // Guards against request smuggling, which uses both at once.
             if !coding.eq_ignore_ascii_case("chunked") || !lengths.is_empty() {
                 return Err(Unreadable("a transfer coding that is not served"));
             }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,5 +1,5 @@
-//! The settings that the platform gives a sender, as they stand on the simulator's wire and in a real sender's
-//! configuration: read in one place, so that the two can't drift apart.
+//! The settings that the platform gives a sender. The simulator's protocol and a real sender's configuration share this
+//! one parser, so that they can't diverge.
 
 use heronroute::{
     ClassSettings, Discovery, Effect, Group, KindSettings, Late, Micros, Settings, TenantSettings, Weights,
@@ -37,6 +37,29 @@
     }
 }
 
+impl Profile {
+    fn settings(self) -> ClassSettings {
+        ClassSettings {
+            aim: self.objective_us,
+            deadline: self.hard_limit_us,
+            effect: match self.effect.as_str() {
+                "free" => Effect::Free,
+                "guarded" => Effect::Guarded,
+                _ => Effect::SingleShot,
+            },
+            group: match self.group.as_str() {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                _ => Group::Endpoint,
+            },
+            window: self.window_us,
+            ordered: self.serial_by_key,
+            worth: self.worth,
+            late_share: self.late_share,
+        }
+    }
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct FamilyInfo {
@@ -47,6 +70,15 @@
     workers: Option<u32>,
 }
 
+impl FamilyInfo {
+    fn kind(&self, kind: usize) -> KindSettings {
+        KindSettings {
+            batch: self.batch_by_kind.get(kind).copied().unwrap_or(1).max(1),
+            apart: self.kind_apart.get(kind).copied().unwrap_or(false),
+        }
+    }
+}
+
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Limits {
@@ -109,7 +141,7 @@
     zone: usize,
 }
 
-/// Names and figures that a real sender needs beside what the decision library is told.
+/// Names and values that a real sender needs beside the settings of the decision library.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
     /// Classes, by index.
@@ -120,12 +152,12 @@
     pub kinds: Vec<String>,
     /// Zones, by index.
     pub zones: Vec<String>,
-    /// A connection must stand by then.
+    /// Timeout of a connection attempt.
     pub connect_timeout: Option<Micros>,
 }
 
 impl ProfileData {
-    /// Names, by the indexes that the decision library knows them by.
+    /// Names, by the indexes that the decision library uses.
     pub fn names(&self) -> Names {
         Names {
             classes: self.profiles.iter().map(|p| p.name.clone()).collect(),
@@ -136,33 +168,11 @@
         }
     }
 
-    /// Puts the wire's settings into the library's words; where the wire is silent, its defaults stand.
+    /// Converts to the decision library's settings. A setting that is not given has the library's default.
     pub fn settings(self) -> Settings {
         let d = Settings::default();
-        let class = |p: Profile| ClassSettings {
-            aim: p.objective_us,
-            deadline: p.hard_limit_us,
-            effect: match p.effect.as_str() {
-                "free" => Effect::Free,
-                "guarded" => Effect::Guarded,
-                _ => Effect::SingleShot,
-            },
-            group: match p.group.as_str() {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                _ => Group::Endpoint,
-            },
-            window: p.window_us,
-            ordered: p.serial_by_key,
-            worth: p.worth,
-            late_share: p.late_share,
-        };
         let f = self.family_info;
         let kinds = self.shapes.len().max(f.batch_by_kind.len()).max(f.kind_apart.len());
-        let kind = |k: usize| KindSettings {
-            batch: f.batch_by_kind.get(k).copied().unwrap_or(1).max(1),
-            apart: f.kind_apart.get(k).copied().unwrap_or(false),
-        };
         Settings {
             senders: self.balancers.unwrap_or(d.senders),
             zone: self.zone,
@@ -195,8 +205,8 @@
             cross_zone_price: self.prices.cross_zone,
             handshake_price: self.prices.handshake,
             zone_fees: f.carriage.clone(),
-            classes: self.profiles.into_iter().map(class).collect(),
-            kinds: (0..kinds).map(kind).collect(),
+            classes: self.profiles.into_iter().map(Profile::settings).collect(),
+            kinds: (0..kinds).map(|kind| f.kind(kind)).collect(),
             tenants: self
                 .customers
                 .unwrap_or_default()
