--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -1,7 +1,7 @@
 //! `platform`: one real sender on the users' platform, which tells it everything by `GW_CONFIG` and `GW_STATE`.
 
 use crate::fail;
-use heronroute_net::{Lone, Signals};
+use heronroute_net::{Signals, StandaloneSender};
 use heronroute_platform::start::{StartUp, read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -38,7 +38,7 @@
         Ok(told) => told,
         Err(e) => return fail(2, e),
     };
-    let again = move || match start_up(&path) {
+    let reload = move || match start_up(&path) {
         Ok(new) => {
             tracing::info!(discovery = %new.discovery, "discovery is elsewhere");
             Some(new.discovery)
@@ -48,7 +48,7 @@
             None
         }
     };
-    let sender = match Lone::start(&start_up_, &folder, signals, Box::new(again)) {
+    let sender = match StandaloneSender::start(&start_up_, &folder, signals, Box::new(reload)) {
         Ok(started) => started,
         Err(e) => return fail(1, e),
     };
--- a/crates/net/src/door.rs
+++ b/crates/net/src/acceptor.rs
@@ -1,4 +1,4 @@
-//! The door: accepts clients, hears who they are, and brings each to its home among the senders.
+//! The acceptor: accepts clients, reads the name in their first command, and passes each to its home sender.
 
 use crate::clock::Clock;
 use crate::reactor::Command;
@@ -17,38 +17,40 @@
 
 const LISTENER: Token = Token(0);
 const WAKE: Token = Token(1);
-const FIRST: usize = 2;
-/// Connections that have not said who they are: beyond these the oldest go.
-const MOST_UNKNOWN: usize = 1_024;
-/// Octets in which a first command must say who sent it; the rest of the turn goes along.
-const FIRST_READ: usize = 4_096;
+/// Clients have their tokens from here.
+const FIRST_CLIENT: usize = 2;
+/// Connections without a name yet. Beyond this number the oldest are closed.
+const MAX_UNIDENTIFIED: usize = 1_024;
+/// The first command must hold the client's name within so many octets. Octets read beyond it are passed on too.
+const FIRST_COMMAND_LIMIT: usize = 4_096;
 
-/// A way to a sender's thread.
+/// A handle to a sender's thread: its command queue, and the waker of its reactor.
 #[derive(Clone)]
-pub struct Way {
+pub struct SenderHandle {
     pub commands: Sender<Command>,
     pub waker: Arc<Waker>,
 }
 
-impl Way {
-    pub fn tell(&self, command: Command) -> bool {
+impl SenderHandle {
+    /// Submits a command and wakes the thread. False where the thread is gone.
+    pub fn send(&self, command: Command) -> bool {
         self.commands.send(command).is_ok() && self.waker.wake().is_ok()
     }
 }
 
-struct Unknown {
+struct Unidentified {
     stream: TcpStream,
     octets: Vec<u8>,
 }
 
-/// The door's thread: one for each front.
-pub struct Door {
+/// The acceptor's thread: one for each protocol that clients speak.
+pub struct Acceptor {
     speaks: Speaks,
     listener: TcpListener,
     poll: Poll,
-    ways: Vec<Way>,
-    unknown: BTreeMap<usize, Unknown>,
-    /// When each must have said who it is, oldest first.
+    senders: Vec<SenderHandle>,
+    unidentified: BTreeMap<usize, Unidentified>,
+    /// When each must have sent its name, oldest first.
     due: VecDeque<(i64, usize)>,
     next: usize,
     init: i64,
@@ -56,11 +58,11 @@
     closing: Arc<AtomicBool>,
 }
 
-impl Door {
+impl Acceptor {
     pub fn new(
         speaks: Speaks,
         mut listener: TcpListener,
-        ways: Vec<Way>,
+        senders: Vec<SenderHandle>,
         init: i64,
         clock: Clock,
         closing: Arc<AtomicBool>,
@@ -68,11 +70,25 @@
         let poll = Poll::new()?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKE)?);
-        let (unknown, due) = (BTreeMap::new(), VecDeque::new());
-        Ok((Door { speaks, listener, poll, ways, unknown, due, next: FIRST, init, clock, closing }, waker))
+        let (unidentified, due) = (BTreeMap::new(), VecDeque::new());
+        Ok((
+            Acceptor {
+                speaks,
+                listener,
+                poll,
+                senders,
+                unidentified,
+                due,
+                next: FIRST_CLIENT,
+                init,
+                clock,
+                closing,
+            },
+            waker,
+        ))
     }
 
-    /// Runs until the service closes its door.
+    /// Runs until the service stops accepting clients.
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(256);
         loop {
@@ -88,13 +104,13 @@
                 match event.token() {
                     LISTENER => self.accept(),
                     WAKE => {}
-                    Token(n) => self.hear(n),
+                    Token(n) => self.read_name(n),
                 }
             }
             let now = self.clock.now();
             while let Some((_, n)) = self.due.front().copied().filter(|(at, _)| *at <= now) {
                 self.due.pop_front();
-                self.unknown.remove(&n);
+                self.unidentified.remove(&n);
             }
         }
     }
@@ -108,19 +124,19 @@
                     if self.poll.registry().register(&mut stream, Token(n), Interest::READABLE).is_err() {
                         continue;
                     }
-                    // Guards against connections that say nothing filling the table: the oldest of them go.
-                    while self.unknown.len() >= MOST_UNKNOWN {
+                    // Guards against silent connections that fill the table: the oldest of them are closed.
+                    while self.unidentified.len() >= MAX_UNIDENTIFIED {
                         let Some((_, old)) = self.due.pop_front() else { break };
-                        self.unknown.remove(&old);
+                        self.unidentified.remove(&old);
                     }
-                    self.unknown.insert(n, Unknown { stream, octets: Vec::new() });
+                    self.unidentified.insert(n, Unidentified { stream, octets: Vec::new() });
                     self.due.push_back((self.clock.now() + self.init, n));
-                    self.hear(n);
+                    self.read_name(n);
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) => {
-                    // Out of descriptors, say: the listener stirs again with the next client.
+                    // For example out of descriptors: the listener becomes ready again with the next client.
                     tracing::warn!(error = %e, "a client could not be accepted");
                     return;
                 }
@@ -128,9 +144,9 @@
         }
     }
 
-    fn hear(&mut self, n: usize) {
-        let Some(u) = self.unknown.get_mut(&n) else { return };
-        let mut buffer = [0; FIRST_READ];
+    fn read_name(&mut self, n: usize) {
+        let Some(u) = self.unidentified.get_mut(&n) else { return };
+        let mut buffer = [0; FIRST_COMMAND_LIMIT];
         let gone = match read_some(&mut u.stream, &mut buffer, true) {
             Progress::Blocked(m) | Progress::More(m) => {
                 u.octets.extend_from_slice(&buffer[..m]);
@@ -139,23 +155,23 @@
             Progress::Ended(_) | Progress::Broken => true,
         };
         if gone {
-            self.unknown.remove(&n);
+            self.unidentified.remove(&n);
             return;
         }
         let named = match self.speaks {
-            Speaks::Smpp => peek_system_id(&u.octets, FIRST_READ),
-            Speaks::Mqtt => user_name(&u.octets, FIRST_READ),
-            // It comes to a sender without a door.
+            Speaks::Smpp => peek_system_id(&u.octets, FIRST_COMMAND_LIMIT),
+            Speaks::Mqtt => user_name(&u.octets, FIRST_COMMAND_LIMIT),
+            // RESP clients connect to a sender directly, without an acceptor.
             Speaks::Resp => None,
         };
         let Some(name) = named else { return };
-        let Some(mut u) = self.unknown.remove(&n) else { return };
+        let Some(mut u) = self.unidentified.remove(&n) else { return };
         self.due.retain(|(_, other)| *other != n);
         if self.poll.registry().deregister(&mut u.stream).is_err() {
             return;
         }
-        // One that does not say who it is goes to a sender all the same: there it is answered properly.
-        let way = &self.ways[home(&name, self.ways.len())];
-        way.tell(Command::Client(self.speaks, u.stream, u.octets));
+        // A client without a name is passed to a sender too, which answers it as the protocol demands.
+        let sender = &self.senders[home(&name, self.senders.len())];
+        sender.send(Command::Client(self.speaks, u.stream, u.octets));
     }
 }
--- a/crates/net/src/closing.rs
+++ b/crates/net/src/closing.rs
@@ -67,8 +67,8 @@
         self.conns.is_empty()
     }
 
-    /// Something came on a connection, or its peer has ended.
-    pub fn stirred(&mut self, conn: ConnId) {
+    /// A connection has something to read, or its peer has ended.
+    pub fn on_ready(&mut self, conn: ConnId) {
         if self.conns.contains_key(&conn) {
             self.ready.insert(conn);
         }
--- a/crates/net/src/copies.rs
+++ b/crates/net/src/copies.rs
@@ -2,7 +2,7 @@
 //! sockets: the thread stands still between the two.
 
 use crate::clock::Clock;
-use crate::reactor::{Command, Reactor, Sink};
+use crate::reactor::{Command, JournalSink, Reactor};
 use heronroute_engine::platform::config;
 use heronroute_engine::{Node, Start};
 use heronroute_journal::Journal;
@@ -74,7 +74,7 @@
         fleet: false,
     };
     let (commands, inbox) = channel();
-    let sink = Some(Sink::Own(Box::new(journal)));
+    let sink = Some(JournalSink::Own(Box::new(journal)));
     let node = Node::new(cfg, start).unwrap();
     let (mut reactor, waker) = Reactor::new(node, clock, inbox, None, sink, Arc::default()).unwrap();
     let listener = mio::net::TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
--- a/crates/net/src/fleet/thread.rs
+++ b/crates/net/src/fleet/thread.rs
@@ -23,15 +23,15 @@
 /// Connections accepted in a turn.
 const ACCEPT: usize = 64;
 /// Octets read from one connection in a turn.
-const TURN: usize = 64 * 1024;
+const READ_BUDGET: usize = 64 * 1024;
 /// Times that one connection is written in a turn: each time the switch seals some more.
 const WRITES: usize = 16;
-/// Words from the senders heard in a turn.
+/// Commands from the senders handled in a turn.
 const WORDS: usize = 256;
 /// Rounds between switch and member in a turn.
 const ROUNDS: usize = 64;
-/// After descriptors ran out, others are accepted again so much later. Guards against a thread that asks without a wait.
-const BREATH: Micros = 20_000;
+/// After descriptors ran out, accepting is tried again after this time. Guards against a thread that retries without a wait.
+const ACCEPT_PAUSE: Micros = 20_000;
 
 struct Socket {
     stream: TcpStream,
@@ -71,7 +71,7 @@
     said: Vec<Output>,
     pulse: Pulse,
     /// There may be more to accept.
-    knocked: bool,
+    accept_pending: bool,
     full_until: Option<Micros>,
     /// There is more to do than a turn takes.
     busy: bool,
@@ -106,11 +106,11 @@
             wake: Some(Micros::MIN),
             said: Vec::new(),
             pulse: Pulse::default(),
-            knocked: true,
+            accept_pending: true,
             full_until: None,
             busy: false,
             stop: false,
-            buffer: vec![0; TURN],
+            buffer: vec![0; READ_BUDGET],
         };
         Ok((thread, waker))
     }
@@ -119,7 +119,7 @@
         self.pulse = pulse;
     }
 
-    /// Runs until it is told to stop.
+    /// Runs until it is stopped.
     pub fn run(mut self, mut answers: Box<dyn FnMut(Answer) + Send>) -> io::Result<()> {
         let mut events = Events::with_capacity(1_024);
         while !self.stop {
@@ -129,17 +129,17 @@
             }
             for event in &events {
                 match event.token() {
-                    LISTENER => self.knocked = true,
+                    LISTENER => self.accept_pending = true,
                     WAKE => {}
                     Token(n) => {
                         let ending = event.is_read_closed() || event.is_error();
                         let conn = (n - FIRST) as Conn;
-                        self.stirred(conn, event.is_readable() || ending, event.is_writable());
+                        self.on_ready(conn, event.is_readable() || ending, event.is_writable());
                     }
                 }
             }
             self.accept();
-            self.listen();
+            self.handle_commands();
             for conn in std::mem::take(&mut self.writes) {
                 self.write(conn);
             }
@@ -156,7 +156,7 @@
                 }
                 self.give(Input::Tick);
             }
-            self.obey(&mut answers);
+            self.execute_outputs(&mut answers);
         }
         Ok(())
     }
@@ -165,14 +165,14 @@
         if self.busy || !self.ready.is_empty() || !self.writes.is_empty() {
             return Some(Duration::ZERO);
         }
-        let knock = self.knocked.then(|| self.full_until.unwrap_or(0));
+        let knock = self.accept_pending.then(|| self.full_until.unwrap_or(0));
         let at = [self.switch.wake(), self.wake, knock].into_iter().flatten().min()?;
         Some(self.clock.until(at.max(0)))
     }
 
     fn accept(&mut self) {
         let now = self.clock.now();
-        if !self.knocked || self.full_until.is_some_and(|at| now < at) {
+        if !self.accept_pending || self.full_until.is_some_and(|at| now < at) {
             return;
         }
         self.full_until = None;
@@ -184,19 +184,19 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.knocked = false;
+                    self.accept_pending = false;
                     return;
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "a member could not be accepted");
-                    self.full_until = Some(now + BREATH);
+                    self.full_until = Some(now + ACCEPT_PAUSE);
                     return;
                 }
             }
         }
     }
 
-    fn listen(&mut self) {
+    fn handle_commands(&mut self) {
         self.busy = false;
         for _ in 0..WORDS {
             match self.inbox.try_recv() {
@@ -236,7 +236,7 @@
         self.switch.closed(self.clock.now(), conn);
     }
 
-    fn stirred(&mut self, conn: Conn, readable: bool, writable: bool) {
+    fn on_ready(&mut self, conn: Conn, readable: bool, writable: bool) {
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
         if socket.connecting {
             if socket.stream.take_error().ok().flatten().is_some() {
@@ -300,8 +300,8 @@
         self.writes.insert(conn);
     }
 
-    /// Does what switch and member ask, until they ask no more or the turn is over.
-    fn obey(&mut self, answers: &mut dyn FnMut(Answer)) {
+    /// Executes the outputs of switch and member until there are no more or the turn's share is used up.
+    fn execute_outputs(&mut self, answers: &mut dyn FnMut(Answer)) {
         for _ in 0..ROUNDS {
             let outputs = self.switch.outputs();
             if outputs.is_empty() && self.said.is_empty() {
--- a/crates/net/src/scribe.rs
+++ b/crates/net/src/journal_writer.rs
@@ -1,8 +1,9 @@
-//! The journal's thread of one sender: commits all that waits, over and over. While one sync runs, what comes in
-//! gathers for the next: the size of a commit follows the load and the disk by itself, and at low load an entry
-//! waits for one sync.
+//! The journal writer thread of one sender: commits all waiting entries, again and again (group commit).
+//!
+//! Entries that arrive during a sync are part of the next commit. The size of a commit thus follows the load and the disk
+//! without a setting, and at low load an entry waits for one sync.
 
-use crate::door::Way;
+use crate::acceptor::SenderHandle;
 use crate::reactor::Command;
 use heronroute_journal::dir::Dir;
 use heronroute_journal::{Entry, Journal, JournalError, Storage};
@@ -10,9 +11,9 @@
 use std::time::Duration;
 
 /// Entries in one commit at most: bounds how long one takes.
-const MOST: usize = 20_000;
-/// A full disk is tried again after this; meanwhile nothing is lost, and the sender sheds.
-const FULL: Duration = Duration::from_millis(50);
+const MAX_COMMIT_ENTRIES: usize = 20_000;
+/// A write to a full disk is retried after this time. No entry is lost meanwhile, and the sender sheds load.
+const FULL_RETRY: Duration = Duration::from_millis(50);
 
 /// Opens a sender's journal.
 pub fn open(
@@ -22,11 +23,14 @@
     Journal::open(Dir::open(folder)?, limits)
 }
 
-/// Runs until the sender is gone. `gather`: an entry waits so long for others, where syncs are dear. Gives an error where the journal can't go on: the sender must then end at once.
+/// Runs until the sender is gone. Each entry waits for others for the time `gather`, where syncs are expensive.
+///
+/// # Errors
+/// Where the journal can't go on: the sender must then end at once.
 pub fn run<S: Storage>(
     mut journal: Journal<S>,
     inbox: &Receiver<Vec<Entry>>,
-    sender: &Way,
+    sender: &SenderHandle,
     gather: Duration,
 ) -> Result<(), JournalError> {
     let mut count = 0;
@@ -34,7 +38,7 @@
         if !gather.is_zero() {
             std::thread::sleep(gather);
         }
-        while entries.len() < MOST {
+        while entries.len() < MAX_COMMIT_ENTRIES {
             match inbox.try_recv() {
                 Ok(more) => entries.extend(more),
                 Err(_) => break,
@@ -49,16 +53,16 @@
                     if !matches!(journal.snapshot(), Ok(()) | Err(JournalError::Full)) {
                         return Err(JournalError::Full);
                     }
-                    std::thread::sleep(FULL);
+                    std::thread::sleep(FULL_RETRY);
                 }
                 Err(e) => {
-                    sender.tell(Command::JournalFailed);
+                    sender.send(Command::JournalFailed);
                     return Err(e);
                 }
             }
         }
         count += entries.len() as u64;
-        if !sender.tell(Command::Durable(count, journal.usage())) {
+        if !sender.send(Command::Durable(count, journal.usage())) {
             break;
         }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,29 +1,29 @@
 //! Sockets, clock and threads: the only package of the service that touches them.
 //!
-//! Does: a thread for each sender with its own reactor (mio) and [`Node`](heronroute_engine::Node), sharing
-//! nothing, and one for its journal; a thread at the door that accepts clients and brings each to its home; the kept list's file;
-//! or all of a sender on the one thread there is ([`Lone`]), signals included; a thread for the links to other members, where
-//! there are any ([`fleet`]).
-//! Decides: how much is read and written in a turn, so that no connection holds up the others.
-//! Never: looks into what it carries, but for the name in a client's first command.
+//! Does: runs a thread for each sender, with its own reactor (mio) and [`Node`](heronroute_engine::Node) and no shared
+//! state; a journal writer thread for each sender; an acceptor thread that assigns each client to its home sender; the
+//! file of the saved directory list. A [`StandaloneSender`] does all of this for one sender on a single thread, signals
+//! included. A further thread holds the links to other members, where there are any ([`fleet`]).
+//! Decides: how much is read and written in a turn, so that no connection delays the others.
+//! Never: looks into the payload, except for the name in a client's first command.
 
 #![forbid(unsafe_code)]
 
+mod acceptor;
 mod clock;
 mod closing;
 #[cfg(test)]
 mod copies;
-mod door;
 pub mod fleet;
-mod lone;
+mod journal_writer;
 mod reactor;
-mod scribe;
 mod service;
 mod signals;
 mod socket;
+mod standalone;
 
 pub use clock::Clock;
-pub use lone::Lone;
 pub use service::{Service, StartError};
 pub use signals::Signals;
 pub use socket::{Progress, read_some, write_some};
+pub use standalone::StandaloneSender;
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -30,20 +30,20 @@
 const LISTENER: Token = Token(usize::MAX);
 /// The token of signals.
 const SIGNALS: Token = Token(usize::MAX - 1);
-/// Octets read from one connection in a turn.
-const TURN: usize = 64 * 1024;
+/// Octets read from one connection in a turn, at most.
+const READ_BUDGET: usize = 64 * 1024;
 
-/// What a sender's thread is told from outside.
+/// A command to a sender's thread.
 pub enum Command {
-    /// A client, with what it sent so far.
+    /// A new client, with the octets it has sent so far.
     Client(Speaks, TcpStream, Vec<u8>),
-    /// New settings; the answer names what could not be taken over.
+    /// New settings. The answer names those that need a restart.
     Reload(Arc<Config>, Sender<Vec<&'static str>>),
     /// Go out of service.
     Leave,
-    /// So many entries are durable.
+    /// The number of entries that are durable, and the journal's usage.
     Durable(u64, Usage),
-    /// The journal can't go on: end at once, without another word to anyone. A restart finds what was durable.
+    /// The journal can't go on: end at once and send nothing more. A restart finds what was durable.
     JournalFailed,
     /// The installation's member answers a client.
     Told(Told),
@@ -51,15 +51,16 @@
     Apply(Apply),
     /// The installation's member sets a fence or lifts it.
     Fence(Fence),
-    /// What would a client's rules let go of?
+    /// The installation's member asks what a client's rules would drop.
     Weigh(Weigh),
-    /// Stand still for a while, as a stalled machine would. For drills.
+    /// Block the thread for a time, as a stalled machine would. For drills.
     Stall(Duration),
 }
 
 struct Socket {
     stream: TcpStream,
-    /// A client's: it is closed with care, see [`Closing`]. One of our own is closed at once, which calls off what it carries.
+    /// Accepted from a client: closed gracefully, see [`Closing`]. An outgoing connection is closed at once, which cancels
+    /// the call on it.
     accepted: bool,
     connecting: bool,
     readable: bool,
@@ -69,16 +70,17 @@
     finishing: bool,
 }
 
-/// Where entries of the journal go.
-pub enum Sink {
-    /// To the journal's thread.
+/// Where a sender's journal entries are written.
+pub enum JournalSink {
+    /// Sent to the journal writer's thread, which reports them durable later.
     Thread(Sender<Vec<Entry>>),
-    /// Written here and now: where a process has a part of one core, and nothing is synced, a thread more only costs.
+    /// Written on the sender's own thread. For a process with a fraction of one core whose journal is not synced: another
+    /// thread would only add cost.
     Own(Box<Journal<Dir>>),
 }
 
-/// Reads the configuration again: where discovery is from now on.
-pub type Again = Box<dyn FnMut() -> Option<SocketAddr> + Send>;
+/// Reads the configuration again on SIGHUP. Gives the address of discovery from now on; `None`: the old one stays.
+pub type ReloadConfig = Box<dyn FnMut() -> Option<SocketAddr> + Send>;
 
 /// One sender's reactor.
 pub struct Reactor {
@@ -91,21 +93,21 @@
     ready: BTreeSet<ConnId>,
     inbox: Receiver<Command>,
     keep: Option<PathBuf>,
-    journal: Option<Sink>,
+    journal: Option<JournalSink>,
     listener: Option<TcpListener>,
     /// Signals that it takes itself.
-    signals: Option<(Signals, Again)>,
+    signals: Option<(Signals, ReloadConfig)>,
     /// There may be more clients to accept.
-    knocked: bool,
+    accept_pending: bool,
     /// Descriptors ran out: none is accepted before then.
     full_until: Option<i64>,
     /// Entries that the journal had at the start.
     before: u64,
     failed: bool,
-    shown: Arc<Mutex<Stats>>,
+    published_stats: Arc<Mutex<Stats>>,
     buffer: Vec<u8>,
     inbox_closed: bool,
-    /// The way to the installation's member, where there is one.
+    /// The port to the installation's member, where there is one.
     fleet: Option<SenderPort>,
 }
 
@@ -116,13 +118,13 @@
         clock: Clock,
         inbox: Receiver<Command>,
         keep: Option<PathBuf>,
-        journal: Option<Sink>,
-        shown: Arc<Mutex<Stats>>,
+        journal: Option<JournalSink>,
+        published_stats: Arc<Mutex<Stats>>,
     ) -> io::Result<(Self, Waker)> {
         let poll = Poll::new()?;
         let waker = Waker::new(poll.registry(), WAKE)?;
         let before = match &journal {
-            Some(Sink::Own(journal)) => journal.durable(),
+            Some(JournalSink::Own(journal)) => journal.durable(),
             _ => 0,
         };
         let reactor = Reactor {
@@ -137,65 +139,65 @@
             journal,
             listener: None,
             signals: None,
-            knocked: false,
+            accept_pending: false,
             full_until: None,
             before,
             failed: false,
-            shown,
-            buffer: vec![0; TURN],
+            published_stats,
+            buffer: vec![0; READ_BUDGET],
             inbox_closed: false,
             fleet: None,
         };
         Ok((reactor, waker))
     }
 
-    /// Has it accept clients itself.
+    /// Makes it accept clients itself.
     pub fn listen_at(&mut self, mut listener: TcpListener) -> io::Result<()> {
         self.poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         self.listener = Some(listener);
         Ok(())
     }
 
-    /// Has it take signals itself.
-    pub fn heed(&mut self, mut signals: Signals, again: Again) -> io::Result<()> {
+    /// Makes it take signals itself.
+    pub fn take_signals(&mut self, mut signals: Signals, reload: ReloadConfig) -> io::Result<()> {
         self.poll.registry().register(&mut signals.pipe, SIGNALS, Interest::READABLE)?;
-        self.signals = Some((signals, again));
+        self.signals = Some((signals, reload));
         Ok(())
     }
 
-    /// Has it bring questions and reports to the installation's member.
+    /// Makes it pass questions and reports to the installation's member.
     pub fn report_to(&mut self, fleet: SenderPort) {
         self.fleet = Some(fleet);
     }
 
-    fn heed_signals(&mut self) {
-        let Some((signals, again)) = &mut self.signals else { return };
-        let (leave, read) = signals.came();
+    fn handle_signals(&mut self) {
+        let Some((signals, reload)) = &mut self.signals else { return };
+        let (leave, reload_asked) = signals.came();
         if leave {
             self.node.leave(self.clock.now());
         }
-        if read && let Some(discovery) = again() {
+        if reload_asked && let Some(discovery) = reload() {
             self.node.discovery_moved(self.clock.now(), discovery);
         }
     }
 
-    /// How long to wait for something to happen.
-    fn patience(&self) -> Option<Duration> {
+    /// How long to wait for the next event.
+    fn poll_timeout(&self) -> Option<Duration> {
         if !self.ready.is_empty() {
             return Some(Duration::ZERO);
         }
         // Clients that wait are accepted at once, or where descriptors ran out a little later.
-        let knocked = self.knocked.then(|| self.full_until.unwrap_or(0));
-        let wake = [self.node.wake(), self.closing.wake(), knocked].into_iter().flatten().min();
+        let accept_pending = self.accept_pending.then(|| self.full_until.unwrap_or(0));
+        let wake = [self.node.wake(), self.closing.wake(), accept_pending].into_iter().flatten().min();
         wake.map(|at| self.clock.until(at))
     }
 
     /// Runs until the sender has gone out of service.
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(1024);
-        self.obey();
+        self.execute_outputs();
         while !self.node.has_left() {
-            let wait = self.patience();
+            let wait = self.poll_timeout();
             match self.poll.poll(&mut events, wait) {
                 // A signal.
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => events.clear(),
@@ -203,18 +205,18 @@
             }
             for event in &events {
                 if event.token() == LISTENER {
-                    self.knocked = true;
+                    self.accept_pending = true;
                 } else if event.token() == SIGNALS {
                     self.signals.iter_mut().for_each(|(signals, _)| signals.drain());
                 } else if event.token() != WAKE {
                     let conn = event.token().0 as ConnId;
                     let ending = event.is_read_closed() || event.is_error();
-                    self.stirred(conn, event.is_readable() || ending, ending, event.is_writable());
+                    self.on_ready(conn, event.is_readable() || ending, ending, event.is_writable());
                 }
             }
-            // After the pipe was emptied, so that none is emptied out unheard.
-            self.heed_signals();
-            self.listen();
+            // After the pipe was emptied, so that no signal is missed.
+            self.handle_signals();
+            self.handle_commands();
             self.accept();
             if self.failed {
                 return Err(io::Error::other(
@@ -226,21 +228,21 @@
             }
             self.node.settle(self.clock.now());
             self.close_door();
-            self.obey();
+            self.execute_outputs();
             self.go_on_closing();
             if let Some(fleet) = &mut self.fleet {
                 fleet.again();
             }
-            if let Ok(mut shown) = self.shown.lock() {
-                shown.clone_from(self.node.stats());
+            if let Ok(mut published) = self.published_stats.lock() {
+                published.clone_from(self.node.stats());
             }
         }
-        self.obey();
-        self.flush_last();
-        self.linger_last(&mut events)
+        self.execute_outputs();
+        self.final_flush();
+        self.final_linger(&mut events)
     }
 
-    fn listen(&mut self) {
+    fn handle_commands(&mut self) {
         loop {
             let command = match self.inbox.try_recv() {
                 Ok(command) => command,
@@ -298,8 +300,8 @@
         );
     }
 
-    fn stirred(&mut self, conn: ConnId, readable: bool, ending: bool, writable: bool) {
-        let Some(socket) = self.sockets.get_mut(&conn) else { return self.closing.stirred(conn) };
+    fn on_ready(&mut self, conn: ConnId, readable: bool, ending: bool, writable: bool) {
+        let Some(socket) = self.sockets.get_mut(&conn) else { return self.closing.on_ready(conn) };
         if socket.connecting && (writable || readable) {
             let error = socket.stream.take_error().ok().flatten();
             if error.is_some() {
@@ -332,8 +334,8 @@
         let Some(socket) = self.sockets.get_mut(&conn).filter(|s| s.readable && !s.connecting) else {
             return;
         };
-        // A connection that is only written out, or whose peer does not read, is not listened to; the first ends
-        // by itself, the second is heard again once it has read (see `write`).
+        // A connection that is only written out, or whose peer does not read, is not read. The first ends by itself;
+        // the second is read again once its peer has read (see `write`).
         if socket.finishing || !self.node.wants_read(conn) {
             return;
         }
@@ -394,8 +396,8 @@
         }
     }
 
-    /// Does what the node asks, until it asks no more.
-    fn obey(&mut self) {
+    /// Executes the node's outputs until it has no more.
+    fn execute_outputs(&mut self) {
         for _ in 0..1_000 {
             let outputs = self.node.outputs();
             if outputs.is_empty() {
@@ -407,7 +409,7 @@
                     Output::Write(conn) => self.write(conn),
                     Output::Finish(conn) => self.finish(conn),
                     Output::Drop(conn) => self.close(conn),
-                    Output::Journal(entries) => self.write_down(entries),
+                    Output::Journal(entries) => self.write_journal(entries),
                     Output::Live(live) => {
                         if let Some(fleet) = &mut self.fleet {
                             fleet.live(live);
@@ -424,7 +426,7 @@
                     }
                     Output::Keep(text) => {
                         if let Some(path) = &self.keep
-                            && let Err(e) = keep(path, &text)
+                            && let Err(e) = replace_file(path, &text)
                         {
                             tracing::warn!(error = %e, "the directory's list could not be kept");
                         }
@@ -435,11 +437,11 @@
         }
     }
 
-    fn write_down(&mut self, entries: Vec<Entry>) {
+    fn write_journal(&mut self, entries: Vec<Entry>) {
         match &mut self.journal {
             None => {}
-            Some(Sink::Thread(journal)) => self.failed |= journal.send(entries).is_err(),
-            Some(Sink::Own(journal)) => {
+            Some(JournalSink::Thread(journal)) => self.failed |= journal.send(entries).is_err(),
+            Some(JournalSink::Own(journal)) => {
                 let mut result = journal.commit(&entries);
                 if matches!(result, Err(JournalError::Full)) {
                     // A snapshot drops the log. Acceptance has stopped long before, so that there is room for ends.
@@ -461,7 +463,7 @@
 }
 
 /// Writes a file so that a reader finds the old text or the new, never a part.
-fn keep(path: &Path, text: &str) -> io::Result<()> {
+fn replace_file(path: &Path, text: &str) -> io::Result<()> {
     let part = path.with_extension("new");
     std::fs::write(&part, text)?;
     std::fs::rename(&part, path)
--- a/crates/net/src/reactor/accepting.rs
+++ b/crates/net/src/reactor/accepting.rs
@@ -9,9 +9,9 @@
 
 /// Clients accepted in a turn.
 const ACCEPT: usize = 64;
-/// After descriptors ran out, clients are accepted again so much later, or once a connection has ended. Guards against a
-/// thread that asks again and again without a wait.
-const BREATH: i64 = 20_000;
+/// After descriptors ran out, accepting is tried again after this time, or once a connection has ended. Guards against a
+/// thread that retries without a wait.
+const ACCEPT_PAUSE: i64 = 20_000;
 /// The system has no descriptor left (ENFILE), or the process has its most (EMFILE).
 const NO_DESCRIPTOR: [i32; 2] = [23, 24];
 
@@ -20,16 +20,16 @@
 }
 
 impl Reactor {
-    /// Accepts clients, some in a turn. Where descriptors ran out one that is being closed or the connection that rested
-    /// longest makes way, and it is tried again a little later.
+    /// Accepts clients, a bounded number in a turn. Where descriptors ran out, one that is being closed or the connection
+    /// that was idle longest is closed for it, and accepting is tried again a little later.
     pub(super) fn accept(&mut self) {
         if self.full_until.is_some_and(|at| self.clock.now() < at) {
             return;
         }
         self.full_until = None;
-        let Some(listener) = self.listener.as_ref().filter(|_| self.knocked) else {
+        let Some(listener) = self.listener.as_ref().filter(|_| self.accept_pending) else {
             // Guards against a wait for a listener that is closed, which would be none.
-            self.knocked = false;
+            self.accept_pending = false;
             return;
         };
         let mut streams = Vec::new();
@@ -38,13 +38,13 @@
                 Ok((stream, _)) => streams.push(stream),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.knocked = false;
+                    self.accept_pending = false;
                     break;
                 }
                 Err(e) if out_of_descriptors(&e) && self.closing.close_oldest() => {}
                 Err(e) => {
                     tracing::warn!(error = %e, "a client could not be accepted");
-                    self.full_until = Some(self.clock.now() + BREATH);
+                    self.full_until = Some(self.clock.now() + ACCEPT_PAUSE);
                     self.node.make_way();
                     break;
                 }
@@ -54,8 +54,8 @@
             if let Some(conn) = self.node.accepted(self.clock.now(), Speaks::Resp, &[]) {
                 self.register(conn, stream, false);
                 // What has come with it is read in this turn, an end of its side included: guards against requests that
-                // are taken on and sent for a client that has gone already.
-                self.stirred(conn, true, true, false);
+                // are accepted and sent for a client that has gone already.
+                self.on_ready(conn, true, true, false);
             }
         }
         self.closing.keep(self.node.room_to_linger());
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Connects; where descriptors ran out one that is being closed makes way.
+    /// Connects; where descriptors ran out one that is being closed is closed first.
     pub(super) fn connect(&mut self, conn: ConnId, address: SocketAddr) {
         loop {
             match TcpStream::connect(address) {
--- a/crates/net/src/reactor/ending.rs
+++ b/crates/net/src/reactor/ending.rs
@@ -6,8 +6,8 @@
 use std::io;
 use std::time::Duration;
 
-/// After the last turn, what has not left yet has so long.
-const LAST_FLUSH: i64 = 50_000;
+/// After the last turn, pending octets are written for at most this time.
+const FINAL_FLUSH: i64 = 50_000;
 
 impl Reactor {
     /// Closes a connection on which all is written: a client's by way of a half-close.
@@ -38,9 +38,9 @@
         }
     }
 
-    /// After the last turn: what is to be written and has not left yet gets a moment.
-    pub(super) fn flush_last(&mut self) {
-        let until = self.clock.now() + LAST_FLUSH;
+    /// After the last turn: pending octets are written, for a bounded time.
+    pub(super) fn final_flush(&mut self) {
+        let until = self.clock.now() + FINAL_FLUSH;
         loop {
             let waiting: Vec<ConnId> =
                 self.sockets.keys().copied().filter(|c| !self.node.pending(*c).is_empty()).collect();
@@ -54,8 +54,9 @@
         }
     }
 
-    /// After that: clients' connections end by way of a half-close as well, before the process does. A short time bounds it.
-    pub(super) fn linger_last(&mut self, events: &mut Events) -> io::Result<()> {
+    /// After [`final_flush`](Self::final_flush): clients' connections are half-closed and drained before the process ends, for
+    /// a bounded time.
+    pub(super) fn final_linger(&mut self, events: &mut Events) -> io::Result<()> {
         self.listener = None;
         let clients: Vec<ConnId> =
             self.sockets.iter().filter(|(_, s)| s.accepted).map(|(conn, _)| *conn).collect();
@@ -66,7 +67,7 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => events.clear(),
                 other => other?,
             }
-            events.iter().for_each(|event| self.closing.stirred(event.token().0 as ConnId));
+            events.iter().for_each(|event| self.closing.on_ready(event.token().0 as ConnId));
             self.closing.turn(self.clock.now(), &mut self.buffer);
         }
         Ok(())
--- a/crates/net/src/service.rs
+++ b/crates/net/src/service.rs
@@ -1,10 +1,10 @@
-//! The service as a whole: its threads, and the ways to them.
+//! The service as a whole: its threads, and the handles to them.
 
+use crate::acceptor::{Acceptor, SenderHandle};
 use crate::clock::Clock;
-use crate::door::{Door, Way};
 use crate::fleet::{Answer, Bound, Fleet, SenderPort, Setup};
-use crate::reactor::{Command, Reactor, Sink};
-use crate::scribe;
+use crate::journal_writer;
+use crate::reactor::{Command, JournalSink, Reactor};
 use heronroute_config::Config;
 use heronroute_engine::front::Speaks;
 use heronroute_engine::{Node, Start, Stats};
@@ -50,17 +50,17 @@
 pub struct Service {
     address: SocketAddr,
     mqtt: Option<SocketAddr>,
-    ways: Vec<Way>,
-    shown: Vec<Arc<Mutex<Stats>>>,
+    senders: Vec<SenderHandle>,
+    published_stats: Vec<Arc<Mutex<Stats>>>,
     threads: Vec<JoinHandle<io::Result<()>>>,
-    doors: Vec<(JoinHandle<io::Result<()>>, Arc<Waker>)>,
+    acceptors: Vec<(JoinHandle<io::Result<()>>, Arc<Waker>)>,
     closing: Arc<AtomicBool>,
     /// Where it belongs to an installation.
     fleet: Option<Fleet>,
 }
 
 impl Service {
-    /// Starts the service: the door, and a thread for each sender.
+    /// Starts the service: its acceptors, and a thread for each sender.
     ///
     /// # Errors
     /// Where something it needs can't be had.
@@ -102,8 +102,8 @@
         let mqtt = listeners.get(1).map(|l| l.1.local_addr()).transpose()?;
         let keep = cfg.directory.keep.as_ref().map(PathBuf::from);
         let kept = keep.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
-        let (mut ways, mut shown, mut threads) = (Vec::new(), Vec::new(), Vec::new());
-        let mut scribes = Vec::new();
+        let (mut senders, mut published_stats, mut threads) = (Vec::new(), Vec::new(), Vec::new());
+        let mut journal_writers = Vec::new();
         for (index, journal) in journals.into_iter().enumerate() {
             let start = Start {
                 index,
@@ -120,44 +120,46 @@
             let stats = Arc::new(Mutex::new(Stats::default()));
             let keep = keep.clone().filter(|_| index == 0);
             let (to_journal, entries) = channel();
-            let to_journal = journal.is_some().then_some(Sink::Thread(to_journal));
+            let to_journal = journal.is_some().then_some(JournalSink::Thread(to_journal));
             let (mut reactor, waker) = Reactor::new(node, clock, inbox, keep, to_journal, stats.clone())?;
             if let Some(fleet) = &fleet {
                 reactor.report_to(SenderPort::new(fleet.port()));
             }
-            let way = Way { commands, waker: Arc::new(waker) };
+            let sender = SenderHandle { commands, waker: Arc::new(waker) };
             if let Some(journal) = journal {
-                let (way, failed) = (way.clone(), failed.clone());
+                let (sender, failed) = (sender.clone(), failed.clone());
                 let gather = Duration::from_micros(cfg.journal.gather as u64);
-                let scribe = move || {
-                    scribe::run(journal, &entries, &way, gather).map_err(|e| {
+                let writer = move || {
+                    journal_writer::run(journal, &entries, &sender, gather).map_err(|e| {
                         tracing::error!(error = %e, "the journal can't go on");
                         failed();
                         io::Error::other(e.to_string())
                     })
                 };
-                scribes.push(std::thread::Builder::new().name(format!("journal-{index}")).spawn(scribe)?);
+                journal_writers
+                    .push(std::thread::Builder::new().name(format!("journal-{index}")).spawn(writer)?);
             }
-            ways.push(way);
-            shown.push(stats);
+            senders.push(sender);
+            published_stats.push(stats);
             threads.push(
                 std::thread::Builder::new().name(format!("sender-{index}")).spawn(move || reactor.run())?,
             );
         }
         let closing = Arc::new(AtomicBool::new(false));
-        let mut doors = Vec::new();
+        let mut acceptors = Vec::new();
         for (speaks, listener, init) in listeners {
-            let (door, waker) = Door::new(speaks, listener, ways.clone(), init, clock, closing.clone())?;
+            let (acceptor, waker) =
+                Acceptor::new(speaks, listener, senders.clone(), init, clock, closing.clone())?;
             let name = format!("door-{speaks:?}").to_lowercase();
-            doors.push((std::thread::Builder::new().name(name).spawn(move || door.run())?, waker));
+            acceptors.push((std::thread::Builder::new().name(name).spawn(move || acceptor.run())?, waker));
         }
-        threads.extend(scribes);
+        threads.extend(journal_writers);
         let run = |mut fleet: Bound| {
-            fleet.fares(shown.clone());
-            fleet.run(answers(ways.clone()))
+            fleet.fares(published_stats.clone());
+            fleet.run(answers(senders.clone()))
         };
         let fleet = fleet.map(run).transpose()?;
-        Ok(Service { address, mqtt, ways, shown, threads, doors, closing, fleet })
+        Ok(Service { address, mqtt, senders, published_stats, threads, acceptors, closing, fleet })
     }
 
     /// Where clients that speak SMPP connect.
@@ -178,7 +180,7 @@
     /// Counts of all senders together.
     pub fn stats(&self) -> Stats {
         let mut all = Stats::default();
-        for s in &self.shown {
+        for s in &self.published_stats {
             if let Ok(s) = s.lock() {
                 all.add(&s);
             }
@@ -186,12 +188,12 @@
         all
     }
 
-    /// Takes over new settings; gives what differs and needs a restart (then nothing was taken over).
+    /// Applies new settings. Gives those that differ and need a restart; then none was applied.
     pub fn reload(&self, cfg: &Arc<Config>) -> Vec<&'static str> {
         let mut all = Vec::new();
-        for way in &self.ways {
+        for sender in &self.senders {
             let (answer, told) = channel();
-            if way.tell(Command::Reload(cfg.clone(), answer)) {
+            if sender.send(Command::Reload(cfg.clone(), answer)) {
                 all.extend(told.recv_timeout(Duration::from_secs(10)).unwrap_or_default());
             }
         }
@@ -200,21 +202,21 @@
         all
     }
 
-    /// Has a sender stand still. For drills.
-    pub fn stall(&self, sender: usize, span: Duration) {
-        if let Some(way) = self.ways.get(sender) {
-            way.tell(Command::Stall(span));
+    /// Blocks a sender's thread for a time. For drills.
+    pub fn stall(&self, index: usize, span: Duration) {
+        if let Some(sender) = self.senders.get(index) {
+            sender.send(Command::Stall(span));
         }
     }
 
     /// Begins to go out of service: no new clients; what is held is answered, then sessions are unbound.
     pub fn leave(&self) {
         self.closing.store(true, Ordering::Release);
-        for (_, waker) in &self.doors {
+        for (_, waker) in &self.acceptors {
             _ = waker.wake();
         }
-        for way in &self.ways {
-            way.tell(Command::Leave);
+        for sender in &self.senders {
+            sender.send(Command::Leave);
         }
     }
 
@@ -227,10 +229,10 @@
         for thread in self.threads.drain(..) {
             thread.join().map_err(panicked)??;
         }
-        for (door, _) in self.doors.drain(..) {
-            door.join().map_err(panicked)??;
+        for (acceptor, _) in self.acceptors.drain(..) {
+            acceptor.join().map_err(panicked)??;
         }
-        // Last: what the senders still say reaches it. Its failure was told in the log, and held up nobody.
+        // Last: what the senders still say reaches it. Its failure was logged, and delayed no sender.
         if let Some(fleet) = self.fleet.take() {
             _ = fleet.stop();
         }
@@ -238,27 +240,27 @@
     }
 }
 
-/// Brings what a member says to the senders.
-fn answers(ways: Vec<Way>) -> Box<dyn FnMut(Answer) + Send> {
+/// Passes a member's answers to the senders.
+fn answers(senders: Vec<SenderHandle>) -> Box<dyn FnMut(Answer) + Send> {
     Box::new(move |answer| match answer {
         Answer::Told(told) => {
-            if let Some(way) = ways.get(told.token.sender) {
-                way.tell(Command::Told(told));
+            if let Some(sender) = senders.get(told.token.sender) {
+                sender.send(Command::Told(told));
             }
         }
         Answer::Apply(apply) => {
-            for way in &ways {
-                way.tell(Command::Apply(apply.clone()));
+            for sender in &senders {
+                sender.send(Command::Apply(apply.clone()));
             }
         }
         Answer::Fence(fence) => {
-            for way in &ways {
-                way.tell(Command::Fence(fence.clone()));
+            for sender in &senders {
+                sender.send(Command::Fence(fence.clone()));
             }
         }
         Answer::Weigh(weigh) => {
-            for way in &ways {
-                way.tell(Command::Weigh(weigh.clone()));
+            for sender in &senders {
+                sender.send(Command::Weigh(weigh.clone()));
             }
         }
     })
@@ -277,7 +279,7 @@
         std::fs::read_to_string(&count).ok().and_then(|t| t.trim().parse::<usize>().ok()).unwrap_or(n);
     let mut list = Vec::new();
     for index in 0..n.max(before) {
-        list.push(Some(scribe::open(&folder.join(format!("sender-{index}")), cfg.journal.limits)?));
+        list.push(Some(journal_writer::open(&folder.join(format!("sender-{index}")), cfg.journal.limits)?));
     }
     // Under clients' rules a sender that is not the home has no room: what it holds from before would be let go.
     let keeps =
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -1,7 +1,7 @@
 //! Signals, taken by a reactor itself: a note of which came, and a pipe that ends its wait.
 //!
 //! No thread waits for them. The note is made before the pipe is written, and a wait that a signal cuts short is followed
-//! by a look at the notes, so that a signal is heeded also where the pipe says nothing.
+//! by a look at the notes, so that a signal is handled even where the pipe reports nothing.
 
 use mio::unix::pipe::{Receiver, new};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub struct Signals {
     leave: Arc<AtomicBool>,
-    again: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
     pub(crate) pipe: Receiver,
 }
 
@@ -26,12 +26,12 @@
     pub fn take() -> io::Result<Self> {
         let (sender, pipe) = new()?;
         let end: OwnedFd = sender.as_fd().try_clone_to_owned()?;
-        let (leave, again) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-        for (signal, note) in [(SIGTERM, &leave), (SIGINT, &leave), (SIGHUP, &again)] {
+        let (leave, reload) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        for (signal, note) in [(SIGTERM, &leave), (SIGINT, &leave), (SIGHUP, &reload)] {
             signal_hook::flag::register(signal, note.clone())?;
             signal_hook::low_level::pipe::register(signal, end.try_clone()?)?;
         }
-        Ok(Signals { leave, again, pipe })
+        Ok(Signals { leave, reload, pipe })
     }
 
     /// Empties the pipe, which then wakes again.
@@ -42,7 +42,7 @@
 
     /// What came since the last look: to leave, and to read the configuration again.
     pub(crate) fn came(&self) -> (bool, bool) {
-        (self.leave.swap(false, Ordering::AcqRel), self.again.swap(false, Ordering::AcqRel))
+        (self.leave.swap(false, Ordering::AcqRel), self.reload.swap(false, Ordering::AcqRel))
     }
 }
 
--- a/crates/net/src/lone.rs
+++ b/crates/net/src/standalone.rs
@@ -1,8 +1,9 @@
-//! One sender of the platform: one thread that accepts, serves, writes its journal and takes signals itself. It starts no
-//! other: on a part of one core each costs wake-ups, and none can keep it waiting.
+//! One sender of the platform on a single thread, which accepts, serves, writes its journal and takes signals itself.
+//!
+//! It starts no other thread: on a fraction of one core each costs wake-ups, and none can delay it.
 
 use crate::clock::Clock;
-use crate::reactor::{Again, Command, Reactor, Sink};
+use crate::reactor::{Command, JournalSink, Reactor, ReloadConfig};
 use crate::service::StartError;
 use crate::signals::Signals;
 use heronroute_engine::platform::config;
@@ -17,16 +18,16 @@
 use std::sync::{Arc, Mutex};
 
 /// A sender that is ready to run.
-pub struct Lone {
+pub struct StandaloneSender {
     reactor: Reactor,
-    shown: Arc<Mutex<Stats>>,
-    /// Nothing comes by this way; it stays open, since its end would be the end of service.
+    published_stats: Arc<Mutex<Stats>>,
+    /// Never used. It stays open, since the reactor goes out of service once its command queue is closed.
     _commands: Sender<Command>,
 }
 
-impl Lone {
-    /// Reads the journal in `folder` and listens; SIGTERM has it leave, SIGHUP asks `again` where discovery is. Clients
-    /// that connect from here on are served once it runs.
+impl StandaloneSender {
+    /// Reads the journal in `folder` and listens. SIGTERM makes it leave; SIGHUP calls `reload` for the address of discovery.
+    /// Clients that connect from here on are served once it runs.
     ///
     /// # Errors
     /// Where something it needs can't be had.
@@ -34,7 +35,7 @@
         start_up: &StartUp,
         folder: &Path,
         signals: Signals,
-        again: Again,
+        reload: ReloadConfig,
     ) -> Result<Self, StartError> {
         let clock = Clock::start();
         let cfg = Arc::new(config(start_up));
@@ -53,12 +54,12 @@
         let listener =
             TcpListener::bind(start_up.listen).map_err(|e| StartError::Listen(start_up.listen, e))?;
         let (commands, inbox) = channel();
-        let shown = Arc::new(Mutex::new(Stats::default()));
-        let sink = Some(Sink::Own(Box::new(journal)));
-        let (mut reactor, _) = Reactor::new(node, clock, inbox, None, sink, shown.clone())?;
+        let published_stats = Arc::new(Mutex::new(Stats::default()));
+        let sink = Some(JournalSink::Own(Box::new(journal)));
+        let (mut reactor, _) = Reactor::new(node, clock, inbox, None, sink, published_stats.clone())?;
         reactor.listen_at(listener)?;
-        reactor.heed(signals, again)?;
-        Ok(Lone { reactor, shown, _commands: commands })
+        reactor.take_signals(signals, reload)?;
+        Ok(StandaloneSender { reactor, published_stats, _commands: commands })
     }
 
     /// Runs until it has gone out of service.
@@ -67,6 +68,6 @@
     /// Where it could not go on.
     pub fn run(self) -> io::Result<Stats> {
         self.reactor.run()?;
-        Ok(self.shown.lock().map(|s| s.clone()).unwrap_or_default())
+        Ok(self.published_stats.lock().map(|s| s.clone()).unwrap_or_default())
     }
 }
