--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,8 +12,6 @@
 mod acceptor;
 mod clock;
 mod closing;
-#[cfg(test)]
-mod copies;
 pub mod fleet;
 mod journal_writer;
 mod reactor;
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -2,6 +2,8 @@
 
 mod accepting;
 mod ending;
+#[cfg(test)]
+mod tests;
 
 use crate::clock::Clock;
 use crate::closing::Closing;
--- a/crates/net/src/copies.rs
+++ b/crates/net/src/reactor/tests.rs
@@ -1,8 +1,8 @@
 //! A second copy of an answer that arrives after its connection was read and before the next call leaves on it, on real
 //! sockets: the thread stands still between the two.
 
+use super::{Command, JournalSink, Reactor};
 use crate::clock::Clock;
-use crate::reactor::{Command, JournalSink, Reactor};
 use heronroute_engine::platform::config;
 use heronroute_engine::{Node, Start};
 use heronroute_journal::Journal;
