--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -1,28 +1,29 @@
 //! One sender's thread: its node, its sockets, its turns.
 
 mod accepting;
+mod commands;
 mod ending;
+mod journal;
+mod outputs;
 #[cfg(test)]
 mod tests;
 
+pub use commands::Command;
+pub use journal::JournalSink;
+
 use crate::clock::Clock;
 use crate::closing::Closing;
 use crate::fleet::SenderPort;
 use crate::signals::Signals;
 use crate::socket::{Progress, read_some, write_some};
-use heronroute_config::Config;
-use heronroute_engine::front::Speaks;
-use heronroute_engine::{ConnId, Gone, Node, Output, Stats};
-use heronroute_journal::dir::Dir;
-use heronroute_journal::{Entry, Journal, JournalError, Usage};
-use heronroute_rules::seam::{Apply, Fence, Told, Weigh};
+use heronroute_engine::{ConnId, Gone, Node, Stats};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::mpsc::{Receiver, Sender, TryRecvError};
+use std::path::PathBuf;
+use std::sync::mpsc::Receiver;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -35,30 +36,6 @@
 /// Octets read from one connection in a turn, at most.
 const READ_BUDGET: usize = 64 * 1024;
 
-/// A command to a sender's thread.
-pub enum Command {
-    /// A new client, with the octets it has sent so far.
-    Client(Speaks, TcpStream, Vec<u8>),
-    /// New settings. The answer names those that need a restart.
-    Reload(Arc<Config>, Sender<Vec<&'static str>>),
-    /// Go out of service.
-    Leave,
-    /// The number of entries that are durable, and the journal's usage.
-    Durable(u64, Usage),
-    /// The journal can't go on: end at once and send nothing more. A restart finds what was durable.
-    JournalFailed,
-    /// The installation's member answers a client.
-    Told(Told),
-    /// The installation's member has rules to be applied.
-    Apply(Apply),
-    /// The installation's member sets a fence or lifts it.
-    Fence(Fence),
-    /// The installation's member asks what a client's rules would drop.
-    Weigh(Weigh),
-    /// Block the thread for a time, as a stalled machine would. For drills.
-    Stall(Duration),
-}
-
 struct Socket {
     stream: TcpStream,
     /// Accepted from a client: closed gracefully, see [`Closing`]. An outgoing connection is closed at once, which cancels
@@ -72,15 +49,6 @@
     finishing: bool,
 }
 
-/// Where a sender's journal entries are written.
-pub enum JournalSink {
-    /// Sent to the journal writer's thread, which reports them durable later.
-    Thread(Sender<Vec<Entry>>),
-    /// Written on the sender's own thread. For a process with a fraction of one core whose journal is not synced: another
-    /// thread would only add cost.
-    Own(Box<Journal<Dir>>),
-}
-
 /// Reads the configuration again on SIGHUP. Gives the address of discovery from now on; `None`: the old one stays.
 pub type ReloadConfig = Box<dyn FnMut() -> Option<SocketAddr> + Send>;
 
@@ -205,17 +173,7 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => events.clear(),
                 other => other?,
             }
-            for event in &events {
-                if event.token() == LISTENER {
-                    self.accept_pending = true;
-                } else if event.token() == SIGNALS {
-                    self.signals.iter_mut().for_each(|(signals, _)| signals.drain());
-                } else if event.token() != WAKE {
-                    let conn = event.token().0 as ConnId;
-                    let ending = event.is_read_closed() || event.is_error();
-                    self.on_ready(conn, event.is_readable() || ending, ending, event.is_writable());
-                }
-            }
+            self.handle_events(&events);
             // After the pipe was emptied, so that no signal is missed.
             self.handle_signals();
             self.handle_commands();
@@ -244,41 +202,17 @@
         self.final_linger(&mut events)
     }
 
-    fn handle_commands(&mut self) {
-        loop {
-            let command = match self.inbox.try_recv() {
-                Ok(command) => command,
-                Err(TryRecvError::Empty) => return,
-                Err(TryRecvError::Disconnected) => {
-                    if !self.inbox_closed {
-                        self.inbox_closed = true;
-                        self.node.leave(self.clock.now());
-                    }
-                    return;
-                }
-            };
-            match command {
-                Command::Client(speaks, stream, octets) => {
-                    if let Some(conn) = self.node.accepted(self.clock.now(), speaks, &octets) {
-                        self.register(conn, stream, false);
-                    }
-                }
-                Command::Reload(cfg, answer) => {
-                    _ = answer.send(self.node.reload(self.clock.now(), cfg));
-                }
-                Command::Leave => self.node.leave(self.clock.now()),
-                Command::Durable(count, usage) => self.node.durable(self.clock.now(), count, usage),
-                Command::JournalFailed => self.failed = true,
-                Command::Told(told) => self.node.told(self.clock.now(), told),
-                Command::Apply(apply) => self.node.apply(self.clock.now(), apply),
-                Command::Fence(fence) => self.node.fence(self.clock.now(), fence),
-                Command::Weigh(weigh) => {
-                    let weighed = self.node.weigh(self.clock.now(), &weigh);
-                    if let Some(fleet) = &mut self.fleet {
-                        fleet.weighed(weighed);
-                    }
-                }
-                Command::Stall(span) => std::thread::sleep(span),
+    /// Takes note of what is ready, and writes where a connection takes more.
+    fn handle_events(&mut self, events: &Events) {
+        for event in events {
+            if event.token() == LISTENER {
+                self.accept_pending = true;
+            } else if event.token() == SIGNALS {
+                self.signals.iter_mut().for_each(|(signals, _)| signals.drain());
+            } else if event.token() != WAKE {
+                let conn = event.token().0 as ConnId;
+                let ending = event.is_read_closed() || event.is_error();
+                self.on_ready(conn, event.is_readable() || ending, ending, event.is_writable());
             }
         }
     }
@@ -397,76 +331,4 @@
             }
         }
     }
-
-    /// Executes the node's outputs until it has no more.
-    fn execute_outputs(&mut self) {
-        for _ in 0..1_000 {
-            let outputs = self.node.outputs();
-            if outputs.is_empty() {
-                return;
-            }
-            for output in outputs {
-                match output {
-                    Output::Connect { conn, address } => self.connect(conn, address),
-                    Output::Write(conn) => self.write(conn),
-                    Output::Finish(conn) => self.finish(conn),
-                    Output::Drop(conn) => self.close(conn),
-                    Output::Journal(entries) => self.write_journal(entries),
-                    Output::Live(live) => {
-                        if let Some(fleet) = &mut self.fleet {
-                            fleet.live(live);
-                        }
-                    }
-                    // Nothing is copied to a partner yet.
-                    Output::Copying | Output::Inherited(_) => {}
-                    Output::Ask(ask) => {
-                        let now = self.clock.now();
-                        // Nobody to ask, or no room: answered at once.
-                        if let Some(told) = self.fleet.as_mut().and_then(|f| f.ask(ask)) {
-                            self.node.told(now, told);
-                        }
-                    }
-                    Output::Keep(text) => {
-                        if let Some(path) = &self.keep
-                            && let Err(e) = replace_file(path, &text)
-                        {
-                            tracing::warn!(error = %e, "the directory's list could not be kept");
-                        }
-                    }
-                }
-            }
-            self.node.settle(self.clock.now());
-        }
-    }
-
-    fn write_journal(&mut self, entries: Vec<Entry>) {
-        match &mut self.journal {
-            None => {}
-            Some(JournalSink::Thread(journal)) => self.failed |= journal.send(entries).is_err(),
-            Some(JournalSink::Own(journal)) => {
-                let mut result = journal.commit(&entries);
-                if matches!(result, Err(JournalError::Full)) {
-                    // A snapshot drops the log. Acceptance has stopped long before, so that there is room for ends.
-                    result = journal.snapshot().and_then(|()| journal.commit(&entries));
-                }
-                match result {
-                    Ok(count) => {
-                        let usage = journal.usage();
-                        self.node.durable(self.clock.now(), count - self.before, usage);
-                    }
-                    Err(e) => {
-                        tracing::error!(error = %e, "the journal can't go on");
-                        self.failed = true;
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Writes a file so that a reader finds the old text or the new, never a part.
-fn replace_file(path: &Path, text: &str) -> io::Result<()> {
-    let part = path.with_extension("new");
-    std::fs::write(&part, text)?;
-    std::fs::rename(&part, path)
 }
