--- a/crates/net/src/service.rs
+++ b/crates/net/src/service.rs
@@ -1,24 +1,24 @@
 //! The service as a whole: its threads, and the handles to them.
 
-use crate::acceptor::{Acceptor, SenderHandle};
+mod launch;
+
+use crate::acceptor::SenderHandle;
 use crate::clock::Clock;
-use crate::fleet::{Answer, Bound, Fleet, SenderPort, Setup};
+use crate::fleet::{Answer, Bound, Fleet, Setup};
 use crate::journal_writer;
-use crate::reactor::{Command, JournalSink, Reactor};
+use crate::reactor::Command;
 use heronroute_config::Config;
-use heronroute_engine::front::Speaks;
-use heronroute_engine::{Node, Start, Stats};
+use heronroute_engine::Stats;
 use heronroute_journal::Journal;
 use heronroute_journal::dir::Dir;
+use launch::{Launch, Thread};
 use mio::Waker;
-use mio::net::TcpListener;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Why a service did not start.
@@ -52,8 +52,8 @@
     mqtt: Option<SocketAddr>,
     senders: Vec<SenderHandle>,
     published_stats: Vec<Arc<Mutex<Stats>>>,
-    threads: Vec<JoinHandle<io::Result<()>>>,
-    acceptors: Vec<(JoinHandle<io::Result<()>>, Arc<Waker>)>,
+    threads: Vec<Thread>,
+    acceptors: Vec<(Thread, Arc<Waker>)>,
     closing: Arc<AtomicBool>,
     /// Where it belongs to an installation.
     fleet: Option<Fleet>,
@@ -93,67 +93,25 @@
         let clock = Clock::start_ahead(cfg.fleet.as_ref().map_or(0, |fleet| fleet.clock_ahead));
         let fleet = fleet.map(|setup| Bound::new(setup, clock)).transpose()?;
         let journals = journals(&cfg)?;
-        let listen = |at: SocketAddr| TcpListener::bind(at).map_err(|e| StartError::Listen(at, e));
-        let mut listeners = vec![(Speaks::Smpp, listen(cfg.smpp.listen)?, cfg.smpp.session_init)];
-        if let Some(m) = &cfg.mqtt {
-            listeners.push((Speaks::Mqtt, listen(m.listen)?, m.connect_within));
-        }
+        let listeners = launch::listeners(&cfg)?;
         let address = listeners[0].1.local_addr()?;
         let mqtt = listeners.get(1).map(|l| l.1.local_addr()).transpose()?;
         let keep = cfg.directory.keep.as_ref().map(PathBuf::from);
         let kept = keep.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
+        let port = fleet.as_ref().map(Bound::port);
+        let launch = Launch { cfg, seed, clock, keep, kept, port, failed };
         let (mut senders, mut published_stats, mut threads) = (Vec::new(), Vec::new(), Vec::new());
         let mut journal_writers = Vec::new();
         for (index, journal) in journals.into_iter().enumerate() {
-            let start = Start {
-                index,
-                seed: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(index as u64 + 1),
-                now: clock.now(),
-                wall: clock.wall(),
-                list: 0,
-                kept: kept.clone(),
-                book: journal.as_ref().map(|j| j.book().clone()),
-                fleet: fleet.is_some(),
-            };
-            let node = Node::new(cfg.clone(), start)?;
-            let (commands, inbox) = channel();
-            let stats = Arc::new(Mutex::new(Stats::default()));
-            let keep = keep.clone().filter(|_| index == 0);
-            let (to_journal, entries) = channel();
-            let to_journal = journal.is_some().then_some(JournalSink::Thread(to_journal));
-            let (mut reactor, waker) = Reactor::new(node, clock, inbox, keep, to_journal, stats.clone())?;
-            if let Some(fleet) = &fleet {
-                reactor.report_to(SenderPort::new(fleet.port()));
-            }
-            let sender = SenderHandle { commands, waker: Arc::new(waker) };
-            if let Some(journal) = journal {
-                let (sender, failed) = (sender.clone(), failed.clone());
-                let gather = Duration::from_micros(cfg.journal.gather as u64);
-                let writer = move || {
-                    journal_writer::run(journal, &entries, &sender, gather).map_err(|e| {
-                        tracing::error!(error = %e, "the journal can't go on");
-                        failed();
-                        io::Error::other(e.to_string())
-                    })
-                };
-                journal_writers
-                    .push(std::thread::Builder::new().name(format!("journal-{index}")).spawn(writer)?);
-            }
-            senders.push(sender);
-            published_stats.push(stats);
-            threads.push(
-                std::thread::Builder::new().name(format!("sender-{index}")).spawn(move || reactor.run())?,
-            );
-        }
-        let closing = Arc::new(AtomicBool::new(false));
-        let mut acceptors = Vec::new();
-        for (speaks, listener, init) in listeners {
-            let (acceptor, waker) =
-                Acceptor::new(speaks, listener, senders.clone(), init, clock, closing.clone())?;
-            let name = format!("door-{speaks:?}").to_lowercase();
-            acceptors.push((std::thread::Builder::new().name(name).spawn(move || acceptor.run())?, waker));
+            let launched = launch.sender(index, journal)?;
+            senders.push(launched.handle);
+            published_stats.push(launched.stats);
+            threads.push(launched.thread);
+            journal_writers.extend(launched.journal_writer);
         }
         threads.extend(journal_writers);
+        let closing = Arc::new(AtomicBool::new(false));
+        let acceptors = launch::acceptors(listeners, &senders, clock, &closing)?;
         let run = |mut fleet: Bound| {
             fleet.fares(published_stats.clone());
             fleet.run(answers(senders.clone()))
