--- a/crates/net/src/service.rs
+++ b/crates/net/src/service.rs
@@ -1,24 +1,24 @@
-//! The service as a whole: its threads, and the ways to them.
+//! The service as a whole: its threads, and the handles to them.
 
+mod launch;
+
+use crate::acceptor::SenderHandle;
 use crate::clock::Clock;
-use crate::door::{Door, Way};
-use crate::fleet::{Answer, Bound, Fleet, SenderPort, Setup};
-use crate::reactor::{Command, Reactor, Sink};
-use crate::scribe;
+use crate::fleet::{Answer, Bound, Fleet, Setup};
+use crate::journal_writer;
+use crate::reactor::Command;
 use heronroute_config::Config;
-use heronroute_engine::front::Speaks;
-use heronroute_engine::{Node, Start, Stats};
+use heronroute_engine::Stats;
 use heronroute_journal::Journal;
 use heronroute_journal::dir::Dir;
+use launch::{Launch, Thread};
 use mio::Waker;
-use mio::net::TcpListener;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Why a service did not start.
@@ -50,17 +50,17 @@
 pub struct Service {
     address: SocketAddr,
     mqtt: Option<SocketAddr>,
-    ways: Vec<Way>,
-    shown: Vec<Arc<Mutex<Stats>>>,
-    threads: Vec<JoinHandle<io::Result<()>>>,
-    doors: Vec<(JoinHandle<io::Result<()>>, Arc<Waker>)>,
+    senders: Vec<SenderHandle>,
+    published_stats: Vec<Arc<Mutex<Stats>>>,
+    threads: Vec<Thread>,
+    acceptors: Vec<(Thread, Arc<Waker>)>,
     closing: Arc<AtomicBool>,
     /// Where it belongs to an installation.
     fleet: Option<Fleet>,
 }
 
 impl Service {
-    /// Starts the service: the door, and a thread for each sender.
+    /// Starts the service: its acceptors, and a thread for each sender.
     ///
     /// # Errors
     /// Where something it needs can't be had.
@@ -93,71 +93,31 @@
         let clock = Clock::start_ahead(cfg.fleet.as_ref().map_or(0, |fleet| fleet.clock_ahead));
         let fleet = fleet.map(|setup| Bound::new(setup, clock)).transpose()?;
         let journals = journals(&cfg)?;
-        let listen = |at: SocketAddr| TcpListener::bind(at).map_err(|e| StartError::Listen(at, e));
-        let mut listeners = vec![(Speaks::Smpp, listen(cfg.smpp.listen)?, cfg.smpp.session_init)];
-        if let Some(m) = &cfg.mqtt {
-            listeners.push((Speaks::Mqtt, listen(m.listen)?, m.connect_within));
-        }
+        let listeners = launch::listeners(&cfg)?;
         let address = listeners[0].1.local_addr()?;
         let mqtt = listeners.get(1).map(|l| l.1.local_addr()).transpose()?;
         let keep = cfg.directory.keep.as_ref().map(PathBuf::from);
         let kept = keep.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
-        let (mut ways, mut shown, mut threads) = (Vec::new(), Vec::new(), Vec::new());
-        let mut scribes = Vec::new();
+        let port = fleet.as_ref().map(Bound::port);
+        let launch = Launch { cfg, seed, clock, keep, kept, port, failed };
+        let (mut senders, mut published_stats, mut threads) = (Vec::new(), Vec::new(), Vec::new());
+        let mut journal_writers = Vec::new();
         for (index, journal) in journals.into_iter().enumerate() {
-            let start = Start {
-                index,
-                seed: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15).wrapping_add(index as u64 + 1),
-                now: clock.now(),
-                wall: clock.wall(),
-                list: 0,
-                kept: kept.clone(),
-                book: journal.as_ref().map(|j| j.book().clone()),
-                fleet: fleet.is_some(),
-            };
-            let node = Node::new(cfg.clone(), start)?;
-            let (commands, inbox) = channel();
-            let stats = Arc::new(Mutex::new(Stats::default()));
-            let keep = keep.clone().filter(|_| index == 0);
-            let (to_journal, entries) = channel();
-            let to_journal = journal.is_some().then_some(Sink::Thread(to_journal));
-            let (mut reactor, waker) = Reactor::new(node, clock, inbox, keep, to_journal, stats.clone())?;
-            if let Some(fleet) = &fleet {
-                reactor.report_to(SenderPort::new(fleet.port()));
-            }
-            let way = Way { commands, waker: Arc::new(waker) };
-            if let Some(journal) = journal {
-                let (way, failed) = (way.clone(), failed.clone());
-                let gather = Duration::from_micros(cfg.journal.gather as u64);
-                let scribe = move || {
-                    scribe::run(journal, &entries, &way, gather).map_err(|e| {
-                        tracing::error!(error = %e, "the journal can't go on");
-                        failed();
-                        io::Error::other(e.to_string())
-                    })
-                };
-                scribes.push(std::thread::Builder::new().name(format!("journal-{index}")).spawn(scribe)?);
-            }
-            ways.push(way);
-            shown.push(stats);
-            threads.push(
-                std::thread::Builder::new().name(format!("sender-{index}")).spawn(move || reactor.run())?,
-            );
+            let launched = launch.sender(index, journal)?;
+            senders.push(launched.handle);
+            published_stats.push(launched.stats);
+            threads.push(launched.thread);
+            journal_writers.extend(launched.journal_writer);
         }
+        threads.extend(journal_writers);
         let closing = Arc::new(AtomicBool::new(false));
-        let mut doors = Vec::new();
-        for (speaks, listener, init) in listeners {
-            let (door, waker) = Door::new(speaks, listener, ways.clone(), init, clock, closing.clone())?;
-            let name = format!("door-{speaks:?}").to_lowercase();
-            doors.push((std::thread::Builder::new().name(name).spawn(move || door.run())?, waker));
-        }
-        threads.extend(scribes);
+        let acceptors = launch::acceptors(listeners, &senders, clock, &closing)?;
         let run = |mut fleet: Bound| {
-            fleet.fares(shown.clone());
-            fleet.run(answers(ways.clone()))
+            fleet.fares(published_stats.clone());
+            fleet.run(answers(senders.clone()))
         };
         let fleet = fleet.map(run).transpose()?;
-        Ok(Service { address, mqtt, ways, shown, threads, doors, closing, fleet })
+        Ok(Service { address, mqtt, senders, published_stats, threads, acceptors, closing, fleet })
     }
 
     /// Where clients that speak SMPP connect.
@@ -178,7 +138,7 @@
     /// Counts of all senders together.
     pub fn stats(&self) -> Stats {
         let mut all = Stats::default();
-        for s in &self.shown {
+        for s in &self.published_stats {
             if let Ok(s) = s.lock() {
                 all.add(&s);
             }
@@ -186,12 +146,12 @@
         all
     }
 
-    /// Takes over new settings; gives what differs and needs a restart (then nothing was taken over).
+    /// Applies new settings. Gives those that differ and need a restart; then none was applied.
     pub fn reload(&self, cfg: &Arc<Config>) -> Vec<&'static str> {
         let mut all = Vec::new();
-        for way in &self.ways {
+        for sender in &self.senders {
             let (answer, told) = channel();
-            if way.tell(Command::Reload(cfg.clone(), answer)) {
+            if sender.send(Command::Reload(cfg.clone(), answer)) {
                 all.extend(told.recv_timeout(Duration::from_secs(10)).unwrap_or_default());
             }
         }
@@ -200,21 +160,21 @@
         all
     }
 
-    /// Has a sender stand still. For drills.
-    pub fn stall(&self, sender: usize, span: Duration) {
-        if let Some(way) = self.ways.get(sender) {
-            way.tell(Command::Stall(span));
+    /// Blocks a sender's thread for a time. For drills.
+    pub fn stall(&self, index: usize, span: Duration) {
+        if let Some(sender) = self.senders.get(index) {
+            sender.send(Command::Stall(span));
         }
     }
 
     /// Begins to go out of service: no new clients; what is held is answered, then sessions are unbound.
     pub fn leave(&self) {
         self.closing.store(true, Ordering::Release);
-        for (_, waker) in &self.doors {
+        for (_, waker) in &self.acceptors {
             _ = waker.wake();
         }
-        for way in &self.ways {
-            way.tell(Command::Leave);
+        for sender in &self.senders {
+            sender.send(Command::Leave);
         }
     }
 
@@ -227,10 +187,10 @@
         for thread in self.threads.drain(..) {
             thread.join().map_err(panicked)??;
         }
-        for (door, _) in self.doors.drain(..) {
-            door.join().map_err(panicked)??;
+        for (acceptor, _) in self.acceptors.drain(..) {
+            acceptor.join().map_err(panicked)??;
         }
-        // Last: what the senders still say reaches it. Its failure was told in the log, and held up nobody.
+        // Last: what the senders still say reaches it. Its failure was logged, and delayed no sender.
         if let Some(fleet) = self.fleet.take() {
             _ = fleet.stop();
         }
@@ -238,27 +198,27 @@
     }
 }
 
-/// Brings what a member says to the senders.
-fn answers(ways: Vec<Way>) -> Box<dyn FnMut(Answer) + Send> {
+/// Passes a member's answers to the senders.
+fn answers(senders: Vec<SenderHandle>) -> Box<dyn FnMut(Answer) + Send> {
     Box::new(move |answer| match answer {
         Answer::Told(told) => {
-            if let Some(way) = ways.get(told.token.sender) {
-                way.tell(Command::Told(told));
+            if let Some(sender) = senders.get(told.token.sender) {
+                sender.send(Command::Told(told));
             }
         }
         Answer::Apply(apply) => {
-            for way in &ways {
-                way.tell(Command::Apply(apply.clone()));
+            for sender in &senders {
+                sender.send(Command::Apply(apply.clone()));
             }
         }
         Answer::Fence(fence) => {
-            for way in &ways {
-                way.tell(Command::Fence(fence.clone()));
+            for sender in &senders {
+                sender.send(Command::Fence(fence.clone()));
             }
         }
         Answer::Weigh(weigh) => {
-            for way in &ways {
-                way.tell(Command::Weigh(weigh.clone()));
+            for sender in &senders {
+                sender.send(Command::Weigh(weigh.clone()));
             }
         }
     })
@@ -277,7 +237,7 @@
         std::fs::read_to_string(&count).ok().and_then(|t| t.trim().parse::<usize>().ok()).unwrap_or(n);
     let mut list = Vec::new();
     for index in 0..n.max(before) {
-        list.push(Some(scribe::open(&folder.join(format!("sender-{index}")), cfg.journal.limits)?));
+        list.push(Some(journal_writer::open(&folder.join(format!("sender-{index}")), cfg.journal.limits)?));
     }
     // Under clients' rules a sender that is not the home has no room: what it holds from before would be let go.
     let keeps =
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -1,7 +1,7 @@
 //! Signals, taken by a reactor itself: a note of which came, and a pipe that ends its wait.
 //!
 //! No thread waits for them. The note is made before the pipe is written, and a wait that a signal cuts short is followed
-//! by a look at the notes, so that a signal is heeded also where the pipe says nothing.
+//! by a look at the notes, so that a signal is handled even where the pipe reports nothing.
 
 use mio::unix::pipe::{Receiver, new};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -10,11 +10,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+#[cfg(test)]
+mod tests;
+
 /// Signals of this process, from now on.
 #[derive(Debug)]
 pub struct Signals {
     leave: Arc<AtomicBool>,
-    again: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
     pub(crate) pipe: Receiver,
 }
 
@@ -26,12 +29,12 @@
     pub fn take() -> io::Result<Self> {
         let (sender, pipe) = new()?;
         let end: OwnedFd = sender.as_fd().try_clone_to_owned()?;
-        let (leave, again) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-        for (signal, note) in [(SIGTERM, &leave), (SIGINT, &leave), (SIGHUP, &again)] {
+        let (leave, reload) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        for (signal, note) in [(SIGTERM, &leave), (SIGINT, &leave), (SIGHUP, &reload)] {
             signal_hook::flag::register(signal, note.clone())?;
             signal_hook::low_level::pipe::register(signal, end.try_clone()?)?;
         }
-        Ok(Signals { leave, again, pipe })
+        Ok(Signals { leave, reload, pipe })
     }
 
     /// Empties the pipe, which then wakes again.
@@ -42,27 +45,6 @@
 
     /// What came since the last look: to leave, and to read the configuration again.
     pub(crate) fn came(&self) -> (bool, bool) {
-        (self.leave.swap(false, Ordering::AcqRel), self.again.swap(false, Ordering::AcqRel))
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use mio::{Events, Interest, Poll, Token};
-    use std::time::Duration;
-
-    #[test]
-    fn a_signal_ends_the_wait_and_is_noted_once() {
-        let mut signals = Signals::take().unwrap();
-        let (mut poll, mut events) = (Poll::new().unwrap(), Events::with_capacity(4));
-        poll.registry().register(&mut signals.pipe, Token(1), Interest::READABLE).unwrap();
-        assert_eq!(signals.came(), (false, false));
-        for (signal, wanted) in [(SIGHUP, (false, true)), (SIGTERM, (true, false)), (SIGINT, (true, false))] {
-            signal_hook::low_level::raise(signal).unwrap();
-            _ = poll.poll(&mut events, Some(Duration::from_secs(5)));
-            signals.drain();
-            assert_eq!((signals.came(), signals.came()), (wanted, (false, false)), "{signal}");
-        }
+        (self.leave.swap(false, Ordering::AcqRel), self.reload.swap(false, Ordering::AcqRel))
     }
 }
