--- a/crates/cli/tests/discovery.rs
+++ b/crates/cli/tests/discovery.rs
@@ -1,12 +1,15 @@
 //! The real program and a discovery that misbehaves on cue: what it tells is judged by which endpoint gets the calls.
 //! Two endpoints have one destination; the sender knows the first of them from its configuration.
 
+mod process;
+
 use heronroute_http::{Message, Reader, Side, Start};
+use process::Process;
 use serde_json::{Value, json};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
@@ -131,7 +134,7 @@
 }
 
 struct Rig {
-    child: Child,
+    child: Process,
     folder: PathBuf,
     listen: SocketAddr,
     endpoints: [SocketAddr; 2],
@@ -141,8 +144,7 @@
 
 impl Drop for Rig {
     fn drop(&mut self) {
-        _ = self.child.kill();
-        _ = self.child.wait();
+        self.child.end();
         _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -156,20 +158,8 @@
         let (free, listen) = listen();
         drop(free);
         configure(&folder, listen, discovery, &list(1, true, &[(endpoints[0], 0, "SERVING")]));
-        let child = Command::new(env!("CARGO_BIN_EXE_heronroute"))
-            .args(["--log", "error", "platform"])
-            .env("GW_CONFIG", folder.join("config.json"))
-            .env("GW_STATE", folder.join("state"))
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let rig = Rig { child, folder, listen, endpoints, calls, sent: 0 };
-        let until = Instant::now() + LONG;
-        while rig.ask(&["PING"]).as_deref() != Some("+PONG") {
-            assert!(Instant::now() < until, "ready in time");
-            sleep(5 * MS);
-        }
-        rig
+        let child = Process::start(&folder, listen, LONG);
+        Rig { child, folder, listen, endpoints, calls, sent: 0 }
     }
 
     fn moves(&self, discovery: SocketAddr) {
@@ -180,16 +170,7 @@
 
     /// One request on a connection of its own, and its answer.
     fn ask(&self, args: &[&str]) -> Option<String> {
-        let mut stream = TcpStream::connect(self.listen).ok()?;
-        stream.set_read_timeout(Some(2_000 * MS)).unwrap();
-        let strings: String = args.iter().map(|a| format!("${}\r\n{a}\r\n", a.len())).collect();
-        write!(stream, "*{}\r\n{strings}", args.len()).ok()?;
-        let (mut text, mut octet) = (String::new(), [0]);
-        while !text.ends_with("\r\n") {
-            stream.read_exact(&mut octet).ok()?;
-            text.push(octet[0] as char);
-        }
-        Some(text.trim_end().to_string())
+        process::ask(self.listen, args, 2_000 * MS)
     }
 
     /// The endpoint that gets the next message, if one does before that time.
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -2,16 +2,19 @@
 //! killed, told to end and told of another discovery under load, and each message that it took on is then held
 //! against what endpoints answered and what notices said.
 
+mod process;
+
 use heronroute_http::{Message, Reader, Side, Start};
+use process::Process;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -100,49 +103,20 @@
 }
 
 struct Sender {
-    child: Child,
+    child: Process,
     folder: PathBuf,
     listen: SocketAddr,
 }
 
-/// Guards against a process that outlives a failed test, and holds up whoever waits for the end of its output.
-impl Drop for Sender {
-    fn drop(&mut self) {
-        _ = self.child.kill();
-        _ = self.child.wait();
-    }
-}
-
 impl Sender {
     fn start(folder: PathBuf, listen: SocketAddr) -> Self {
-        let child = Command::new(env!("CARGO_BIN_EXE_heronroute"))
-            .args(["--log", "error", "platform"])
-            .env("GW_CONFIG", folder.join("config.json"))
-            .env("GW_STATE", folder.join("state"))
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let sender = Sender { child, folder, listen };
-        let until = Instant::now() + 10_000 * MS;
-        while sender.ask(&["PING"]).as_deref() != Some("+PONG") {
-            assert!(Instant::now() < until, "ready in time");
-            sleep(5 * MS);
-        }
-        sender
+        let child = Process::start(&folder, listen, 10_000 * MS);
+        Sender { child, folder, listen }
     }
 
     /// One request on a connection of its own, and its answer.
     fn ask(&self, args: &[&str]) -> Option<String> {
-        let mut stream = TcpStream::connect(self.listen).ok()?;
-        stream.set_read_timeout(Some(2_000 * MS)).unwrap();
-        let strings: String = args.iter().map(|a| format!("${}\r\n{a}\r\n", a.len())).collect();
-        write!(stream, "*{}\r\n{strings}", args.len()).ok()?;
-        let (mut text, mut octet) = (String::new(), [0]);
-        while !text.ends_with("\r\n") {
-            stream.read_exact(&mut octet).ok()?;
-            text.push(octet[0] as char);
-        }
-        Some(text.trim_end().to_string())
+        process::ask(self.listen, args, 2_000 * MS)
     }
 
     fn signal(&self, name: &str) {
--- a/crates/cli/tests/settings_apart.rs
+++ b/crates/cli/tests/settings_apart.rs
@@ -2,19 +2,21 @@
 //! names and figures drawn at random and with classes and tenants listed in either order. Endpoints reset, turn away, hold
 //! or answer each call as its message's script says, so that nothing rests on how fast the machine is.
 
+mod process;
+
 use heronroute_http::{Reader, Side, Start};
+use process::Process;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::spawn;
 use std::time::{Duration, Instant, SystemTime};
 
-const MS: Duration = Duration::from_millis(1);
 /// A moment on a busy machine: far less than the least difference between two classes' times.
 const SLACK: Duration = Duration::from_secs(4);
 /// An end comes no sooner than this before its time.
@@ -211,15 +213,14 @@
 
 /// The program, ended with the test.
 struct Sender {
-    child: Child,
+    child: Process,
     folder: PathBuf,
     listen: SocketAddr,
 }
 
 impl Drop for Sender {
     fn drop(&mut self) {
-        _ = self.child.kill();
-        _ = self.child.wait();
+        self.child.end();
         _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -249,34 +250,13 @@
                     "MaxRetryAfterUs": 500_000, "IdleCloseUs": 5_000_000},
                 "Profiles": classes}});
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_heronroute"))
-            .args(["--log", "error", "platform"])
-            .env("GW_CONFIG", folder.join("config.json"))
-            .env("GW_STATE", folder.join("state"))
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        let sender = Sender { child, folder, listen };
-        let until = Instant::now() + PATIENCE;
-        while sender.ask(&["PING"]).as_deref() != Some("+PONG") {
-            assert!(Instant::now() < until, "ready in time");
-            std::thread::sleep(5 * MS);
-        }
-        sender
+        let child = Process::start(&folder, listen, PATIENCE);
+        Sender { child, folder, listen }
     }
 
     /// One request on a connection of its own, and its answer.
     fn ask(&self, args: &[&str]) -> Option<String> {
-        let mut stream = TcpStream::connect(self.listen).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let strings: String = args.iter().map(|a| format!("${}\r\n{a}\r\n", a.len())).collect();
-        write!(stream, "*{}\r\n{strings}", args.len()).ok()?;
-        let (mut text, mut octet) = (String::new(), [0]);
-        while !text.ends_with("\r\n") {
-            stream.read_exact(&mut octet).ok()?;
-            text.push(octet[0] as char);
-        }
-        Some(text.trim_end().to_string())
+        process::ask(self.listen, args, PATIENCE)
     }
 
     /// Hands a message in, with more time than any class has.
