--- a/crates/cli/tests/answer_copies.rs
+++ b/crates/cli/tests/answer_copies.rs
@@ -11,6 +11,8 @@
 
 /// How long a call runs at the endpoint.
 const RUNS_FOR: Duration = Duration::from_millis(180);
+/// A refusal that says nothing but that.
+const UNAVAILABLE: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
 /// A repeat would come within this.
 const REPEAT_WITHIN: Duration = Duration::from_millis(2_500);
 
@@ -102,3 +104,94 @@
         "neither delivered nor called again"
     );
 }
+
+/// Longer than any timer of the program.
+const RUNS_LONG: Duration = Duration::from_millis(4_000);
+
+/// Whether the program has neither closed a connection nor ended its sending on it.
+fn is_open(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).unwrap();
+    match peeked {
+        Ok(octets) => octets > 0,
+        Err(e) => matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+    }
+}
+
+/// Watches for a further call with a message while its earlier call is out on a connection. Gives the time after which it
+/// came.
+fn called_while_out(sender: &Sender, out: &TcpStream, id: &str, span: Duration) -> Option<Duration> {
+    let began = Instant::now();
+    let mut others: Vec<(TcpStream, String)> = Vec::new();
+    sender.endpoint.set_nonblocking(true).unwrap();
+    while began.elapsed() < span {
+        if let Ok((other, _)) = sender.endpoint.accept() {
+            other.set_nonblocking(true).unwrap();
+            others.push((other, String::new()));
+        }
+        for (other, text) in &mut others {
+            let mut buffer = [0; 4_096];
+            if let Ok(n @ 1..) = other.read(&mut buffer) {
+                text.push_str(&String::from_utf8_lossy(&buffer[..n]));
+            }
+        }
+        if others.iter().any(|(_, text)| text.contains(id)) {
+            return is_open(out).then(|| began.elapsed());
+        }
+        sleep(MS);
+    }
+    None
+}
+
+/// Guards against two attempts that are out at once: a copied refusal frees a message whose own call runs for long.
+#[test]
+fn a_copied_refusal_frees_no_message_whose_call_is_still_out() {
+    let mut out_twice = Vec::new();
+    for pairs in [SAFE, "c=keyed,t=t,d=8000,k=abc,dest=1", ONCE] {
+        let sender = start("copied-refusal-long");
+        let mut client = sender.client();
+        assert_eq!(client.asks(&out_add("first")), "+OK");
+        let (mut stream, _) = sender.call();
+        stream.write_all(UNAVAILABLE.as_bytes()).unwrap();
+        let repeat = calls(&mut stream, 1, Duration::from_secs(4));
+        assert!(repeat.contains("X-Call-Id: first\r\n"), "{repeat:?}");
+        stream.write_all(OK.as_bytes()).unwrap();
+        sleep(20 * MS);
+        assert_eq!(client.asks(&out_add_as("second", pairs)), "+OK");
+        let call = calls(&mut stream, 1, Duration::from_secs(2));
+        // Where the program uses another connection, no copy can come before its answer.
+        if call.contains("X-Call-Id: second\r\n") {
+            stream.write_all(UNAVAILABLE.as_bytes()).unwrap();
+            let again = called_while_out(&sender, &stream, "second", RUNS_LONG);
+            out_twice.extend(again.map(|after| (pairs, after)));
+        }
+    }
+    assert!(out_twice.is_empty(), "two out at once: {out_twice:?}");
+}
+
+/// Guards against two attempts that are out at once: a copied answer of a single call, read as that of a call with
+/// several messages, frees all of them.
+#[test]
+fn a_copied_answer_frees_no_message_of_a_shared_call_that_is_still_out() {
+    let mut sender = set_up("copied-answer-shared", 128, 50_000);
+    let file = sender.folder.join("config.json");
+    let config =
+        std::fs::read_to_string(&file).unwrap().replace("\"BatchByKind\":[1]", "\"BatchByKind\":[10]");
+    std::fs::write(&file, config).unwrap();
+    sender.start_again();
+    let mut client = sender.client();
+    assert_eq!(client.asks(&out_add("first")), "+OK");
+    let (mut stream, _) = sender.call();
+    stream.write_all(OK.as_bytes()).unwrap();
+    sleep(60 * MS);
+    client.write(&(out_add("second") + &out_add("third")));
+    assert_eq!((client.line().as_str(), client.line().as_str()), ("+OK", "+OK"));
+    let mut call = [0; 4_096];
+    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    let length = stream.read(&mut call).unwrap();
+    let call = String::from_utf8_lossy(&call[..length]);
+    assert!(call.contains("second") && call.contains("third"), "{call}");
+    stream.write_all(OK.as_bytes()).unwrap();
+    assert_eq!(called_while_out(&sender, &stream, "second", RUNS_LONG), None, "two out at once");
+}
