--- /dev/null
+++ b/crates/cli/tests/soak/connection.rs
@@ -0,0 +1,95 @@
+//! The endpoints' side of a connection, which several threads look at.
+
+use crate::world::World;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+struct State {
+    stream: TcpStream,
+    unread: Vec<u8>,
+    ended: bool,
+}
+
+impl State {
+    /// Reads all that has come, and sees whether the connection has ended.
+    fn read(&mut self) {
+        let mut buffer = [0; 8_192];
+        while !self.ended {
+            match self.stream.read(&mut buffer) {
+                Ok(length @ 1..) => self.unread.extend_from_slice(&buffer[..length]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Ok(_) | Err(_) => self.ended = true,
+            }
+        }
+    }
+}
+
+/// A connection from the process.
+pub struct Connection(Mutex<State>);
+
+impl Connection {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_nonblocking(true).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Connection(Mutex::new(State { stream, unread: Vec::new(), ended: false }))
+    }
+
+    /// Whether the process has neither closed the connection nor ended its sending on it.
+    pub fn is_open(&self) -> bool {
+        let mut state = self.0.lock().unwrap();
+        state.read();
+        !state.ended
+    }
+
+    /// The next request whole; none at the end of the connection.
+    pub fn next_request(&self, world: &World) -> Option<String> {
+        while !world.is_over() {
+            let mut state = self.0.lock().unwrap();
+            state.read();
+            if let Some(length) = request_length(&state.unread) {
+                let request: Vec<u8> = state.unread.drain(..length).collect();
+                return Some(String::from_utf8_lossy(&request).into_owned());
+            }
+            if state.ended {
+                return None;
+            }
+            drop(state);
+            sleep(POLL_INTERVAL);
+        }
+        None
+    }
+
+    /// Writes octets, which are few. False where the connection has ended.
+    pub fn write(&self, text: &str) -> bool {
+        let mut state = self.0.lock().unwrap();
+        state.read();
+        !state.ended && state.stream.write_all(text.as_bytes()).is_ok()
+    }
+
+    /// Waits for a span. False as soon as the connection has ended.
+    pub fn stays_open_for(&self, span: Duration, world: &World) -> bool {
+        let end = Instant::now() + span;
+        while Instant::now() < end && !world.is_over() {
+            if !self.is_open() {
+                return false;
+            }
+            sleep(POLL_INTERVAL);
+        }
+        self.is_open()
+    }
+}
+
+/// The length of the first request, if all of it is there.
+fn request_length(octets: &[u8]) -> Option<usize> {
+    let head = octets.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let text = String::from_utf8_lossy(&octets[..head]).to_ascii_lowercase();
+    let body = text.split("content-length: ").nth(1).and_then(|t| t.split("\r\n").next()?.parse().ok());
+    let length = head + body.unwrap_or(0);
+    (octets.len() >= length).then_some(length)
+}
--- /dev/null
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -0,0 +1,228 @@
+//! Endpoints and discovery of a run: what they do is drawn from its seed, what they saw is recorded.
+
+use crate::connection::Connection;
+use crate::world::{Random, World};
+use serde_json::{Value, json};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const FAILED: &str = "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n";
+const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+const LIMITED: &str = "HTTP/1.1 429 No\r\nretry-after: 0.2\r\ncontent-length: 0\r\n\r\n";
+
+/// What an endpoint does with a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    Delivered,
+    /// Each message of a call of several ends by itself.
+    Mixed,
+    Full,
+    Limited,
+    Failed,
+    /// The connection ends without an answer.
+    Broken,
+}
+
+impl Fate {
+    fn draw(random: &mut Random, in_bulk: bool) -> Self {
+        match random.below(20) {
+            0..9 => Fate::Delivered,
+            9..12 if in_bulk => Fate::Mixed,
+            12..16 => Fate::Full,
+            16 => Fate::Limited,
+            17 => Fate::Failed,
+            18 => Fate::Broken,
+            _ => Fate::Delivered,
+        }
+    }
+}
+
+/// A call as an endpoint read it.
+struct IncomingCall {
+    ids: Vec<String>,
+    in_bulk: bool,
+}
+
+impl IncomingCall {
+    fn read(request: &str) -> Self {
+        let in_bulk = request.starts_with("POST /inbox/bulk ");
+        let ids = if in_bulk {
+            let body = request.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+            let entries: Value = serde_json::from_str(body).unwrap_or_default();
+            let entries = entries.as_array().cloned().unwrap_or_default();
+            entries.iter().filter_map(|entry| entry["id"].as_str().map(str::to_string)).collect()
+        } else {
+            let id = request.split("X-Call-Id: ").nth(1).and_then(|text| text.split("\r\n").next());
+            vec![id.unwrap_or("?").to_string()]
+        };
+        IncomingCall { ids, in_bulk }
+    }
+}
+
+/// How each message of a call ends, and the answer that says so.
+fn answer_to(call: &IncomingCall, fate: Fate, random: &mut Random) -> (Vec<&'static str>, String) {
+    let states: Vec<&'static str> = call
+        .ids
+        .iter()
+        .map(|_| match fate {
+            Fate::Delivered => "ok",
+            Fate::Mixed => ["ok", "later", "error"][random.below(3) as usize],
+            Fate::Full | Fate::Limited => "later",
+            Fate::Failed | Fate::Broken => "error",
+        })
+        .collect();
+    let answer = match fate {
+        Fate::Delivered | Fate::Mixed if call.in_bulk => {
+            let entries = call.ids.iter().zip(&states);
+            let body =
+                Value::from_iter(entries.map(|(id, state)| json!({"id": id, "state": state}))).to_string();
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+        }
+        Fate::Delivered | Fate::Mixed => OK.to_string(),
+        Fate::Full => FULL.to_string(),
+        Fate::Limited => LIMITED.to_string(),
+        Fate::Failed => FAILED.to_string(),
+        Fate::Broken => String::new(),
+    };
+    (states, answer)
+}
+
+/// How long a call takes: at times longer than any timer of the program, also where it is refused.
+fn run_time(random: &mut Random) -> Duration {
+    match random.below(16) {
+        0 | 1 => random.millis(420, 1_200),
+        2 => random.millis(1_200, 3_500),
+        3..7 => random.millis(1, 10),
+        _ => random.millis(5, 150),
+    }
+}
+
+/// Splits an answer where it is to be written in pieces.
+fn pieces<'a>(answer: &'a str, random: &mut Random) -> (&'a str, &'a str) {
+    let first = if random.one_in(6) { random.below(answer.len() as u64) as usize } else { 0 };
+    answer.split_at(first)
+}
+
+/// Writes an answer, at times in pieces.
+fn write_answer(connection: &Connection, answer: &str, random: &mut Random) {
+    let (first, rest) = pieces(answer, random);
+    if !first.is_empty() {
+        _ = connection.write(first);
+        sleep(random.millis(1, 20));
+    }
+    _ = connection.write(rest);
+}
+
+/// An endpoint: answers calls as its seed says, often twice.
+pub fn endpoint(stream: TcpStream, seed: u64, world: &World) {
+    let mut random = Random::new(seed);
+    let connection = Arc::new(Connection::new(stream));
+    // A second copy of the last answer, which is written behind the next call.
+    let mut copy: Option<String> = None;
+    while let Some(request) = connection.next_request(world) {
+        let call = IncomingCall::read(&request);
+        world.call_began(&call.ids, &connection);
+        if let Some(copy) = copy.take() {
+            world.step(&call.ids, &format!("a copy of {:?} behind its call", &copy[9..12]));
+            // The call was read whole all the same.
+            sleep(random.millis(0, 20));
+            write_answer(&connection, &copy, &mut random);
+        }
+        let answer = take_call(&connection, &call, &mut random, world);
+        world.call_ended(&call.ids, &connection);
+        let Some(answer) = answer else { return };
+        match random.below(10) {
+            0 | 1 => copy = Some(answer),
+            2 => write_later(connection.clone(), answer, random.millis(1, 80)),
+            _ => {}
+        }
+    }
+}
+
+/// Writes a second copy of an answer after a while, whatever has come till then.
+fn write_later(connection: Arc<Connection>, answer: String, delay: Duration) {
+    spawn(move || {
+        sleep(delay);
+        _ = connection.write(&answer);
+    });
+}
+
+/// Runs or refuses a call, and gives its answer. None where the connection is of no more use.
+fn take_call(
+    connection: &Arc<Connection>,
+    call: &IncomingCall,
+    random: &mut Random,
+    world: &World,
+) -> Option<String> {
+    let began = Instant::now();
+    let fate = Fate::draw(random, call.in_bulk);
+    let (states, answer) = answer_to(call, fate, random);
+    for (id, state) in call.ids.iter().zip(&states) {
+        world.with(id, |trail| {
+            if *state != "later" {
+                trail.runs.push(began);
+            }
+            trail.steps.push(format!("{began:?} called with {}, {fate:?} {state}", call.ids.len()));
+        });
+    }
+    if !connection.stays_open_for(run_time(random), world) {
+        world.step(&call.ids, "given up");
+        return None;
+    }
+    if answer.is_empty() {
+        world.step(&call.ids, "ended without an answer");
+        return None;
+    }
+    let delivered: Vec<&String> =
+        call.ids.iter().zip(&states).filter(|(_, state)| **state == "ok").map(|(id, _)| id).collect();
+    let (first, rest) = pieces(&answer, random);
+    if !first.is_empty() {
+        let written = connection.write(first);
+        // A first line with 200 delivers a single message.
+        if written && !call.in_bulk && first.contains("\r\n") {
+            record_delivered(world, &delivered);
+        }
+        sleep(random.millis(1, 20));
+    }
+    // The process may act on the answer before the write returns.
+    world.call_ended(&call.ids, connection);
+    if !connection.write(rest) {
+        world.step(&call.ids, "ended before its whole answer");
+        return None;
+    }
+    record_delivered(world, &delivered);
+    world.step(&call.ids, "answered");
+    Some(answer)
+}
+
+fn record_delivered(world: &World, ids: &[&String]) {
+    let now = Instant::now();
+    for id in ids {
+        world.with(id, |trail| trail.delivered = trail.delivered.or(Some(now)));
+    }
+}
+
+/// Discovery: a watch that says nothing, and notices, which are taken.
+pub fn discovery(stream: TcpStream, world: &World) {
+    let connection = Connection::new(stream);
+    while let Some(request) = connection.next_request(world) {
+        if request.starts_with("GET") {
+            _ = connection.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+            while connection.stays_open_for(Duration::from_millis(500), world)
+                && connection.write("1\r\n\n\r\n")
+            {}
+            return;
+        }
+        for line in request.lines().filter(|l| l.starts_with('{')) {
+            let id = line.split("\"id\":\"").nth(1).and_then(|t| t.split('"').next()).unwrap_or("?");
+            world.with(id, |t| {
+                t.noticed = t.noticed.or(Some(Instant::now()));
+                t.steps.push(format!("{:?} notice {line}", Instant::now()));
+            });
+        }
+        _ = connection.write("HTTP/1.1 204 No Content\r\n\r\n");
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/soak/judge.rs
@@ -0,0 +1,46 @@
+//! The rules that a run is judged by, from what crossed the sockets.
+
+use crate::clients::{Submitted, TIME};
+use crate::world::Trail;
+use std::time::{Duration, Instant};
+
+/// The keyed class's window.
+const WINDOW: Duration = Duration::from_secs(4);
+/// The page allows 0.3 s and 50 ms behind a message's time, and 1.5 s behind the start of a process.
+const END_SLACK: Duration = Duration::from_millis(350);
+pub const START_SLACK: Duration = Duration::from_millis(1_500);
+/// What a loaded machine may add to what the test sees late.
+pub const MACHINE: Duration = Duration::from_millis(400);
+
+/// Spans in which the process was down, or ending, or starting.
+pub type Downs = Vec<(Instant, Instant)>;
+
+/// A message that breaks a rule, with its whole trail.
+fn broken(rule: &str, message: &Submitted, trail: &Trail) -> String {
+    format!("{rule}: {message:?}, {:#?}", trail.steps)
+}
+
+/// The rules on attempts that a message breaks: two out at once, run again or run late beyond what its class allows.
+pub fn judge_runs(message: &Submitted, trail: &Trail) -> Vec<String> {
+    let (first, last) = (trail.runs.first(), trail.runs.last());
+    let span = first.zip(last).map_or(Duration::ZERO, |(first, last)| last.duration_since(*first));
+    let rules = [
+        ("two out at once", !trail.overlaps.is_empty()),
+        ("run twice", message.class == "once" && trail.runs.len() > 1),
+        ("repeated after its window", message.class == "keyed" && span > WINDOW + MACHINE),
+        ("called after its time", last.is_some_and(|at| *at > message.at + TIME + MACHINE)),
+    ];
+    let broken_rules = rules.iter().filter(|(_, is_broken)| *is_broken);
+    broken_rules.map(|(rule, _)| broken(rule, message, trail)).collect()
+}
+
+/// Whether a message that was accepted has neither been delivered nor had its end in time.
+pub fn judge_end(message: &Submitted, trail: &Trail, downs: &Downs) -> Option<String> {
+    let due = downs.iter().fold(message.at + TIME + END_SLACK, |due, (began, ready)| {
+        let concerns = *began <= due && *ready >= message.at;
+        if concerns { due.max(*ready + START_SLACK) } else { due }
+    });
+    let ended = [trail.delivered, trail.noticed].into_iter().flatten().min();
+    let is_lost = message.accepted && ended.is_none_or(|at| at > due + MACHINE);
+    is_lost.then(|| broken("lost", message, trail))
+}
--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -1,7 +1,7 @@
-//! Endpoints and discovery of a soak: what they do is drawn from a seed, what they saw is recorded.
+//! What all parts of a run share: the random numbers of its seed, and what was seen of each message outside the process.
 
+use crate::connection::Connection;
 use std::collections::HashMap;
-use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -38,6 +38,8 @@
 pub struct Trail {
     /// When it ran, or may have run.
     pub runs: Vec<Instant>,
+    /// When a call with it came while an earlier one was out on a connection that the process had not closed.
+    pub overlaps: Vec<Instant>,
     /// When a 200 was written for it.
     pub delivered: Option<Instant>,
     /// When its first notice came.
@@ -50,6 +52,8 @@
 #[derive(Default)]
 pub struct World {
     pub trails: Mutex<HashMap<String, Trail>>,
+    /// The connections with a call that is out, by the ids of the call's messages.
+    calls_out: Mutex<HashMap<String, Vec<Arc<Connection>>>>,
     pub over: AtomicBool,
 }
 
@@ -58,9 +62,40 @@
         change(self.trails.lock().unwrap().entry(id.to_string()).or_default());
     }
 
-    fn is_over(&self) -> bool {
+    pub fn step(&self, ids: &[String], text: &str) {
+        let at = Instant::now();
+        for id in ids {
+            self.with(id, |trail| trail.steps.push(format!("{at:?} {text}")));
+        }
+    }
+
+    pub fn is_over(&self) -> bool {
         self.over.load(Ordering::Relaxed)
     }
+
+    /// Records that a call was read whole, and whether another one with the same message is out. One that was given up
+    /// before it was read is not.
+    pub fn call_began(&self, ids: &[String], connection: &Arc<Connection>) {
+        if !connection.is_open() {
+            return;
+        }
+        let mut calls_out = self.calls_out.lock().unwrap();
+        for id in ids {
+            let earlier = calls_out.entry(id.clone()).or_default();
+            if earlier.iter().any(|other| !Arc::ptr_eq(other, connection) && other.is_open()) {
+                self.with(id, |trail| trail.overlaps.push(Instant::now()));
+            }
+            earlier.push(connection.clone());
+        }
+    }
+
+    /// Records that a call is answered, or that its connection has ended.
+    pub fn call_ended(&self, ids: &[String], connection: &Arc<Connection>) {
+        let mut calls_out = self.calls_out.lock().unwrap();
+        for id in ids {
+            calls_out.entry(id.clone()).or_default().retain(|other| !Arc::ptr_eq(other, connection));
+        }
+    }
 }
 
 /// Listens at an address, and serves each connection on a thread of its own.
@@ -87,136 +122,3 @@
     });
     at
 }
-
-/// Requests of a connection, one after another.
-struct Requests {
-    stream: TcpStream,
-    octets: Vec<u8>,
-}
-
-impl Requests {
-    fn new(stream: TcpStream) -> Self {
-        stream.set_nonblocking(false).unwrap();
-        stream.set_nodelay(true).unwrap();
-        stream.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
-        Requests { stream, octets: Vec::new() }
-    }
-
-    /// The next request whole; none at the end of the connection.
-    fn next(&mut self, world: &World) -> Option<String> {
-        let mut buffer = [0; 8_192];
-        loop {
-            if let Some(length) = whole(&self.octets) {
-                let request = self.octets.drain(..length).collect::<Vec<u8>>();
-                return Some(String::from_utf8_lossy(&request).into_owned());
-            }
-            match self.stream.read(&mut buffer) {
-                Ok(0) => return None,
-                Ok(n) => self.octets.extend_from_slice(&buffer[..n]),
-                Err(e)
-                    if matches!(
-                        e.kind(),
-                        ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
-                    ) =>
-                {
-                    if world.is_over() {
-                        return None;
-                    }
-                }
-                Err(_) => return None,
-            }
-        }
-    }
-}
-
-/// The length of the first request, if all of it is there.
-fn whole(octets: &[u8]) -> Option<usize> {
-    let head = octets.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
-    let text = String::from_utf8_lossy(&octets[..head]).to_ascii_lowercase();
-    let body = text.split("content-length: ").nth(1).and_then(|t| t.split("\r\n").next()?.parse().ok());
-    let length = head + body.unwrap_or(0);
-    (octets.len() >= length).then_some(length)
-}
-
-const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-const FAILED: &str = "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n";
-const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
-const LIMITED: &str = "HTTP/1.1 429 No\r\nretry-after: 0.2\r\ncontent-length: 0\r\n\r\n";
-
-/// An endpoint: answers calls as its seed says, often twice.
-pub fn endpoint(stream: TcpStream, seed: u64, world: &World) {
-    let mut random = Random::new(seed);
-    let mut requests = Requests::new(stream);
-    let mut copy: Option<&str> = None;
-    while let Some(request) = requests.next(world) {
-        let began = Instant::now();
-        let id = request
-            .split("X-Call-Id: ")
-            .nth(1)
-            .and_then(|t| t.split("\r\n").next())
-            .unwrap_or("?")
-            .to_string();
-        // A copy of the answer before, just behind this call.
-        if let Some(copy) = copy.take() {
-            world.with(&id, |t| {
-                t.steps.push(format!("{began:?} a copy of {:?} behind its call", &copy[9..12]))
-            });
-            if requests.stream.write_all(copy.as_bytes()).is_err() {
-                // The call was read whole all the same.
-            }
-        }
-        let answer = match random.below(20) {
-            0..12 => OK,
-            12..15 => FULL,
-            15 => LIMITED,
-            16 => FAILED,
-            17 => "",
-            _ => OK,
-        };
-        let refused = answer == FULL || answer == LIMITED;
-        world.with(&id, |t| {
-            if !refused {
-                t.runs.push(began);
-            }
-            t.steps.push(format!("{began:?} called, {:?}", answer.get(9..12).unwrap_or("reset")));
-        });
-        sleep(if refused { random.millis(1, 10) } else { random.millis(5, 150) });
-        if answer.is_empty() || requests.stream.write_all(answer.as_bytes()).is_err() {
-            return;
-        }
-        if answer == OK {
-            world.with(&id, |t| t.delivered = t.delivered.or(Some(Instant::now())));
-        }
-        match random.below(12) {
-            0 => copy = Some(answer),
-            1 => {
-                sleep(random.millis(1, 80));
-                _ = requests.stream.write_all(answer.as_bytes());
-            }
-            _ => {}
-        }
-    }
-}
-
-/// Discovery: a watch that says nothing, and notices, which are taken.
-pub fn discovery(stream: TcpStream, world: &World) {
-    let mut requests = Requests::new(stream);
-    while let Some(request) = requests.next(world) {
-        if request.starts_with("GET") {
-            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-            _ = requests.stream.write_all(head.as_bytes());
-            while !world.is_over() && requests.stream.write_all(b"1\r\n\n\r\n").is_ok() {
-                sleep(Duration::from_millis(500));
-            }
-            return;
-        }
-        for line in request.lines().filter(|l| l.starts_with('{')) {
-            let id = line.split("\"id\":\"").nth(1).and_then(|t| t.split('"').next()).unwrap_or("?");
-            world.with(id, |t| {
-                t.noticed = t.noticed.or(Some(Instant::now()));
-                t.steps.push(format!("{:?} notice {line}", Instant::now()));
-            });
-        }
-        _ = requests.stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
-    }
-}
