An answer that may be another call's releases no message while its call may be out

Callers saw two attempts of one message out at once, and messages of a class that may not be repeated run twice.

Cause: an answer that equals an earlier one on its connection may be a copy of it. (3) A delivery was believed after 0.4 s too: a copied 200 before a late refusal lost the message. (4) After one such answer every later one on the connection may be one call late; after 0.4 s it counted as certain again. (5) A copy of one of more than 16 answers, an answer that was not read whole, and a copy of an answer that names the same messages counted as certain. (6) What answers a call before all of it was written left its rest to be written.

Now an answer is certain only if it is new on its connection and none before it may have been a copy, or if it names the messages of its call. Any other refusal or error closes the connection before the message is released, and counts as one that may have run (Outcome::UnprovenBusy keeps what it says of the endpoint). A later answer that names its call proves all deliveries before it.

--- a/crates/engine/src/delivery/cancel.rs
+++ b/crates/engine/src/delivery/cancel.rs
@@ -82,9 +82,9 @@
             }
             self.calls.shift_ranges(conn, range.0, range.1 - range.0);
         }
-        withdrawn
-            .into_iter()
-            .for_each(|part| self.record_outcome(call, part, reply_of(outcome_without_answer(end, false))));
+        for part in withdrawn {
+            self.record_outcome(call, part, reply_of(outcome_without_answer(end, false)));
+        }
         true
     }
 
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -16,7 +16,6 @@
         let probe = remote.probe;
         for conn in remote.pool.idle_connections().into_iter().filter(|c| Some(*c) != probe) {
             self.close_link(conn);
-            self.report_unconfirmed_deliveries(conn);
         }
     }
 
@@ -38,7 +37,13 @@
         if let ConnRole::Receiver { link, .. } = &mut entry.role {
             link.close(now, &mut entry.stream);
         }
+        self.end_link(conn);
+    }
+
+    /// Ends the use of a connection to a receiver from this side.
+    fn end_link(&mut self, conn: ConnId) {
         self.remove_link(conn, CloseReason::Ended);
+        self.report_unconfirmed_deliveries(conn);
         self.finish(conn);
     }
 
@@ -98,15 +103,16 @@
                 LinkEvent::AnsweredUnconfirmed { call, part, reply } => {
                     self.handle_unconfirmed_answer(conn, call, part, reply);
                 }
+                LinkEvent::EarlierConfirmed => self.confirm_deliveries(conn),
                 LinkEvent::Contradicted => self.handle_contradiction(conn),
+                LinkEvent::RefusalsUnproven => self.endpoints[endpoint].pool.mark_unproven(conn),
                 LinkEvent::WaitAnnounced(wait) => self.handle_announced_wait(endpoint, wait),
                 LinkEvent::PauseUntilConfirmed => self.pause_until_confirmed(endpoint, conn),
                 LinkEvent::NoMoreCalls => self.endpoints[endpoint].pool.retire(conn),
                 LinkEvent::Probed(reply) => self.finish_probe(endpoint, reply),
                 LinkEvent::Unusable(why) => {
                     tracing::debug!(conn, why, "closing a connection to a receiver");
-                    self.remove_link(conn, CloseReason::Ended);
-                    self.finish(conn);
+                    self.end_link(conn);
                     return;
                 }
             }
@@ -130,6 +136,7 @@
     /// Handles a connection that was not established in time.
     pub(crate) fn drop_link(&mut self, conn: ConnId) {
         self.remove_link(conn, CloseReason::Broken);
+        self.report_unconfirmed_deliveries(conn);
         self.drop_conn(conn);
     }
 
@@ -150,11 +157,13 @@
                     LinkEvent::AnsweredUnconfirmed { call, part, reply } => {
                         self.handle_unconfirmed_answer(conn, call, part, reply);
                     }
+                    LinkEvent::EarlierConfirmed => self.confirm_deliveries(conn),
                     LinkEvent::Contradicted => self.handle_contradiction(conn),
                     LinkEvent::Probed(reply) => self.finish_probe(endpoint, reply),
                     LinkEvent::Ready
                     | LinkEvent::WaitAnnounced(_)
                     | LinkEvent::PauseUntilConfirmed
+                    | LinkEvent::RefusalsUnproven
                     | LinkEvent::NoMoreCalls
                     | LinkEvent::Unusable(_) => {}
                 }
--- a/crates/engine/src/delivery/outcome.rs
+++ b/crates/engine/src/delivery/outcome.rs
@@ -28,6 +28,7 @@
             Outcome::Cancelled => 6,
             Outcome::Skipped => 7,
             Outcome::Crowded => 8,
+            Outcome::UnprovenBusy => 9,
         };
         self.stats.attempts[attempts_index] += 1;
         let known = match reply.outcome {
@@ -104,7 +105,7 @@
         match conn {
             Some(conn) => {
                 if self.endpoints[endpoint].pool.finish_call(conn) {
-                    self.close_when_confirmed(conn);
+                    self.close_link(conn);
                 } else if self.endpoints[endpoint].pool.call_count(conn) == 0 {
                     self.start_idle_timer(conn);
                 }
--- a/crates/engine/src/delivery/send.rs
+++ b/crates/engine/src/delivery/send.rs
@@ -88,11 +88,10 @@
         if self.calls.get(call).is_none() {
             return;
         }
-        let remote = &mut self.endpoints[endpoint];
-        if call <= remote.cancelled_up_to {
+        if call <= self.endpoints[endpoint].cancelled_up_to {
             return self.cancel_unsent_call(call);
         }
-        remote.pool.enqueue(call);
+        self.endpoints[endpoint].pool.enqueue(call);
         self.assign_calls(endpoint);
     }
 
--- a/crates/engine/src/delivery/unconfirmed.rs
+++ b/crates/engine/src/delivery/unconfirmed.rs
@@ -1,9 +1,11 @@
 //! Outcomes of unconfirmed answers. Such an answer may be a second copy of an earlier answer on its
-//! connection (see `link/attribution.rs`) and is confirmed once nothing has followed it there for a while.
+//! connection, or the answer to an earlier call (see `link/attribution.rs`).
 //!
-//! A refusal releases a message that must not simply be repeated only after the confirmation. A delivery is
-//! reported to the decision library at once, but its message is kept until the confirmation, and continues if
-//! the delivery is contradicted.
+//! An unconfirmed refusal or error proves nothing about its call, which may still be out. Its connection is
+//! closed before the message may be tried again, as after an attempt that may have run. An unconfirmed
+//! delivery is reported to the decision library at once, so that its message is not tried again. Its message
+//! continues if the delivery is contradicted soon, and is otherwise reported as one that may have run, unless
+//! a later answer confirms the delivery.
 
 use super::reply_of;
 use crate::Micros;
@@ -19,38 +21,50 @@
 const UNCONFIRMED_GRACE: Micros = 100_000;
 
 impl Node {
-    /// Handles an answer to a message of a call that may be a copy of an earlier answer.
+    /// Handles an answer to a message of a call that may be the answer to another call.
     pub(crate) fn handle_unconfirmed_answer(&mut self, conn: ConnId, call: u64, part: usize, reply: Reply) {
         let Some(open_call) = self.calls.get(call) else { return };
         let (endpoint, began, message) = (open_call.endpoint, open_call.began, open_call.parts[part].message);
-        let Some(entry) = self.messages.get(&message) else { return self.record_outcome(call, part, reply) };
-        let effect = self.cfg.settings.classes[entry.class].effect;
-        let deadline = entry.deadline;
         self.stats.doubtful += 1;
-        if reply.outcome == Outcome::Done {
-            let latest = deadline.max(self.now) + UNCONFIRMED_GRACE;
+        if reply.outcome != Outcome::Done {
+            return self.handle_unconfirmed_refusal(conn, call, part, reply);
+        }
+        if let Some(entry) = self.messages.get(&message) {
+            let latest = entry.deadline.max(self.now) + UNCONFIRMED_GRACE;
             let due = latest.min(self.now + CONFIRMATION_DELAY);
             let dest = self.endpoints[endpoint].dest;
-            self.add_unconfirmed(
-                conn,
-                due,
-                UnconfirmedOutcome::Delivered { message, dest, endpoint, began, latest },
-            );
-        } else if reply.outcome.never_ran() && !reply.over && effect != Effect::Free {
-            // The wait applies from the time of the answer.
-            if reply.wait > 0 {
-                self.handle_announced_wait(endpoint, reply.wait);
-            }
-            let reply = Reply { wait: (reply.wait - CONFIRMATION_DELAY).max(reply.wait.min(1)), ..reply };
-            return self.add_unconfirmed(
-                conn,
-                self.now + CONFIRMATION_DELAY,
-                UnconfirmedOutcome::Refused { call, part, reply },
-            );
+            let delivery = UnconfirmedOutcome::Delivered { message, dest, endpoint, began, latest };
+            self.add_unconfirmed(conn, due, delivery);
         }
         self.record_outcome(call, part, reply);
     }
 
+    /// Handles an unconfirmed answer other than a delivery. If the answer to the call before it is unconfirmed
+    /// too, what follows may tell which of them belongs to which call, so the connection is kept for a while
+    /// and the message is not released.
+    fn handle_unconfirmed_refusal(&mut self, conn: ConnId, call: u64, part: usize, reply: Reply) {
+        if self.unconfirmed.next(conn).is_none() {
+            return self.release_unproven(conn, call, part, reply);
+        }
+        let Some(endpoint) = self.calls.get(call).map(|open_call| open_call.endpoint) else { return };
+        if reply.wait > 0 {
+            // The wait applies from the time of the answer.
+            self.handle_announced_wait(endpoint, reply.wait);
+        }
+        let reply = Reply { wait: (reply.wait - CONFIRMATION_DELAY).max(reply.wait.min(1)), ..reply };
+        let refusal = UnconfirmedOutcome::Refused { call, part, reply };
+        self.add_unconfirmed(conn, self.now + CONFIRMATION_DELAY, refusal);
+    }
+
+    /// Releases a message whose call may still be out: the connection carries no further call and is closed
+    /// with the last message of this one, before any of them is tried again.
+    fn release_unproven(&mut self, conn: ConnId, call: u64, part: usize, reply: Reply) {
+        let Some(endpoint) = self.calls.get(call).map(|open_call| open_call.endpoint) else { return };
+        self.endpoints[endpoint].pool.retire(conn);
+        let outcome = if reply.outcome.never_ran() { Outcome::UnprovenBusy } else { reply.outcome };
+        self.record_outcome(call, part, Reply { outcome, over: false, ..reply });
+    }
+
     fn add_unconfirmed(&mut self, conn: ConnId, due: Micros, outcome: UnconfirmedOutcome) {
         self.unconfirmed.add(conn, due, outcome);
         let next = self.unconfirmed.next(conn).unwrap_or(due);
@@ -69,15 +83,17 @@
         self.timers.set(TimerKey::Confirm(conn), self.now + CONFIRMATION_DELAY);
     }
 
-    /// Accepts the unconfirmed answers of a connection that nothing has followed in time.
+    /// Handles the unconfirmed answers of a connection that nothing has followed for a while, which proves
+    /// nothing.
     pub(crate) fn confirm_due(&mut self, conn: ConnId) {
         for outcome in self.unconfirmed.take_due(conn, self.now) {
             match outcome {
-                UnconfirmedOutcome::Refused { call, part, reply } => self.record_outcome(call, part, reply),
-                UnconfirmedOutcome::Delivered { message, began, latest, .. } if self.now >= latest => {
+                UnconfirmedOutcome::Refused { call, part, reply } => {
+                    self.release_unproven(conn, call, part, reply);
+                }
+                UnconfirmedOutcome::Delivered { message, began, .. } => {
                     self.report_possibly_run(message, began);
                 }
-                UnconfirmedOutcome::Delivered { message, .. } => self.answer(message, MessageEnd::Delivered),
             }
         }
         let receiver = self.conns.get(&conn).and_then(|c| match &c.role {
@@ -97,6 +113,19 @@
         self.assign_calls(endpoint);
     }
 
+    /// Accepts the unconfirmed deliveries of a connection on which a later answer certainly was its call's own:
+    /// answers arrive in the order of the calls.
+    pub(crate) fn confirm_deliveries(&mut self, conn: ConnId) {
+        for outcome in self.unconfirmed.take_due(conn, Micros::MAX) {
+            match outcome {
+                UnconfirmedOutcome::Refused { call, part, reply } => {
+                    self.release_unproven(conn, call, part, reply);
+                }
+                UnconfirmedOutcome::Delivered { message, .. } => self.answer(message, MessageEnd::Delivered),
+            }
+        }
+    }
+
     /// Handles the case that later bytes on a connection show that its unconfirmed answers may belong to
     /// other calls.
     pub(crate) fn handle_contradiction(&mut self, conn: ConnId) {
@@ -117,9 +146,10 @@
         }
     }
 
-    /// Reports a delivery that can no longer be confirmed as one that may have run. Reporting a delivered
-    /// message this way does no harm.
+    /// Reports a delivery that is not confirmed as one that may have run. Reporting a delivered message this
+    /// way does no harm.
     fn report_possibly_run(&mut self, message: MsgId, began: Micros) {
+        self.stats.unproven_deliveries += 1;
         if let Some(entry) = self.messages.get_mut(&message) {
             entry.may_have_run_since = Some(entry.may_have_run_since.map_or(began, |at| at.min(began)));
         }
@@ -172,15 +202,4 @@
         let may_run = Some((endpoint, self.now - began));
         self.events.push(Event::Resumed { id, attempts: entry.attempts, may_run });
     }
-
-    /// Closes a connection that takes no more calls and carries none, as soon as nothing that arrives on it
-    /// can contradict an answer any more.
-    pub(crate) fn close_when_confirmed(&mut self, conn: ConnId) {
-        let Some(ConnRole::Receiver { link, .. }) = self.conns.get(&conn).map(|c| &c.role) else { return };
-        let Some(until) = link.unconfirmed_until().filter(|until| *until > self.now) else {
-            return self.close_link(conn);
-        };
-        let next = self.unconfirmed.next(conn).map_or(until, |next| next.min(until));
-        self.timers.set(TimerKey::Confirm(conn), next);
-    }
 }
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -72,9 +72,13 @@
         /// The answer.
         reply: Reply,
     },
+    /// The next answer is certainly the own answer of its call, and so every earlier one was.
+    EarlierConfirmed,
     /// What followed the unconfirmed answers shows that the calls they were attributed to may have ended
     /// otherwise.
     Contradicted,
+    /// A refusal of a later call on this connection may be the answer to another call.
+    RefusalsUnproven,
     /// Each unconfirmed answer, including the one whose event follows, may belong to the call before its own.
     /// The connection takes no calls until they are confirmed.
     PauseUntilConfirmed,
@@ -114,7 +118,8 @@
     fn is_request_unsent(&self, _: &Stream) -> bool {
         false
     }
-    /// Returns the time until which unconfirmed answers may be contradicted, if there are any.
+    /// Returns the time until which what follows unconfirmed answers may tell which calls they belonged to, if
+    /// there are any.
     fn unconfirmed_until(&self) -> Option<Micros> {
         None
     }
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -5,6 +5,7 @@
 use super::{Link, LinkEvent, OutboundMessage, Reply};
 use crate::Micros;
 use crate::stream::Stream;
+use heronroute::Outcome;
 use heronroute_http::write_request;
 use heronroute_platform::call::{AnswerEvent, AnswerReader, MessageOutcome, OutgoingMessage, write_call};
 use std::cmp::Reverse;
@@ -45,12 +46,20 @@
                     events.push(LinkEvent::NoMoreCalls);
                 }
                 let identity = self.answer_reader.take_identity();
-                let certainty = identity.map(|i| self.answer_history.attribute(now, i));
-                let certainty = certainty.unwrap_or(Certainty::Certain);
-                if certainty == Certainty::Shifted {
-                    events.push(LinkEvent::PauseUntilConfirmed);
+                let delivered = outcomes.iter().all(|message| message.outcome == Outcome::Done);
+                let certainty = self.answer_history.attribute(now, identity, delivered);
+                match certainty {
+                    Certainty::ConfirmsEarlier => events.push(LinkEvent::EarlierConfirmed),
+                    Certainty::Shifted => events.push(LinkEvent::PauseUntilConfirmed),
+                    Certainty::Certain | Certainty::Unconfirmed => {}
                 }
-                let unconfirmed = certainty != Certainty::Certain;
+                if self.answer_history.is_full() {
+                    events.push(LinkEvent::NoMoreCalls);
+                }
+                if !self.answer_history.proves_refusals() {
+                    events.push(LinkEvent::RefusalsUnproven);
+                }
+                let unconfirmed = matches!(certainty, Certainty::Unconfirmed | Certainty::Shifted);
                 self.push_replies(&outcomes, unconfirmed, events);
                 if unconfirmed && self.answer_reader.has_begun() {
                     self.receive_surplus(now, b"", events);
@@ -96,15 +105,13 @@
             Ok(digests) if digests.iter().all(|d| self.answer_history.is_harmless_surplus(*d)) => {
                 events.push(LinkEvent::NoMoreCalls);
             }
-            _ => self.close_contradicted(now, events),
+            _ => Self::close_contradicted(events),
         }
     }
 
     /// Ends the use of the connection, because an answer to an earlier call arrived.
-    fn close_contradicted(&mut self, now: Micros, events: &mut Vec<LinkEvent>) {
-        if self.answer_history.has_unconfirmed(now) {
-            events.push(LinkEvent::Contradicted);
-        }
+    fn close_contradicted(events: &mut Vec<LinkEvent>) {
+        events.push(LinkEvent::Contradicted);
         events.push(LinkEvent::Unusable("received an answer to an earlier call"));
     }
 
@@ -162,14 +169,22 @@
         let premature = self.is_request_unsent(stream)
             || (self.is_partly_written(stream) && !self.answer_reader.is_new());
         if premature {
-            return self.close_contradicted(now, events);
+            return Self::close_contradicted(events);
         }
         if !self.answer_reader.awaits_answer() && self.answer_history.has_unconfirmed(now) {
             return self.receive_surplus(now, bytes, events);
         }
         self.answer_reader.set_waits_for_complete_answer(self.answer_history.expects_copies());
+        // What answers a call before all of it was sent leaves the rest of it to be sent.
+        let partly_written = self.is_partly_written(stream);
+        if partly_written {
+            events.push(LinkEvent::NoMoreCalls);
+        }
         let event = self.answer_reader.receive(bytes, false);
         self.handle_answer_event(now, event, events);
+        if partly_written && !self.answer_reader.awaits_answer() {
+            events.push(LinkEvent::Unusable("answered before the call was sent"));
+        }
     }
 
     fn ended(&mut self, now: Micros, events: &mut Vec<LinkEvent>) {
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -87,7 +87,7 @@
     finished_order: VecDeque<MsgId>,
     pub(crate) next_id: u64,
     pub(crate) calls: Calls,
-    /// Outcomes reported by doubtful answers, which wait to be confirmed.
+    /// Outcomes reported by unconfirmed answers.
     pub(crate) unconfirmed: UnconfirmedOutcomes,
     pub(crate) endpoints: EndpointTable,
     /// When to check next for endpoints to remove.
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -21,8 +21,11 @@
     pub answers: [u64; 6],
     /// Receipts that a client acknowledged.
     pub receipts: u64,
-    /// Attempts by outcome: done, error, busy, timed out, no connection, reset, cancelled, skipped, crowded.
-    pub attempts: [u64; 9],
+    /// Attempts by outcome, as [`ATTEMPT_NAMES`] names them.
+    pub attempts: [u64; 10],
+    /// Deliveries that could not be proved and were reported as failed, which does no harm to a delivered
+    /// message.
+    pub unproven_deliveries: u64,
     /// Answers that might have been second copies of earlier ones.
     pub doubtful: u64,
     /// Doubtful answers that were contradicted by what followed.
@@ -63,8 +66,18 @@
 pub const ANSWER_NAMES: [&str; 6] = ["DELIVRD", "REJECTD", "UNDELIV", "UNKNOWN", "EXPIRED", "DELETED"];
 
 /// Names of [`Stats::attempts`], in order.
-pub const ATTEMPT_NAMES: [&str; 9] =
-    ["done", "error", "busy", "timed_out", "connect_failed", "reset", "cancelled", "skipped", "crowded"];
+pub const ATTEMPT_NAMES: [&str; 10] = [
+    "done",
+    "error",
+    "busy",
+    "timed_out",
+    "connect_failed",
+    "reset",
+    "cancelled",
+    "skipped",
+    "crowded",
+    "unproven_busy",
+];
 
 impl Stats {
     /// Adds another sender's counts.
@@ -78,6 +91,7 @@
         self.answers.iter_mut().zip(other.answers).for_each(|(a, b)| *a += b);
         self.receipts += other.receipts;
         self.attempts.iter_mut().zip(other.attempts).for_each(|(a, b)| *a += b);
+        self.unproven_deliveries += other.unproven_deliveries;
         self.doubtful += other.doubtful;
         self.contradicted += other.contradicted;
         self.calls += other.calls;
--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -27,8 +27,8 @@
 /// The evidence in an answer of which call it belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Identity {
-    /// The answer names the messages of its call.
-    Named,
+    /// The answer names the messages of its call. A second copy of it has this same digest.
+    Named(u64),
     /// The answer names no messages, and closes the connection.
     Closing,
     /// The answer names no messages. A second copy of it has this same digest.
@@ -38,7 +38,7 @@
 impl Identity {
     fn of(answer: &Message, names_messages: bool) -> Self {
         if names_messages {
-            return Identity::Named;
+            return Identity::Named(digest(answer));
         }
         if answer.closes_connection {
             return Identity::Closing;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -314,6 +314,9 @@
     Error,
     /// Rejected before processing: over the limit, queue full, closed or draining.
     Busy,
+    /// An answer says `Busy`, but it may belong to another call: the message may have been executed, or still
+    /// be.
+    UnprovenBusy,
     /// Rejected before processing, together with the connection: the endpoint accepts no further connections
     /// at the moment. Used only where the endpoint says so.
     Crowded,
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -84,7 +84,7 @@
             Outcome::Skipped | Outcome::Cancelled => {
                 return endpoint.suspicion.iter_mut().filter(|_| trial).for_each(|s| s.trial = None);
             }
-            Outcome::Busy => {
+            Outcome::Busy | Outcome::UnprovenBusy => {
                 pool.wait_until = pool.wait_until.max(now + if wait == 0 { REFUSAL_PAUSE } else { 0 });
                 *retry_failures =
                     (*retry_failures + if pool.refused { 4.0 * RETRY_GAIN } else { 0.0 }).min(1.0);
@@ -126,17 +126,17 @@
         // closed: all who were given the same end of the wait would return at once, so each adds a random gap
         // of its own.
         let closed = wait > MAX_TRIAL_BACKOFF;
+        let is_busy = matches!(outcome, Outcome::Busy | Outcome::UnprovenBusy);
         endpoint.failing_since = endpoint
             .failing_since
-            .or((outcome != Outcome::Busy || closed || endpoint.failure_share > SUSPICION_THRESHOLD)
-                .then_some(now));
+            .or((!is_busy || closed || endpoint.failure_share > SUSPICION_THRESHOLD).then_some(now));
         if let Some(suspicion) = &mut endpoint.suspicion {
-            suspicion.harmless &= outcome.never_ran();
+            suspicion.harmless &= is_busy || outcome.never_ran();
             if trial {
                 suspicion.back_off(now, gap);
             }
         } else if closed || endpoint.failure_share > SUSPICION_THRESHOLD {
-            endpoint.suspicion = Some(Suspicion::new(now, outcome.never_ran(), gap));
+            endpoint.suspicion = Some(Suspicion::new(now, is_busy || outcome.never_ran(), gap));
         }
         endpoint
             .suspicion
