One guard where attempts start: none while an earlier one may be out on an open connection

What callers could see: on receivers whose connections carry several calls (serve), a message whose call timed out was called again on another connection while the first was open, because other calls were out on it.

OpenAttempts keeps each attempt until a fact about its own call ends it: its own answer, its bytes taken back before any was sent, its connection closed. It does not see the outcomes that the library is told, so that a path that releases a message without proof is stopped here. A call whose message may be out waits until that connection is closed, or closes it where nothing else is on it; a message that must not run twice is not called again unless each earlier attempt surely did not run.

--- a/crates/engine/src/acceptance.rs
+++ b/crates/engine/src/acceptance.rs
@@ -210,6 +210,7 @@
     /// Removes a message for which no answer is owed.
     pub(crate) fn remove_unowed(&mut self, id: MsgId) {
         let Some(m) = self.messages.remove(&id) else { return };
+        self.attempts.message_ended(id);
         self.forget_identity(&m);
         self.remove_open_message(&m);
         self.taken(id);
--- a/crates/engine/src/delivery/cancel.rs
+++ b/crates/engine/src/delivery/cancel.rs
@@ -83,6 +83,7 @@
             self.calls.shift_ranges(conn, range.0, range.1 - range.0);
         }
         for part in withdrawn {
+            self.record_unsent(call, part);
             self.record_outcome(call, part, reply_of(outcome_without_answer(end, false)));
         }
         true
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -40,11 +40,13 @@
         self.end_link(conn);
     }
 
-    /// Ends the use of a connection to a receiver from this side.
+    /// Ends the use of a connection to a receiver from this side. Calls that waited for it start only once its
+    /// close is requested.
     fn end_link(&mut self, conn: ConnId) {
         self.remove_link(conn, CloseReason::Ended);
         self.report_unconfirmed_deliveries(conn);
         self.finish(conn);
+        self.start_delayed_calls(conn);
     }
 
     /// Calls a method of a link, then handles the events that it produced.
@@ -99,7 +101,7 @@
                     }
                     self.assign_calls(endpoint);
                 }
-                LinkEvent::Answered { call, part, reply } => self.record_outcome(call, part, reply),
+                LinkEvent::Answered { call, part, reply } => self.record_own_answer(call, part, reply),
                 LinkEvent::AnsweredUnconfirmed { call, part, reply } => {
                     self.handle_unconfirmed_answer(conn, call, part, reply);
                 }
@@ -138,6 +140,7 @@
         self.remove_link(conn, CloseReason::Broken);
         self.report_unconfirmed_deliveries(conn);
         self.drop_conn(conn);
+        self.start_delayed_calls(conn);
     }
 
     /// Ends the use of a connection to a receiver. Each message on it gets an outcome according to how much
@@ -153,7 +156,7 @@
             link.ended(self.now, &mut events);
             for event in events {
                 match event {
-                    LinkEvent::Answered { call, part, reply } => self.record_outcome(call, part, reply),
+                    LinkEvent::Answered { call, part, reply } => self.record_own_answer(call, part, reply),
                     LinkEvent::AnsweredUnconfirmed { call, part, reply } => {
                         self.handle_unconfirmed_answer(conn, call, part, reply);
                     }
@@ -192,12 +195,17 @@
         if let Some(Conn { stream, role: ConnRole::Receiver { link, .. }, .. }) = self.conns.get_mut(&conn) {
             link.discard_unsent(stream);
         }
+        for (call, part, _) in begun.iter().filter(|b| !b.2) {
+            self.record_unsent(*call, *part);
+        }
+        self.attempts.connection_closed(conn);
         for (call, part, begun) in begun.into_iter().rev() {
             self.record_outcome(call, part, reply_of(outcome_without_answer(CallEnd::Closed, begun)));
         }
         for call in waiting {
             let parts = self.calls.get(call).map_or(0, |open_call| open_call.parts.len());
             for part in 0..parts {
+                self.record_unsent(call, part);
                 self.record_outcome(call, part, reply_of(Outcome::ConnectFailed));
             }
         }
--- a/crates/engine/src/delivery/mod.rs
+++ b/crates/engine/src/delivery/mod.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod probe;
 mod send;
+mod start_guard;
 mod unconfirmed;
 
 use crate::calls::CallEnd;
--- a/crates/engine/src/delivery/outcome.rs
+++ b/crates/engine/src/delivery/outcome.rs
@@ -176,6 +176,9 @@
             }
         }
         for (part, p) in parts.iter().enumerate().filter(|(_, p)| p.open) {
+            if !begun {
+                self.record_unsent(call, part);
+            }
             self.record_outcome(
                 call,
                 part,
--- a/crates/engine/src/delivery/send.rs
+++ b/crates/engine/src/delivery/send.rs
@@ -91,8 +91,10 @@
         if call <= self.endpoints[endpoint].cancelled_up_to {
             return self.cancel_unsent_call(call);
         }
-        self.endpoints[endpoint].pool.enqueue(call);
-        self.assign_calls(endpoint);
+        if self.may_start(call, endpoint) {
+            self.endpoints[endpoint].pool.enqueue(call);
+            self.assign_calls(endpoint);
+        }
     }
 
     /// Assigns waiting calls to connections, and opens further connections if needed.
@@ -139,6 +141,9 @@
         let ConnRole::Receiver { link, .. } = &mut entry.role else { return };
         let ranges = link.send(self.now, call, &messages, &mut entry.stream);
         self.calls.record_written(call, conn, &ranges);
+        for message in self.open_messages_of(call) {
+            self.attempts.written(message, call, conn);
+        }
         self.timers.clear(TimerKey::Idle(conn));
         self.flush(conn);
         self.schedule_link_tick(conn);
--- a/crates/engine/src/delivery/unconfirmed.rs
+++ b/crates/engine/src/delivery/unconfirmed.rs
@@ -172,6 +172,7 @@
     pub(crate) fn link_closed(&mut self, conn: ConnId, gone: CloseReason) {
         self.remove_link(conn, gone);
         self.handle_contradiction(conn);
+        self.start_delayed_calls(conn);
     }
 
     fn log_contradiction(&self, conn: ConnId, message: Option<MsgId>, answer: &str) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`routes`]: which destination an address belongs to
 //! - [`pool`]: which connection carries a call
 //! - [`calls`]: the outcome of a call without an answer
+//! - [`attempts`]: whether a further attempt of a message may start
 //! - [`answers`]: which answer a client receives
 //! - [`outbox`]: the order in which answers are sent
 //! - [`mailboxes`]: which client answers belong to, and which sessions outlive their connections
@@ -30,6 +31,7 @@
 mod acceptance;
 mod admission;
 pub mod answers;
+pub mod attempts;
 pub mod calls;
 mod client_rules;
 mod delivery;
--- a/crates/engine/src/node/answer.rs
+++ b/crates/engine/src/node/answer.rs
@@ -50,6 +50,7 @@
             return;
         }
         let Some(m) = self.messages.remove(&id) else { return };
+        self.attempts.message_ended(id);
         self.stats.answers[stats::answer_index(answer)] += 1;
         let done = self.wall();
         if m.speaks == Speaks::Resp && (m.reply.is_some() || answer == Answer::Delivered) {
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::Micros;
+use crate::attempts::OpenAttempts;
 use crate::calls::Calls;
 use crate::directory::Directory;
 use crate::failover::Failover;
@@ -34,7 +35,7 @@
 use crate::stats::Stats;
 use crate::timers::Timers;
 use crate::unconfirmed::UnconfirmedOutcomes;
-use heronroute::{Action, DestId, Dispatcher, Event, MsgId};
+use heronroute::{Action, DestId, Dispatcher, EndpointId, Event, MsgId};
 use heronroute_config::Config;
 use heronroute_held::Store;
 use heronroute_mqtt::session as mqtt;
@@ -87,6 +88,10 @@
     finished_order: VecDeque<MsgId>,
     pub(crate) next_id: u64,
     pub(crate) calls: Calls,
+    /// The attempts whose end is not proved.
+    pub(crate) attempts: OpenAttempts,
+    /// Calls that wait until a connection is closed, because one of their messages may be out on it.
+    pub(crate) delayed_calls: BTreeMap<ConnId, Vec<(u64, EndpointId)>>,
     /// Outcomes reported by unconfirmed answers.
     pub(crate) unconfirmed: UnconfirmedOutcomes,
     pub(crate) endpoints: EndpointTable,
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -5,6 +5,7 @@
 use super::endpoints::EndpointTable;
 use super::state::Client;
 use crate::Micros;
+use crate::attempts::OpenAttempts;
 use crate::calls::Calls;
 use crate::directory::{Directory, Polled, Watched};
 use crate::failover::Failover;
@@ -109,6 +110,8 @@
             // as no sender accepts a million messages a second for as long as it runs.
             next_id: ((start.wall.max(0) as u64) << ID_SENDER_BITS) | start.index as u64,
             calls: Calls::default(),
+            attempts: OpenAttempts::default(),
+            delayed_calls: BTreeMap::new(),
             unconfirmed: UnconfirmedOutcomes::default(),
             endpoints: EndpointTable::default(),
             prune_at: now,
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -23,6 +23,12 @@
     pub receipts: u64,
     /// Attempts by outcome, as [`ATTEMPT_NAMES`] names them.
     pub attempts: [u64; 10],
+    /// Attempts that waited until an earlier attempt of their message was certainly over: its connection was
+    /// closed first.
+    pub attempts_delayed: u64,
+    /// Attempts that were not started, because an earlier one was waiting to start or their message may have
+    /// run and must not run twice.
+    pub attempts_denied: u64,
     /// Deliveries that could not be proved and were reported as failed, which does no harm to a delivered
     /// message.
     pub unproven_deliveries: u64,
@@ -91,6 +97,8 @@
         self.answers.iter_mut().zip(other.answers).for_each(|(a, b)| *a += b);
         self.receipts += other.receipts;
         self.attempts.iter_mut().zip(other.attempts).for_each(|(a, b)| *a += b);
+        self.attempts_delayed += other.attempts_delayed;
+        self.attempts_denied += other.attempts_denied;
         self.unproven_deliveries += other.unproven_deliveries;
         self.doubtful += other.doubtful;
         self.contradicted += other.contradicted;
--- /dev/null
+++ b/crates/engine/tests/attempt_starts.rs
@@ -0,0 +1,124 @@
+//! Plays attempts that end without an answer on connections that carry several calls: no attempt of a message
+//! starts while an earlier one may be out on an open connection.
+
+use bytes::BytesMut;
+use heronroute_config::parse;
+use heronroute_engine::front::Speaks;
+use heronroute_engine::{ConnId, Node, Output, Start};
+use heronroute_smpp::client::Session;
+use heronroute_smpp::server::{Limits, Mode};
+use heronroute_smpp::submission::{ReceiptRequest, Submission};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const MS: i64 = 1_000;
+const LIMITS: Limits = Limits {
+    session_init: 1 << 40,
+    enquire_every: 1 << 40,
+    inactivity: 1 << 40,
+    response: 1 << 40,
+    window: 100,
+    max_pdu: 70_000,
+};
+const CONFIG: &str = "service { quantum: \"0s\" } client { system_id: \"c\" password: \"p\" } \
+    class { name: \"FREE\" effect: \"free\" deadline: \"40s\" } \
+    class { name: \"ONCE\" effect: \"single_shot\" deadline: \"20s\" } \
+    kind { name: \"k\" protocol: \"http\" window: 4 } route { destination: 1 } \
+    endpoint { name: \"a\" address: \"127.0.0.1:9001\" destination: 1 kind: \"k\" } \
+    endpoint { name: \"b\" address: \"127.0.0.1:9002\" destination: 1 kind: \"k\" }";
+
+/// A node, and what it has sent on each open connection to the receiver.
+struct World {
+    node: Node,
+    now: i64,
+    received: BTreeMap<ConnId, String>,
+}
+
+impl World {
+    fn new() -> Self {
+        let start = Start {
+            index: 0,
+            seed: 3,
+            now: 0,
+            wall: 1 << 50,
+            list: 0,
+            kept: None,
+            state: None,
+            fleet: false,
+        };
+        let node = Node::new(Arc::new(parse("test", CONFIG).unwrap()), start).unwrap();
+        World { node, now: 0, received: BTreeMap::new() }
+    }
+
+    /// Submits messages of these classes on one connection of the client.
+    fn submit(&mut self, classes: &[&str]) {
+        let mut out = BytesMut::new();
+        let mut session = Session::bind(0, LIMITS, Mode::Transceiver, "c", "p", &mut out);
+        let conn = self.node.accepted(self.now, Speaks::Smpp, &out).unwrap();
+        out.clear();
+        for class in classes {
+            let submission = Submission {
+                service: (*class).into(),
+                destination: "234".into(),
+                wanted: ReceiptRequest::Always,
+                body: class.as_bytes().to_vec(),
+                ..Submission::default()
+            };
+            session.request(0, submission.submit(None), &mut out);
+        }
+        self.node.received(self.now, conn, &out);
+    }
+
+    /// Advances the clock by one step and handles the node's outputs. Returns the connections that were
+    /// written to.
+    fn step(&mut self) -> Vec<ConnId> {
+        self.now += 5 * MS;
+        let mut written = Vec::new();
+        for _ in 0..20 {
+            self.node.settle(self.now);
+            for output in self.node.outputs() {
+                match output {
+                    Output::Connect { conn, .. } => {
+                        self.received.insert(conn, String::new());
+                        self.node.connected(self.now, conn);
+                    }
+                    Output::Write(conn) => {
+                        let bytes = self.node.pending(conn).to_vec();
+                        self.node.wrote(conn, bytes.len());
+                        if let Some(text) = self.received.get_mut(&conn) {
+                            text.push_str(&String::from_utf8_lossy(&bytes));
+                            written.push(conn);
+                        }
+                    }
+                    Output::Drop(conn) | Output::Finish(conn) => _ = self.received.remove(&conn),
+                    _ => {}
+                }
+            }
+        }
+        written
+    }
+}
+
+/// Guards against a message whose attempt timed out on a connection that carries other calls, and that is out
+/// twice.
+#[test]
+fn a_timed_out_attempt_beside_other_calls_is_not_followed_while_its_connection_is_open() {
+    let mut world = World::new();
+    world.submit(&["FREE", "ONCE", "ONCE", "ONCE"]);
+    let mut first = None;
+    let mut again = false;
+    // The receiver answers nothing.
+    for _ in 0..8_000 {
+        for conn in world.step() {
+            let has_free = world.received[&conn].contains("FREE");
+            first = first.or(has_free.then_some(conn));
+            if has_free && first != Some(conn) {
+                let other = world.received.contains_key(&first.unwrap());
+                assert!(!other, "out on two open connections at {} ms", world.now / MS);
+                again = true;
+            }
+        }
+    }
+    assert!(again, "it is sent again once its connection is closed");
+    assert!(world.node.stats().attempts_delayed > 0);
+}
