Pool: remove a mark of connections that nothing reads

It was made for once-only calls, which would have preferred connections on which a refusal is proved.

--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -107,7 +107,6 @@
                 }
                 LinkEvent::EarlierConfirmed => self.confirm_deliveries(conn),
                 LinkEvent::Contradicted => self.handle_contradiction(conn),
-                LinkEvent::RefusalsUnproven => self.endpoints[endpoint].pool.mark_unproven(conn),
                 LinkEvent::WaitAnnounced(wait) => self.handle_announced_wait(endpoint, wait),
                 LinkEvent::PauseUntilConfirmed => self.pause_until_confirmed(endpoint, conn),
                 LinkEvent::NoMoreCalls => self.endpoints[endpoint].pool.retire(conn),
@@ -166,7 +165,6 @@
                     LinkEvent::Ready
                     | LinkEvent::WaitAnnounced(_)
                     | LinkEvent::PauseUntilConfirmed
-                    | LinkEvent::RefusalsUnproven
                     | LinkEvent::NoMoreCalls
                     | LinkEvent::Unusable(_) => {}
                 }
--- a/crates/engine/src/link/attribution.rs
+++ b/crates/engine/src/link/attribution.rs
@@ -38,8 +38,6 @@
     last_plain: Option<u64>,
     /// Whether an answer may have been a copy, so that each later one may be the answer to an earlier call.
     may_be_shifted: bool,
-    /// Whether an answer other than a delivery was received, of which a copy may still follow.
-    refused: bool,
     /// The time until which what follows is used to tell which call an unconfirmed answer belonged to.
     unconfirmed_until: Option<Micros>,
     /// Whether the unconfirmed answers differ from one another.
@@ -48,7 +46,7 @@
 
 impl AnswerHistory {
     /// Attributes an answer that has arrived. It has no identity if it was not read completely.
-    pub fn attribute(&mut self, now: Micros, identity: Option<Identity>, delivered: bool) -> Certainty {
+    pub fn attribute(&mut self, now: Micros, identity: Option<Identity>) -> Certainty {
         let pending = self.has_unconfirmed(now);
         let is_first = self.digests.is_empty();
         let (certain, digest) = match identity {
@@ -64,7 +62,6 @@
             None => (is_first, None),
         };
         let named = matches!(identity, Some(Identity::Named(_)));
-        self.refused |= !delivered && !named;
         let differs = pending && digest.is_none_or(|digest| self.last_plain != Some(digest));
         self.last_plain = digest.or(self.last_plain);
         if certain {
@@ -76,11 +73,6 @@
         if differs { Certainty::Shifted } else { Certainty::Unconfirmed }
     }
 
-    /// Returns whether a refusal of the next call would certainly be that call's own answer.
-    pub fn proves_refusals(&self) -> bool {
-        !self.may_be_shifted && !self.refused
-    }
-
     /// Returns whether no further answer can be remembered.
     pub fn is_full(&self) -> bool {
         self.digests.len() >= MAX_DIGESTS
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -77,8 +77,6 @@
     /// What followed the unconfirmed answers shows that the calls they were attributed to may have ended
     /// otherwise.
     Contradicted,
-    /// A refusal of a later call on this connection may be the answer to another call.
-    RefusalsUnproven,
     /// Each unconfirmed answer, including the one whose event follows, may belong to the call before its own.
     /// The connection takes no calls until they are confirmed.
     PauseUntilConfirmed,
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -5,7 +5,6 @@
 use super::{Link, LinkEvent, OutboundMessage, Reply};
 use crate::Micros;
 use crate::stream::Stream;
-use heronroute::Outcome;
 use heronroute_http::write_request;
 use heronroute_platform::call::{AnswerEvent, AnswerReader, MessageOutcome, OutgoingMessage, write_call};
 use std::cmp::Reverse;
@@ -46,8 +45,7 @@
                     events.push(LinkEvent::NoMoreCalls);
                 }
                 let identity = self.answer_reader.take_identity();
-                let delivered = outcomes.iter().all(|message| message.outcome == Outcome::Done);
-                let certainty = self.answer_history.attribute(now, identity, delivered);
+                let certainty = self.answer_history.attribute(now, identity);
                 match certainty {
                     Certainty::ConfirmsEarlier => events.push(LinkEvent::EarlierConfirmed),
                     Certainty::Shifted => events.push(LinkEvent::PauseUntilConfirmed),
@@ -56,9 +54,6 @@
                 if self.answer_history.is_full() {
                     events.push(LinkEvent::NoMoreCalls);
                 }
-                if !self.answer_history.proves_refusals() {
-                    events.push(LinkEvent::RefusalsUnproven);
-                }
                 let unconfirmed = matches!(certainty, Certainty::Unconfirmed | Certainty::Shifted);
                 self.push_replies(&outcomes, unconfirmed, events);
                 if unconfirmed && self.answer_reader.has_begun() {
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -18,8 +18,6 @@
     retired: bool,
     /// Whether it takes no calls for a while.
     paused: bool,
-    /// Whether a refusal of a call on it may be the answer to another call.
-    unproven: bool,
     calls: usize,
 }
 
@@ -77,7 +75,6 @@
             ready: false,
             retired: false,
             paused: false,
-            unproven: false,
             calls: 0,
         });
     }
@@ -97,11 +94,6 @@
         self.connections.iter_mut().filter(|c| c.conn == conn).for_each(|c| c.paused = true);
     }
 
-    /// Records that a refusal of a call on a connection may be the answer to another call.
-    pub fn mark_unproven(&mut self, conn: ConnNumber) {
-        self.connections.iter_mut().filter(|c| c.conn == conn).for_each(|c| c.unproven = true);
-    }
-
     /// Lets a paused connection take calls again.
     pub fn resume(&mut self, conn: ConnNumber) {
         self.connections.iter_mut().filter(|c| c.conn == conn).for_each(|c| c.paused = false);
