--- a/crates/engine/tests/attempt_starts.rs
+++ b/crates/engine/tests/attempt_starts.rs
@@ -32,6 +32,8 @@
     node: Node,
     now: i64,
     received: BTreeMap<ConnId, String>,
+    /// The calls with a message that must not run twice.
+    once_calls: usize,
 }
 
 impl World {
@@ -47,7 +49,7 @@
             fleet: false,
         };
         let node = Node::new(Arc::new(parse("test", CONFIG).unwrap()), start).unwrap();
-        World { node, now: 0, received: BTreeMap::new() }
+        World { node, now: 0, received: BTreeMap::new(), once_calls: 0 }
     }
 
     /// Submits messages of these classes on one connection of the client.
@@ -86,7 +88,9 @@
                         let bytes = self.node.pending(conn).to_vec();
                         self.node.wrote(conn, bytes.len());
                         if let Some(text) = self.received.get_mut(&conn) {
-                            text.push_str(&String::from_utf8_lossy(&bytes));
+                            let bytes = String::from_utf8_lossy(&bytes);
+                            self.once_calls += bytes.matches("\r\n\r\nONCE").count();
+                            text.push_str(&bytes);
                             written.push(conn);
                         }
                     }
@@ -122,3 +126,28 @@
     assert!(again, "it is sent again once its connection is closed");
     assert!(world.node.stats().attempts_delayed > 0);
 }
+
+/// Guards against a message that runs twice: over HTTP a second copy of a refusal, which comes as the next call is
+/// out, is taken for that call's answer.
+#[test]
+fn a_copied_refusal_over_http_does_not_free_the_next_calls_message() {
+    const REFUSED: &[u8] = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+    let mut world = World::new();
+    world.submit(&["FREE"]);
+    let conn = world.step()[0];
+    world.node.received(world.now, conn, REFUSED);
+    world.submit(&["ONCE"]);
+    for _ in 0..4_000 {
+        let written = world.step();
+        if world.once_calls > 0 && written.contains(&conn) {
+            // The call runs, and its own answer comes later than any timer.
+            world.node.received(world.now, conn, REFUSED);
+            break;
+        }
+    }
+    assert_eq!(world.once_calls, 1, "called once so far");
+    for _ in 0..2_000 {
+        world.step();
+    }
+    assert_eq!(world.once_calls, 1, "called again, and may have run");
+}
