Contracts of links: a copy of an answer, or one that comes a call late, proves nothing

Why the contracts did not find the incident: each clause answered every call once, and none let time pass behind an answer that may be a copy.

--- a/crates/contracts/src/link/clauses.rs
+++ b/crates/contracts/src/link/clauses.rs
@@ -1,7 +1,7 @@
 //! What holds of each link.
 
 use super::wire::Wire;
-use super::{How, Receiver, calls};
+use super::{How, Receiver, calls, copies};
 use crate::dice::Dice;
 use crate::ensure;
 use crate::suite::Clause;
@@ -20,6 +20,8 @@
     Clause { name: "what never left can be taken back, and the rest stands", run: calls::taken_back },
     Clause { name: "what was taken back is not answered", run: calls::nothing_out },
     Clause { name: "an answer that nobody waits for is passed over", run: calls::forgotten },
+    Clause { name: "a copy of an answer proves nothing of the next call", run: copies::of_the_call_before },
+    Clause { name: "an answer that comes a call late proves nothing", run: copies::late_by_one },
     Clause { name: "an answer to nothing answers nothing", run: stray },
     Clause { name: "an answer of another kind is no delivery", run: mismatch },
     Clause { name: "a probe is answered as one", run: probe },
--- a/crates/contracts/src/link/mod.rs
+++ b/crates/contracts/src/link/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod clauses;
+mod copies;
 mod http;
 mod platform;
 mod smpp;
--- a/crates/contracts/src/link/wrong.rs
+++ b/crates/contracts/src/link/wrong.rs
@@ -34,6 +34,8 @@
     ProbeAsCall,
     /// What is out when the receiver ends is called done.
     Hopeful,
+    /// An answer that may be a copy is taken for certain.
+    BelievesCopies,
     /// It panics at the octet 0xFD.
     Panics,
     /// An answer that comes twice is told twice.
@@ -77,6 +79,9 @@
                         reply.wait = 0;
                     }
                 }
+                LinkEvent::AnsweredUnconfirmed { call, part, reply } if self.is(Fault::BelievesCopies) => {
+                    *event = LinkEvent::Answered { call: *call, part: *part, reply: *reply };
+                }
                 LinkEvent::Probed(reply) if self.is(Fault::ProbeAsCall) => {
                     *event = LinkEvent::Answered { call: 0, part: 0, reply: *reply };
                 }
