--- a/crates/contracts/src/directory/clauses.rs
+++ b/crates/contracts/src/directory/clauses.rs
@@ -2,8 +2,8 @@
 
 use super::follower::Follower;
 use super::{Catalog, HERE, THERE, times};
-use crate::dice::Dice;
 use crate::ensure;
+use crate::random::SeededRandom;
 use crate::suite::{Clause, done};
 use heronroute::Status;
 use heronroute_config::parse_listing;
@@ -70,7 +70,7 @@
     for seed in 0..16 {
         let most = [1, 3, 20, 200][seed as usize % 4];
         let mut f = Follower::told(c, b"")?;
-        for piece in Dice::new(seed).pieces(&octets, most) {
+        for piece in SeededRandom::new(seed).pieces(&octets, most) {
             f.hear(piece);
         }
         ensure!(
@@ -139,16 +139,16 @@
 fn noise(c: &dyn Catalog) -> Result<(), String> {
     let good = [c.head(), story(c)].concat();
     for seed in 0..300 {
-        let mut dice = Dice::new(seed);
+        let mut random = SeededRandom::new(seed);
         let octets = match seed % 4 {
             0 => {
-                let length = dice.below(300);
-                dice.octets(length)
+                let length = random.below(300);
+                random.octets(length)
             }
-            _ => dice.spoil(&good),
+            _ => random.spoil(&good),
         };
         let mut f = Follower::told(c, b"")?;
-        for piece in dice.pieces(&octets, 80) {
+        for piece in random.pieces(&octets, 80) {
             if !f.hear(piece) {
                 f.connect()?;
             }
--- a/crates/contracts/src/front/clauses.rs
+++ b/crates/contracts/src/front/clauses.rs
@@ -2,8 +2,8 @@
 
 use super::client::{Client, wants};
 use super::{Dialect, times};
-use crate::dice::Dice;
 use crate::ensure;
+use crate::random::SeededRandom;
 use crate::suite::Clause;
 use heronroute_engine::front::{ClientRequest, Delivery, Denied};
 use heronroute_engine::outbox::{OwedAnswer, ReplyAddress};
@@ -36,9 +36,9 @@
         rest.extend_from_slice(&part);
     }
     let play = |most: usize, seed: u64| {
-        let (mut c, mut dice) = (Client::new(d), Dice::new(seed));
+        let (mut c, mut random) = (Client::new(d), SeededRandom::new(seed));
         for stream in [d.enter().unwrap_or_default(), rest.clone()] {
-            for piece in dice.pieces(&stream, most) {
+            for piece in random.pieces(&stream, most) {
                 c.give(piece);
             }
         }
@@ -76,22 +76,22 @@
         good.extend_from_slice(&part);
     }
     for seed in 0..400 {
-        let mut dice = Dice::new(seed);
+        let mut random = SeededRandom::new(seed);
         let octets = match seed % 4 {
             0 => {
-                let length = dice.below(200);
-                dice.octets(length)
+                let length = random.below(200);
+                random.octets(length)
             }
-            _ => dice.spoil(&good),
+            _ => random.spoil(&good),
         };
         let mut c = Client::new(d);
         if seed % 8 == 4 {
             c = Client::entered(d)?;
         }
-        for piece in dice.pieces(&octets, 60) {
+        for piece in random.pieces(&octets, 60) {
             c.give(piece);
-            if dice.below(3) == 0 {
-                let later = c.now + dice.below(40_000_000) as i64;
+            if random.below(3) == 0 {
+                let later = c.now + random.below(40_000_000) as i64;
                 c.tick(later);
             }
             for token in c.tokens() {
--- a/crates/contracts/src/held/mod.rs
+++ b/crates/contracts/src/held/mod.rs
@@ -5,8 +5,8 @@
 
 pub use wrong::{Fault, Wrong};
 
-use crate::dice::Dice;
 use crate::ensure;
+use crate::random::SeededRandom;
 use crate::suite::Clause;
 use heronroute_held::{
     Decision, Dropped, KnownOutcome, MessageRecord, Micros, Page, Query, Refusal, Room, Store, Trail, What,
@@ -114,26 +114,26 @@
 
 fn listed(fresh: &Fresh) -> Result<(), String> {
     for seed in 0..20 {
-        let (mut s, mut model, mut dice) = (fresh(WIDE, WIDE), Model::default(), Dice::new(seed));
+        let (mut s, mut model, mut random) = (fresh(WIDE, WIDE), Model::default(), SeededRandom::new(seed));
         for _ in 0..60 {
-            let at = id(dice.below(50) as u64) + dice.below(3) as u64;
-            if dice.below(4) == 0 {
+            let at = id(random.below(50) as u64) + random.below(3) as u64;
+            if random.below(4) == 0 {
                 ensure!(s.take(at).is_some() == model.take(at), "seed {seed}: taking {at}");
                 continue;
             }
-            let (client, destination) = (dice.below(3) as u32, dice.below(3) as i64);
-            let f = filed(client, destination, dice.below(3) as u64, dice.below(2) == 0);
+            let (client, destination) = (random.below(3) as u32, random.below(3) as i64);
+            let f = filed(client, destination, random.below(3) as u64, random.below(2) == 0);
             model.file(at, &f);
             s.file(100, at, f);
         }
         for _ in 0..20 {
             let q = Query {
-                client: (dice.below(2) == 0).then_some(dice.below(3) as u32),
-                destination: (dice.below(3) == 0).then_some(dice.below(3) as i64),
-                key: (dice.below(3) == 0).then_some(1 + dice.below(2) as u64),
-                from: (dice.below(3) == 0).then_some(dice.below(50) as i64),
-                to: (dice.below(3) == 0).then_some(dice.below(50) as i64),
-                held: dice.below(2) == 0,
+                client: (random.below(2) == 0).then_some(random.below(3) as u32),
+                destination: (random.below(3) == 0).then_some(random.below(3) as i64),
+                key: (random.below(3) == 0).then_some(1 + random.below(2) as u64),
+                from: (random.below(3) == 0).then_some(random.below(50) as i64),
+                to: (random.below(3) == 0).then_some(random.below(50) as i64),
+                held: random.below(2) == 0,
                 after: None,
             };
             let (mut ids, mut next) = (Vec::new(), q.clone());
--- a/crates/contracts/src/lib.rs
+++ b/crates/contracts/src/lib.rs
@@ -12,9 +12,9 @@
 
 #![forbid(unsafe_code)]
 
-pub mod dice;
 pub mod directory;
 pub mod front;
+pub mod random;
 
 pub mod held;
 pub mod ledger;
--- a/crates/contracts/src/link/calls.rs
+++ b/crates/contracts/src/link/calls.rs
@@ -1,90 +1,97 @@
-//! What holds of calls on a link: their place in the stream, and whose an answer is.
+//! Clauses about calls on a link: their position in the stream, and the attribution of answers.
 
-use super::wire::Wire;
-use super::{How, Receiver};
+use super::connection::Connection;
+use super::{CallOutcome, Receiver};
 use crate::ensure;
 use heronroute::Outcome;
 use heronroute_engine::calls::{CallEnd, outcome_without_answer};
 use heronroute_engine::link::LinkEvent;
 
 pub fn as_itself(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
+    let mut connection = Connection::ready(r)?;
     let calls = [11, 5, 7, 3];
-    for some in calls.chunks(r.at_once()) {
+    for some in calls.chunks(r.max_open_calls()) {
         for call in some {
-            w.call(*call, 1);
+            connection.call(*call, 1);
         }
-        let sent = w.flush();
-        let mut answers = r.answers(&sent, How::Done);
+        let sent = connection.flush();
+        let mut answers = r.answers(&sent, CallOutcome::Done);
         ensure!(answers.len() == some.len(), "{} calls, the receiver saw {}", some.len(), answers.len());
-        if r.reorders() {
+        if r.may_reorder() {
             answers.reverse();
         }
         for (n, octets) in answers.iter().enumerate() {
-            let before = w.answered().len();
-            w.hear(octets);
-            let call = if r.reorders() { some[some.len() - 1 - n] } else { some[n] };
-            let new: Vec<u64> = w.answered()[before..].iter().map(|a| a.0).collect();
+            let before = connection.answered().len();
+            connection.receive(octets);
+            let call = if r.may_reorder() { some[some.len() - 1 - n] } else { some[n] };
+            let new: Vec<u64> = connection.answered()[before..].iter().map(|a| a.0).collect();
             ensure!(new == [call], "the answer to {call} is taken for {new:?}");
         }
     }
-    ensure!(w.done().len() == calls.len(), "{:?}", w.events);
+    ensure!(connection.done().len() == calls.len(), "{:?}", connection.events);
     Ok(())
 }
 
 pub fn several(r: &dyn Receiver) -> Result<(), String> {
     let messages = r.batch().min(3);
-    let mut w = Wire::ready(r)?;
-    let ranges = w.call(1, messages);
+    let mut connection = Connection::ready(r)?;
+    let ranges = connection.call(1, messages);
     ensure!(ranges.len() == messages, "{messages} messages, {} places", ranges.len());
-    let sent = w.flush();
-    w.answer(&sent, How::Done);
+    let sent = connection.flush();
+    connection.answer(&sent, CallOutcome::Done);
     let wanted: Vec<(u64, usize)> = (0..messages).map(|part| (1, part)).collect();
-    ensure!(w.done() == wanted && w.answered().len() == messages, "{:?}", w.events);
+    ensure!(
+        connection.done() == wanted && connection.answered().len() == messages,
+        "{:?}",
+        connection.events
+    );
     Ok(())
 }
 
 pub fn how(r: &dyn Receiver) -> Result<(), String> {
     for (how, outcome, wait, over) in [
-        (How::Done, Outcome::Done, 0, true),
-        (How::Busy(2_000_000), Outcome::Busy, 2_000_000, false),
-        (How::Busy(0), Outcome::Busy, 0, false),
-        (How::Error, Outcome::Error, 0, false),
+        (CallOutcome::Done, Outcome::Done, 0, true),
+        (CallOutcome::Busy(2_000_000), Outcome::Busy, 2_000_000, false),
+        (CallOutcome::Busy(0), Outcome::Busy, 0, false),
+        (CallOutcome::Error, Outcome::Error, 0, false),
     ] {
-        let mut w = Wire::ready(r)?;
-        w.call(1, 1);
-        let sent = w.flush();
-        w.answer(&sent, how);
-        let answered = w.answered();
-        ensure!(answered.len() == 1, "{how:?}: {:?}", w.events);
+        let mut connection = Connection::ready(r)?;
+        connection.call(1, 1);
+        let sent = connection.flush();
+        connection.answer(&sent, how);
+        let answered = connection.answered();
+        ensure!(answered.len() == 1, "{how:?}: {:?}", connection.events);
         let reply = answered[0].2;
         ensure!((reply.outcome, reply.wait, reply.over) == (outcome, wait, over), "{how:?}: {reply:?}");
     }
     Ok(())
 }
 
-/// What an end proves is told from how much of the stream the system took.
+/// Whether a call has begun follows from how many bytes of the stream were written.
 pub fn begun(r: &dyn Receiver) -> Result<(), String> {
     for k in [0, 1, 2, 15, 16, 40, usize::MAX] {
-        let mut w = Wire::ready(r)?;
-        if r.at_once() > 1 {
-            w.call(1, 1);
-            w.flush();
+        let mut connection = Connection::ready(r)?;
+        if r.max_open_calls() > 1 {
+            connection.call(1, 1);
+            connection.flush();
         } else {
-            w.call(1, 1);
-            let sent = w.flush();
-            w.answer(&sent, How::Done);
+            connection.call(1, 1);
+            let sent = connection.flush();
+            connection.answer(&sent, CallOutcome::Done);
         }
-        let ranges = w.call(2, 1);
-        ensure!(ranges.len() == 1 && !w.stream.out.is_empty(), "a message without a place: {ranges:?}");
-        w.stream.wrote(k);
-        let begun = ranges[0].0 < w.stream.sent;
+        let ranges = connection.call(2, 1);
+        ensure!(
+            ranges.len() == 1 && !connection.stream.out.is_empty(),
+            "a message without a place: {ranges:?}"
+        );
+        connection.stream.wrote(k);
+        let begun = ranges[0].0 < connection.stream.sent;
         let unsent = outcome_without_answer(CallEnd::Closed, begun).never_ran();
         ensure!(unsent == (k == 0), "{k} octets of it left, and it is called unsent: {unsent}");
         ensure!(
-            ranges[0].1 == w.stream.position(),
+            ranges[0].1 == connection.stream.position(),
             "it ends at {}, not at {}",
-            w.stream.position(),
+            connection.stream.position(),
             ranges[0].1
         );
     }
@@ -92,48 +99,52 @@
 }
 
 pub fn taken_back(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
-    let first = r.at_once() > 1;
+    let mut connection = Connection::ready(r)?;
+    let first = r.max_open_calls() > 1;
     if first {
-        w.call(1, 1);
+        connection.call(1, 1);
     }
-    let (from, to) = w.call(2, 1).first().copied().ok_or("a message without a place")?;
-    ensure!(w.stream.withdraw(from, to), "it can't be taken back");
-    w.link.forget(2, 0, true);
-    w.call(3, 1);
-    let sent = w.flush();
-    w.answer(&sent, How::Done);
+    let (from, to) = connection.call(2, 1).first().copied().ok_or("a message without a place")?;
+    ensure!(connection.stream.withdraw(from, to), "it can't be taken back");
+    connection.link.forget(2, 0, true);
+    connection.call(3, 1);
+    let sent = connection.flush();
+    connection.answer(&sent, CallOutcome::Done);
     let wanted: &[(u64, usize)] = if first { &[(1, 0), (3, 0)] } else { &[(3, 0)] };
-    ensure!(w.done() == wanted && w.answered().len() == wanted.len(), "{:?}", w.events);
+    ensure!(
+        connection.done() == wanted && connection.answered().len() == wanted.len(),
+        "{:?}",
+        connection.events
+    );
     Ok(())
 }
 
-/// Where a call was taken back nothing is out: what comes then is no answer of it.
+/// Once a call is withdrawn no call is open, so that nothing answers it.
 pub fn nothing_out(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
-    let (from, to) = w.call(2, 1).first().copied().ok_or("a message without a place")?;
-    ensure!(w.stream.withdraw(from, to), "it can't be taken back");
-    w.link.forget(2, 0, true);
-    w.hear(&r.stray());
-    let spoke = w.events.iter().any(|e| {
+    let mut connection = Connection::ready(r)?;
+    let (from, to) = connection.call(2, 1).first().copied().ok_or("a message without a place")?;
+    ensure!(connection.stream.withdraw(from, to), "it can't be taken back");
+    connection.link.forget(2, 0, true);
+    connection.receive(&r.unrequested_answer());
+    let spoke = connection.events.iter().any(|e| {
         matches!(e, LinkEvent::Answered { .. } | LinkEvent::AnsweredUnconfirmed { .. } | LinkEvent::Probed(_))
     });
-    ensure!(!spoke, "{:?}", w.events);
+    ensure!(!spoke, "{:?}", connection.events);
     Ok(())
 }
 
 pub fn forgotten(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
-    w.call(1, 1);
-    let sent = w.flush();
-    w.link.forget(1, 0, false);
-    w.answer(&sent, How::Done);
-    ensure!(w.answered().is_empty(), "{:?}", w.events);
-    if w.usable() {
-        w.call(2, 1);
-        let sent = w.flush();
-        w.answer(&sent, How::Done);
-        ensure!(w.done() == [(2, 0)], "the call behind it: {:?}", w.events);
+    let mut connection = Connection::ready(r)?;
+    connection.call(1, 1);
+    let sent = connection.flush();
+    connection.link.forget(1, 0, false);
+    connection.answer(&sent, CallOutcome::Done);
+    ensure!(connection.answered().is_empty(), "{:?}", connection.events);
+    if connection.usable() {
+        connection.call(2, 1);
+        let sent = connection.flush();
+        connection.answer(&sent, CallOutcome::Done);
+        ensure!(connection.done() == [(2, 0)], "the call behind it: {:?}", connection.events);
     }
     Ok(())
 }
--- a/crates/contracts/src/link/clauses.rs
+++ b/crates/contracts/src/link/clauses.rs
@@ -1,9 +1,9 @@
-//! What holds of each link.
+//! The clauses that every link keeps.
 
-use super::wire::Wire;
-use super::{How, Receiver, calls, copies};
-use crate::dice::Dice;
+use super::connection::Connection;
+use super::{CallOutcome, Receiver, calls, copies};
 use crate::ensure;
+use crate::random::SeededRandom;
 use crate::suite::Clause;
 use heronroute_engine::Micros;
 use heronroute_engine::link::LinkEvent;
@@ -22,7 +22,7 @@
     Clause { name: "an answer that nobody waits for is passed over", run: calls::forgotten },
     Clause { name: "a copy of an answer proves nothing of the next call", run: copies::of_the_call_before },
     Clause { name: "an answer that comes a call late proves nothing", run: copies::late_by_one },
-    Clause { name: "an answer to nothing answers nothing", run: stray },
+    Clause { name: "an answer to nothing answers nothing", run: unrequested_answer },
     Clause { name: "an answer of another kind is no delivery", run: mismatch },
     Clause { name: "a probe is answered as one", run: probe },
     Clause { name: "an end delivers nothing", run: end },
@@ -31,46 +31,50 @@
 ];
 
 fn ready(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::new(r);
-    let count = |w: &Wire<'_>| w.events.iter().filter(|e| **e == LinkEvent::Ready).count();
-    let sent = w.flush();
-    if let Some(greeting) = r.greet(&sent) {
-        ensure!(count(&w) == 0, "ready before the receiver has said anything");
-        w.hear(&greeting);
+    let mut connection = Connection::new(r);
+    let count =
+        |connection: &Connection<'_>| connection.events.iter().filter(|e| **e == LinkEvent::Ready).count();
+    let sent = connection.flush();
+    if let Some(greeting) = r.opening_reply(&sent) {
+        ensure!(count(&connection) == 0, "ready before the receiver has said anything");
+        connection.receive(&greeting);
     }
-    ensure!(count(&w) == 1, "ready {} times: {:?}", count(&w), w.events);
+    ensure!(count(&connection) == 1, "ready {} times: {:?}", count(&connection), connection.events);
     for call in 1..=2 {
-        w.call(call, 1);
-        let sent = w.flush();
-        w.answer(&sent, How::Done);
+        connection.call(call, 1);
+        let sent = connection.flush();
+        connection.answer(&sent, CallOutcome::Done);
     }
-    ensure!(count(&w) == 1, "ready {} times: {:?}", count(&w), w.events);
+    ensure!(count(&connection) == 1, "ready {} times: {:?}", count(&connection), connection.events);
     Ok(())
 }
 
 fn split(r: &dyn Receiver) -> Result<(), String> {
     let play = |pieces: Option<(usize, u64)>| -> Result<_, String> {
-        let mut w = Wire::ready(r)?;
-        for (call, how) in [(1, How::Done), (2, How::Busy(2_000_000)), (3, How::Error)] {
-            w.call(call, 1);
-            let octets = r.answers(&w.flush(), how).concat();
+        let mut connection = Connection::ready(r)?;
+        for (call, how) in
+            [(1, CallOutcome::Done), (2, CallOutcome::Busy(2_000_000)), (3, CallOutcome::Error)]
+        {
+            connection.call(call, 1);
+            let octets = r.answers(&connection.flush(), how).concat();
             match pieces {
-                None => w.hear(&octets),
-                Some((most, seed)) => {
-                    Dice::new(seed).pieces(&octets, most).into_iter().for_each(|p| w.hear(p))
-                }
+                None => connection.receive(&octets),
+                Some((most, seed)) => SeededRandom::new(seed)
+                    .pieces(&octets, most)
+                    .into_iter()
+                    .for_each(|p| connection.receive(p)),
             }
             // A connection may be spent by an answer that is known before its end.
-            if !w.usable() {
-                w.events.retain(|e| {
+            if !connection.usable() {
+                connection.events.retain(|e| {
                     matches!(e, LinkEvent::Answered { .. } | LinkEvent::AnsweredUnconfirmed { .. })
                 });
-                let mut next = Wire::ready(r)?;
-                next.events = w.events;
-                w = next;
+                let mut next = Connection::ready(r)?;
+                next.events = connection.events;
+                connection = next;
             }
         }
-        Ok(w.answered())
+        Ok(connection.answered())
     };
     let whole = play(None)?;
     ensure!(whole.len() == 3, "three calls: {whole:?}");
@@ -82,87 +86,87 @@
     Ok(())
 }
 
-fn stray(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
-    w.hear(&r.stray());
-    let spoke = w.events.iter().any(|e| {
+fn unrequested_answer(r: &dyn Receiver) -> Result<(), String> {
+    let mut connection = Connection::ready(r)?;
+    connection.receive(&r.unrequested_answer());
+    let spoke = connection.events.iter().any(|e| {
         matches!(e, LinkEvent::Answered { .. } | LinkEvent::AnsweredUnconfirmed { .. } | LinkEvent::Probed(_))
     });
-    ensure!(!spoke, "{:?}", w.events);
-    if w.usable() {
-        w.call(1, 1);
-        let sent = w.flush();
-        w.answer(&sent, How::Done);
-        ensure!(w.done() == [(1, 0)], "the call behind it: {:?}", w.events);
+    ensure!(!spoke, "{:?}", connection.events);
+    if connection.usable() {
+        connection.call(1, 1);
+        let sent = connection.flush();
+        connection.answer(&sent, CallOutcome::Done);
+        ensure!(connection.done() == [(1, 0)], "the call behind it: {:?}", connection.events);
     }
     Ok(())
 }
 
 fn mismatch(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
-    w.call(1, 1);
-    let sent = w.flush();
+    let mut connection = Connection::ready(r)?;
+    connection.call(1, 1);
+    let sent = connection.flush();
     if let Some(octets) = r.mismatch(&sent) {
-        w.hear(&octets);
-        ensure!(w.done().is_empty(), "{:?}", w.events);
+        connection.receive(&octets);
+        ensure!(connection.done().is_empty(), "{:?}", connection.events);
     }
     Ok(())
 }
 
 fn probe(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
-    w.link.probe(w.now, &mut w.stream);
-    let sent = w.flush();
+    let mut connection = Connection::ready(r)?;
+    connection.link.probe(connection.now, &mut connection.stream);
+    let sent = connection.flush();
     ensure!(!sent.is_empty(), "a probe says nothing");
-    w.answer(&sent, How::Done);
-    let probed = w.events.iter().filter(|e| matches!(e, LinkEvent::Probed(_))).count();
-    ensure!(probed == 1 && w.answered().is_empty(), "{:?}", w.events);
-    w.call(1, 1);
-    let sent = w.flush();
-    w.answer(&sent, How::Done);
-    ensure!(w.done() == [(1, 0)], "the call behind it: {:?}", w.events);
+    connection.answer(&sent, CallOutcome::Done);
+    let probed = connection.events.iter().filter(|e| matches!(e, LinkEvent::Probed(_))).count();
+    ensure!(probed == 1 && connection.answered().is_empty(), "{:?}", connection.events);
+    connection.call(1, 1);
+    let sent = connection.flush();
+    connection.answer(&sent, CallOutcome::Done);
+    ensure!(connection.done() == [(1, 0)], "the call behind it: {:?}", connection.events);
     Ok(())
 }
 
 fn end(r: &dyn Receiver) -> Result<(), String> {
-    for calls in 0..=r.at_once().min(2) as u64 {
-        let mut w = Wire::ready(r)?;
+    for calls in 0..=r.max_open_calls().min(2) as u64 {
+        let mut connection = Connection::ready(r)?;
         for call in 1..=calls {
-            w.call(call, 1);
+            connection.call(call, 1);
         }
-        w.flush();
-        w.link.ended(w.now, &mut w.events);
-        ensure!(w.over(), "with {calls} calls out: {:?}", w.events);
-        ensure!(w.done().is_empty(), "with {calls} calls out: {:?}", w.events);
+        connection.flush();
+        connection.link.ended(connection.now, &mut connection.events);
+        ensure!(connection.is_unusable(), "with {calls} calls out: {:?}", connection.events);
+        ensure!(connection.done().is_empty(), "with {calls} calls out: {:?}", connection.events);
     }
     Ok(())
 }
 
 fn noise(r: &dyn Receiver) -> Result<(), String> {
     for seed in 0..400 {
-        let mut dice = Dice::new(seed);
-        let mut w = Wire::ready(r)?;
-        let calls = 1 + dice.below(r.at_once().min(3)) as u64;
+        let mut random = SeededRandom::new(seed);
+        let mut connection = Connection::ready(r)?;
+        let calls = 1 + random.below(r.max_open_calls().min(3)) as u64;
         for call in 1..=calls {
-            let messages = 1 + dice.below(r.batch().min(3));
-            w.call(call, messages);
+            let messages = 1 + random.below(r.batch().min(3));
+            connection.call(call, messages);
         }
-        let sent = w.flush();
-        let how = [How::Done, How::Busy(1_000), How::Error][dice.below(3)];
+        let sent = connection.flush();
+        let how = [CallOutcome::Done, CallOutcome::Busy(1_000), CallOutcome::Error][random.below(3)];
         let good = r.answers(&sent, how).concat();
         let octets = match seed % 5 {
             0 => {
-                let length = dice.below(200);
-                dice.octets(length)
+                let length = random.below(200);
+                random.octets(length)
             }
             1 => [&good[..], &good].concat(),
-            _ => dice.spoil(&good),
+            _ => random.spoil(&good),
         };
-        for piece in dice.pieces(&octets, 50) {
-            w.hear(piece);
+        for piece in random.pieces(&octets, 50) {
+            connection.receive(piece);
         }
-        w.link.ended(w.now, &mut w.events);
-        let answered = w.answered();
+        connection.link.ended(connection.now, &mut connection.events);
+        let answered = connection.answered();
         let apart: BTreeSet<(u64, usize)> = answered.iter().map(|a| (a.0, a.1)).collect();
         ensure!(apart.len() == answered.len(), "seed {seed}: answered twice: {answered:?}");
         ensure!(apart.iter().all(|a| (1..=calls).contains(&a.0)), "seed {seed}: no such call: {answered:?}");
@@ -171,23 +175,26 @@
 }
 
 fn times(r: &dyn Receiver) -> Result<(), String> {
-    let mut probing = Wire::ready(r)?;
+    let mut probing = Connection::ready(r)?;
     probing.link.probe(probing.now, &mut probing.stream);
-    for mut w in [Wire::new(r), Wire::ready(r)?, probing] {
+    for mut connection in [Connection::new(r), Connection::ready(r)?, probing] {
         for _ in 0..20 {
-            let wake = w.link.wake();
-            if wake == Micros::MAX || w.over() {
+            let wake = connection.link.wake();
+            if wake == Micros::MAX || connection.is_unusable() {
                 break;
             }
-            let (events, out) = (w.events.len(), w.stream.out.len());
-            if w.now < wake - 1 {
-                w.link.tick(wake - 1, &mut w.stream, &mut w.events);
-                ensure!(w.events.len() == events, "before its time: {:?}", w.events);
-                ensure!(w.stream.out.len() == out, "it says something before its time");
+            let (events, out) = (connection.events.len(), connection.stream.out.len());
+            if connection.now < wake - 1 {
+                connection.link.tick(wake - 1, &mut connection.stream, &mut connection.events);
+                ensure!(connection.events.len() == events, "before its time: {:?}", connection.events);
+                ensure!(connection.stream.out.len() == out, "it says something before its time");
             }
-            w.now = wake.max(w.now);
-            w.link.tick(w.now, &mut w.stream, &mut w.events);
-            ensure!(w.over() || w.link.wake() > w.now, "its time was over and still is");
+            connection.now = wake.max(connection.now);
+            connection.link.tick(connection.now, &mut connection.stream, &mut connection.events);
+            ensure!(
+                connection.is_unusable() || connection.link.wake() > connection.now,
+                "its time was over and still is"
+            );
         }
     }
     Ok(())
--- a/crates/contracts/src/link/wire.rs
+++ b/crates/contracts/src/link/connection.rs
@@ -1,58 +1,58 @@
-//! A connection to a receiver, and the sender's part in it.
+//! A connection to a receiver, and the sender's side of it.
 
-use super::{How, Receiver};
+use super::{CallOutcome, Receiver};
 use heronroute::Outcome;
 use heronroute_engine::link::{Link, LinkEvent, OutboundMessage, Reply};
 use heronroute_engine::{Micros, Stream};
 use heronroute_smpp::submission::Submission;
 
-/// The connection as seen from both its ends.
-pub struct Wire<'a> {
-    /// Who is at its other end.
+/// A connection, seen from both ends.
+pub struct Connection<'a> {
+    /// The receiver at the other end.
     pub receiver: &'a dyn Receiver,
     /// The link.
     pub link: Box<dyn Link>,
-    /// What goes out.
+    /// The outgoing bytes.
     pub stream: Stream,
-    /// All that has gone out.
+    /// All bytes sent so far.
     pub sent: Vec<u8>,
-    /// All that the link has handed on.
+    /// All events that the link reported.
     pub events: Vec<LinkEvent>,
-    /// The time.
+    /// The current time.
     pub now: Micros,
 }
 
-impl<'a> Wire<'a> {
-    /// A new connection, opened.
+impl<'a> Connection<'a> {
+    /// Opens a connection.
     pub fn new(receiver: &'a dyn Receiver) -> Self {
         let (stream, sent, events) = (Stream::default(), Vec::new(), Vec::new());
-        let mut w = Wire { receiver, link: receiver.link(), stream, sent, events, now: 1_000_000 };
+        let mut w = Connection { receiver, link: receiver.link(), stream, sent, events, now: 1_000_000 };
         w.link.open(w.now, &mut w.stream, &mut w.events);
         w
     }
 
-    /// One that takes calls.
+    /// Opens a connection that is ready for calls.
     ///
     /// # Errors
-    /// Where it does not.
+    /// If the link does not become ready.
     pub fn ready(receiver: &'a dyn Receiver) -> Result<Self, String> {
-        let mut w = Wire::new(receiver);
-        w.greet();
+        let mut w = Connection::new(receiver);
+        w.opening_reply();
         if w.events.contains(&LinkEvent::Ready) {
             return Ok(w);
         }
         Err(format!("it does not get ready: {:?}", w.events))
     }
 
-    /// The receiver hears the first octets and says its own.
-    pub fn greet(&mut self) {
+    /// Delivers the first bytes to the receiver, and its reply to the link.
+    pub fn opening_reply(&mut self) {
         let sent = self.flush();
-        if let Some(octets) = self.receiver.greet(&sent) {
-            self.hear(&octets);
+        if let Some(bytes) = self.receiver.opening_reply(&sent) {
+            self.receive(&bytes);
         }
     }
 
-    /// Sends a call of so many messages; gives where each lies in the stream.
+    /// Sends a call with `messages` messages. Returns the position of each in the stream.
     pub fn call(&mut self, call: u64, messages: usize) -> Vec<(u64, u64)> {
         let submission = |part| Submission {
             service: "PAY".into(),
@@ -62,7 +62,7 @@
             ..Submission::default()
         };
         let submissions: Vec<Submission> = (0..messages).map(submission).collect();
-        let cargo = |(part, submission)| OutboundMessage {
+        let outbound = |(part, submission)| OutboundMessage {
             part,
             id: format!("{call:08}-{part}"),
             class: "PAY",
@@ -70,11 +70,11 @@
             wait: 1_000_000,
             submission,
         };
-        let cargo: Vec<OutboundMessage<'_>> = submissions.iter().enumerate().map(cargo).collect();
-        self.link.send(self.now, call, &cargo, &mut self.stream)
+        let messages: Vec<OutboundMessage<'_>> = submissions.iter().enumerate().map(outbound).collect();
+        self.link.send(self.now, call, &messages, &mut self.stream)
     }
 
-    /// The system takes all that goes out; gives it.
+    /// Writes all outgoing bytes, and returns them.
     pub fn flush(&mut self) -> Vec<u8> {
         let sent = self.stream.out.to_vec();
         self.stream.wrote(sent.len());
@@ -82,19 +82,19 @@
         sent
     }
 
-    /// Octets come.
-    pub fn hear(&mut self, octets: &[u8]) {
-        self.link.receive(self.now, octets, &mut self.stream, &mut self.events);
+    /// Delivers bytes to the link.
+    pub fn receive(&mut self, bytes: &[u8]) {
+        self.link.receive(self.now, bytes, &mut self.stream, &mut self.events);
     }
 
-    /// The receiver answers all that was sent in these octets.
-    pub fn answer(&mut self, sent: &[u8], how: How) {
-        for octets in self.receiver.answers(sent, how) {
-            self.hear(&octets);
+    /// Delivers the receiver's answers to all requests in these bytes.
+    pub fn answer(&mut self, sent: &[u8], how: CallOutcome) {
+        for bytes in self.receiver.answers(sent, how) {
+            self.receive(&bytes);
         }
     }
 
-    /// What was answered: call, message, how.
+    /// Returns the answered messages: call, index in the call, reply.
     pub fn answered(&self) -> Vec<(u64, usize, Reply)> {
         let answered = |e: &LinkEvent| match e {
             LinkEvent::Answered { call, part, reply }
@@ -104,7 +104,7 @@
         self.events.iter().filter_map(answered).collect()
     }
 
-    /// Calls and messages that were answered as done, in order of call and message.
+    /// Returns the delivered messages by call and index, in order.
     pub fn done(&self) -> Vec<(u64, usize)> {
         let all = self.answered().into_iter().filter(|a| a.2.outcome == Outcome::Done);
         let mut done: Vec<(u64, usize)> = all.map(|a| (a.0, a.1)).collect();
@@ -112,13 +112,13 @@
         done
     }
 
-    /// Whether the connection is of no more use.
-    pub fn over(&self) -> bool {
+    /// Returns whether the connection can't be used any more.
+    pub fn is_unusable(&self) -> bool {
         self.events.iter().any(|e| matches!(e, LinkEvent::Unusable(_)))
     }
 
-    /// Whether it takes further calls.
+    /// Returns whether the connection takes further calls.
     pub fn usable(&self) -> bool {
-        !self.over() && !self.events.contains(&LinkEvent::NoMoreCalls)
+        !self.is_unusable() && !self.events.contains(&LinkEvent::NoMoreCalls)
     }
 }
--- a/crates/contracts/src/link/copies.rs
+++ b/crates/contracts/src/link/copies.rs
@@ -1,7 +1,7 @@
-//! What holds of second copies of answers.
+//! Clauses about second copies of answers.
 
-use super::wire::Wire;
-use super::{How, Receiver};
+use super::connection::Connection;
+use super::{CallOutcome, Receiver};
 use crate::ensure;
 use heronroute_engine::Micros;
 use heronroute_engine::link::LinkEvent;
@@ -12,59 +12,71 @@
 const MAX_TICKS: usize = 100;
 
 /// Whether the link says for certain how a call ended.
-fn is_certain(w: &Wire<'_>, call: u64) -> bool {
-    w.events.iter().any(|e| matches!(e, LinkEvent::Answered { call: c, .. } if *c == call))
+fn is_certain(connection: &Connection<'_>, call: u64) -> bool {
+    connection.events.iter().any(|e| matches!(e, LinkEvent::Answered { call: c, .. } if *c == call))
 }
 
 /// Lets a time pass that no link's own timers outlast.
-fn wait(w: &mut Wire<'_>) {
-    let end = w.now + LONG;
+fn wait(connection: &mut Connection<'_>) {
+    let end = connection.now + LONG;
     for _ in 0..MAX_TICKS {
-        if w.over() || w.link.wake() > end {
+        if connection.is_unusable() || connection.link.wake() > end {
             break;
         }
-        w.now = w.link.wake().max(w.now);
-        w.link.tick(w.now, &mut w.stream, &mut w.events);
+        connection.now = connection.link.wake().max(connection.now);
+        connection.link.tick(connection.now, &mut connection.stream, &mut connection.events);
     }
-    w.now = end;
+    connection.now = end;
 }
 
 /// A copy of the answer to the first call comes once the second one is written. No time makes it that call's answer.
 pub fn of_the_call_before(r: &dyn Receiver) -> Result<(), String> {
-    for how in [How::Busy(0), How::Busy(2_000_000), How::Error] {
-        let mut w = Wire::ready(r)?;
-        w.call(1, 1);
-        let answers = r.answers(&w.flush(), how);
-        answers.iter().for_each(|octets| w.hear(octets));
-        if !w.usable() {
+    for how in [CallOutcome::Busy(0), CallOutcome::Busy(2_000_000), CallOutcome::Error] {
+        let mut connection = Connection::ready(r)?;
+        connection.call(1, 1);
+        let answers = r.answers(&connection.flush(), how);
+        answers.iter().for_each(|octets| connection.receive(octets));
+        if !connection.usable() {
             continue;
         }
-        w.call(2, 1);
-        w.flush();
-        answers.iter().for_each(|octets| w.hear(octets));
-        ensure!(!is_certain(&w, 2), "{how:?}: a copy is taken for the next call's answer: {:?}", w.events);
-        wait(&mut w);
-        ensure!(!is_certain(&w, 2), "{how:?}: a copy is taken for it after a while: {:?}", w.events);
+        connection.call(2, 1);
+        connection.flush();
+        answers.iter().for_each(|octets| connection.receive(octets));
+        ensure!(
+            !is_certain(&connection, 2),
+            "{how:?}: a copy is taken for the next call's answer: {:?}",
+            connection.events
+        );
+        wait(&mut connection);
+        ensure!(
+            !is_certain(&connection, 2),
+            "{how:?}: a copy is taken for it after a while: {:?}",
+            connection.events
+        );
     }
     Ok(())
 }
 
 /// A copy was taken for the answer to the second call, so that the second's own comes as the third is out.
 pub fn late_by_one(r: &dyn Receiver) -> Result<(), String> {
-    let mut w = Wire::ready(r)?;
-    w.call(1, 1);
-    let copy = r.answers(&w.flush(), How::Done);
-    copy.iter().for_each(|octets| w.hear(octets));
-    w.call(2, 1);
-    let own = r.answers(&w.flush(), How::Busy(0));
-    copy.iter().for_each(|octets| w.hear(octets));
-    wait(&mut w);
-    if !w.usable() || r.reorders() {
+    let mut connection = Connection::ready(r)?;
+    connection.call(1, 1);
+    let copy = r.answers(&connection.flush(), CallOutcome::Done);
+    copy.iter().for_each(|octets| connection.receive(octets));
+    connection.call(2, 1);
+    let own = r.answers(&connection.flush(), CallOutcome::Busy(0));
+    copy.iter().for_each(|octets| connection.receive(octets));
+    wait(&mut connection);
+    if !connection.usable() || r.may_reorder() {
         return Ok(());
     }
-    w.call(3, 1);
-    w.flush();
-    own.iter().for_each(|octets| w.hear(octets));
-    ensure!(!is_certain(&w, 3), "the answer to the second call is taken for the third's: {:?}", w.events);
+    connection.call(3, 1);
+    connection.flush();
+    own.iter().for_each(|octets| connection.receive(octets));
+    ensure!(
+        !is_certain(&connection, 3),
+        "the answer to the second call is taken for the third's: {:?}",
+        connection.events
+    );
     Ok(())
 }
--- a/crates/contracts/src/link/wrong.rs
+++ b/crates/contracts/src/link/faulty.rs
@@ -1,68 +1,68 @@
-//! A right link with one fault.
+//! A correct link with one planted fault.
 
-use super::{How, Receiver};
+use super::{CallOutcome, Receiver};
 use heronroute::Outcome;
 use heronroute_engine::link::{Link, LinkEvent, OutboundMessage, Reply};
 use heronroute_engine::{Micros, Stream};
 
-/// What is wrong.
+/// The planted fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// It is ready before the receiver is.
+    /// The link is ready before the receiver is.
     ReadyEarly,
     /// The answer to the fourth call is taken for the first's.
     Confuses,
     /// The answer to the third message of a call is lost.
     LosesThird,
-    /// A wait that was told is lost.
+    /// An announced wait is lost.
     NoWait,
-    /// A piece of a single octet is lost.
+    /// A read of a single byte is lost.
     LosesSmallPieces,
-    /// Places are counted from what the system has taken, not from the beginning.
+    /// Positions are counted from the last written byte, not from the start of the stream.
     Relative,
-    /// What was taken back behind another call is still thought to be out.
+    /// A call that was withdrawn behind another one counts as open.
     KeepsUnsent,
-    /// The same of a call with nothing before it.
+    /// A call that was withdrawn with none before it counts as open.
     KeepsFirst,
-    /// What is not waited for is answered all the same.
+    /// A message that is no longer waited for is answered.
     Remembers,
-    /// An answer to nothing is taken for a call's.
+    /// An answer to no request is attributed to a call.
     TakesStrays,
-    /// A deliver_sm_resp is taken for the answer to the call before it.
+    /// A deliver_sm_resp is attributed to the last call.
     TakesAny,
-    /// A probe's answer is taken for a call's.
+    /// The answer to a probe is attributed to a call.
     ProbeAsCall,
-    /// What is out when the receiver ends is called done.
+    /// Calls open when the receiver closes count as delivered.
     Hopeful,
-    /// An answer that may be a copy is taken for certain.
+    /// An unconfirmed answer is reported as certain.
     BelievesCopies,
-    /// It panics at the octet 0xFD.
+    /// The link panics at the byte 0xFD.
     Panics,
-    /// An answer that comes twice is told twice.
+    /// A duplicate answer is reported again.
     Twice,
-    /// It gives up whenever it is asked about the time.
+    /// The link becomes unusable at each tick.
     Hasty,
-    /// Its time is always over.
+    /// The link always wants a tick at once.
     Spins,
 }
 
 const DONE: Reply = Reply { outcome: Outcome::Done, wait: 0, over: true, report: None };
 
-/// The link with its fault.
+/// A link with a planted fault.
 #[derive(Debug)]
-struct Wrong {
+struct FaultyLink {
     inner: Box<dyn Link>,
     fault: Fault,
     calls: Vec<u64>,
     last: Option<LinkEvent>,
     heard: bool,
-    over: bool,
+    is_unusable: bool,
 }
 
-/// A receiver whose links have a fault.
-pub struct Planted<'a>(pub &'a dyn Receiver, pub Fault);
+/// A receiver whose links have a planted fault.
+pub struct FaultyReceiver<'a>(pub &'a dyn Receiver, pub Fault);
 
-impl Wrong {
+impl FaultyLink {
     fn is(&self, fault: Fault) -> bool {
         self.fault == fault
     }
@@ -101,17 +101,17 @@
             events.push(LinkEvent::Answered { call: *call, part: 0, reply: DONE });
         }
         let whole = octets.first_chunk().is_some_and(|n| u32::from_be_bytes(*n) as usize == octets.len());
-        if self.is(Fault::Twice) && whole && quiet && !self.over {
+        if self.is(Fault::Twice) && whole && quiet && !self.is_unusable {
             events.extend(self.last.take());
         }
         if let Some(answered) = events[from..].iter().rfind(|e| matches!(e, LinkEvent::Answered { .. })) {
             self.last = Some(answered.clone());
         }
-        self.over |= events.iter().any(|e| matches!(e, LinkEvent::Unusable(_)));
+        self.is_unusable |= events.iter().any(|e| matches!(e, LinkEvent::Unusable(_)));
     }
 }
 
-impl Link for Wrong {
+impl Link for FaultyLink {
     fn open(&mut self, now: Micros, stream: &mut Stream, events: &mut Vec<LinkEvent>) {
         self.inner.open(now, stream, events);
         if self.is(Fault::ReadyEarly) {
@@ -122,11 +122,11 @@
         &mut self,
         now: Micros,
         call: u64,
-        cargo: &[OutboundMessage<'_>],
+        messages: &[OutboundMessage<'_>],
         stream: &mut Stream,
     ) -> Vec<(u64, u64)> {
         self.calls.push(call);
-        let mut ranges = self.inner.send(now, call, cargo, stream);
+        let mut ranges = self.inner.send(now, call, messages, stream);
         if self.is(Fault::Relative) {
             ranges.iter_mut().for_each(|r| *r = (r.0 - stream.sent, r.1 - stream.sent));
         }
@@ -136,7 +136,7 @@
         self.inner.probe(now, stream);
     }
     fn receive(&mut self, now: Micros, octets: &[u8], stream: &mut Stream, events: &mut Vec<LinkEvent>) {
-        assert!(!(self.is(Fault::Panics) && octets.contains(&0xFD)), "an octet that nobody thought of");
+        assert!(!(self.is(Fault::Panics) && octets.contains(&0xFD)), "an unexpected byte");
         if self.is(Fault::LosesSmallPieces) && octets.len() == 1 {
             return;
         }
@@ -176,28 +176,35 @@
     }
 }
 
-impl Receiver for Planted<'_> {
+impl Receiver for FaultyReceiver<'_> {
     fn link(&self) -> Box<dyn Link> {
         let inner = self.0.link();
-        Box::new(Wrong { inner, fault: self.1, calls: Vec::new(), last: None, heard: false, over: false })
-    }
-    fn greet(&self, sent: &[u8]) -> Option<Vec<u8>> {
-        self.0.greet(sent)
-    }
-    fn answers(&self, sent: &[u8], how: How) -> Vec<Vec<u8>> {
+        Box::new(FaultyLink {
+            inner,
+            fault: self.1,
+            calls: Vec::new(),
+            last: None,
+            heard: false,
+            is_unusable: false,
+        })
+    }
+    fn opening_reply(&self, sent: &[u8]) -> Option<Vec<u8>> {
+        self.0.opening_reply(sent)
+    }
+    fn answers(&self, sent: &[u8], how: CallOutcome) -> Vec<Vec<u8>> {
         self.0.answers(sent, how)
     }
-    fn stray(&self) -> Vec<u8> {
-        self.0.stray()
+    fn unrequested_answer(&self) -> Vec<u8> {
+        self.0.unrequested_answer()
     }
     fn mismatch(&self, sent: &[u8]) -> Option<Vec<u8>> {
         self.0.mismatch(sent)
     }
-    fn at_once(&self) -> usize {
-        self.0.at_once()
+    fn max_open_calls(&self) -> usize {
+        self.0.max_open_calls()
     }
-    fn reorders(&self) -> bool {
-        self.0.reorders()
+    fn may_reorder(&self) -> bool {
+        self.0.may_reorder()
     }
     fn batch(&self) -> usize {
         self.0.batch()
--- a/crates/contracts/src/link/http.rs
+++ b/crates/contracts/src/link/http.rs
@@ -1,15 +1,15 @@
-//! How a receiver speaks HTTP/1.1.
+//! A receiver that speaks HTTP/1.1.
 
-use super::{How, Receiver};
+use super::{CallOutcome, Receiver};
 use bytes::BytesMut;
 use heronroute_config::{KindConfig, Protocol};
 use heronroute_engine::link::{self, Link};
 use heronroute_http::{Message, Reader, Side, write_response};
 
-/// HTTP, with so many messages in a call.
+/// An HTTP receiver, with the maximum number of messages in a call.
 pub struct Http(pub usize);
 
-/// A kind of destination that speaks this.
+/// Returns the settings of a kind with this protocol.
 pub fn kind(protocol: Protocol, batch: usize) -> KindConfig {
     KindConfig {
         name: "bulk".into(),
@@ -23,14 +23,14 @@
     }
 }
 
-/// The requests that are whole in what was sent.
+/// Returns the complete requests in the bytes sent.
 pub fn requests(sent: &[u8]) -> Vec<Message> {
     let mut reader = Reader::new(Side::Requests, 1 << 20);
     reader.push(sent);
     std::iter::from_fn(|| reader.next_message().ok().flatten()).collect()
 }
 
-/// An answer.
+/// Returns an HTTP response.
 pub fn response(status: u16, wait: i64, body: &[u8]) -> Vec<u8> {
     let (mut out, wait) = (BytesMut::new(), (wait as f64 / 1e6).to_string());
     let fields = [("retry-after", wait.as_str())];
@@ -42,24 +42,24 @@
     fn link(&self) -> Box<dyn Link> {
         link::new(&kind(Protocol::Http, self.0), crate::front::SMPP_LIMITS, "h:1".into(), 0)
     }
-    fn greet(&self, _: &[u8]) -> Option<Vec<u8>> {
+    fn opening_reply(&self, _: &[u8]) -> Option<Vec<u8>> {
         None
     }
-    fn answers(&self, sent: &[u8], how: How) -> Vec<Vec<u8>> {
+    fn answers(&self, sent: &[u8], how: CallOutcome) -> Vec<Vec<u8>> {
         let answer = match how {
-            How::Done => response(200, 0, b"taken"),
-            How::Busy(wait) => response(503, wait, b""),
-            How::Error => response(500, 0, b"no"),
+            CallOutcome::Done => response(200, 0, b"taken"),
+            CallOutcome::Busy(wait) => response(503, wait, b""),
+            CallOutcome::Error => response(500, 0, b"no"),
         };
         requests(sent).iter().map(|_| answer.clone()).collect()
     }
-    fn stray(&self) -> Vec<u8> {
+    fn unrequested_answer(&self) -> Vec<u8> {
         response(200, 0, b"taken")
     }
-    fn at_once(&self) -> usize {
+    fn max_open_calls(&self) -> usize {
         8
     }
-    fn reorders(&self) -> bool {
+    fn may_reorder(&self) -> bool {
         false
     }
     fn batch(&self) -> usize {
--- a/crates/contracts/src/link/mod.rs
+++ b/crates/contracts/src/link/mod.rs
@@ -1,53 +1,53 @@
-//! Links: one connection to a receiver, whatever it speaks.
+//! The contract of links: one connection to a receiver in any protocol.
 
 mod calls;
 mod clauses;
+mod connection;
 mod copies;
+mod faulty;
 mod http;
 mod platform;
 mod smpp;
-mod wire;
-mod wrong;
 
 pub use clauses::CLAUSES;
+pub use connection::Connection;
+pub use faulty::{Fault, FaultyReceiver};
 pub use http::Http;
 pub use platform::Platform;
 pub use smpp::Smpp;
-pub use wire::Wire;
-pub use wrong::{Fault, Planted};
 
 use heronroute_engine::Micros;
 use heronroute_engine::link::Link;
 
-/// How a receiver ends a call.
+/// How a receiver answers a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum How {
-    /// It took it.
+pub enum CallOutcome {
+    /// The call is delivered.
     Done,
-    /// It turned it away unseen, and tells this wait.
+    /// The call is refused unprocessed, with this wait.
     Busy(Micros),
-    /// It failed.
+    /// The call failed.
     Error,
 }
 
-/// How a receiver speaks to a link.
+/// A receiver that talks to a link.
 pub trait Receiver {
-    /// The link of a new connection.
+    /// Returns the link of a new connection.
     fn link(&self) -> Box<dyn Link>;
-    /// What it says to the link's first octets, where calls wait for that.
-    fn greet(&self, sent: &[u8]) -> Option<Vec<u8>>;
-    /// Its answers to all calls and probes in what was sent, in order, each by itself.
-    fn answers(&self, sent: &[u8], how: How) -> Vec<Vec<u8>>;
-    /// An answer to nothing.
-    fn stray(&self) -> Vec<u8>;
-    /// An answer of another kind to what was sent, where the protocol can tell one.
+    /// Returns the reply to the link's first bytes, if calls have to wait for one.
+    fn opening_reply(&self, sent: &[u8]) -> Option<Vec<u8>>;
+    /// Returns the answers to all calls and probes in the bytes sent, in order.
+    fn answers(&self, sent: &[u8], how: CallOutcome) -> Vec<Vec<u8>>;
+    /// Returns an answer to no request.
+    fn unrequested_answer(&self) -> Vec<u8>;
+    /// Returns an answer of the wrong type to the bytes sent, if the protocol has types.
     fn mismatch(&self, _sent: &[u8]) -> Option<Vec<u8>> {
         None
     }
-    /// Calls on one connection at once.
-    fn at_once(&self) -> usize;
-    /// Its answers may come in another order than the calls.
-    fn reorders(&self) -> bool;
-    /// Messages that a call may carry.
+    /// Returns the maximum number of open calls on one connection.
+    fn max_open_calls(&self) -> usize;
+    /// Returns whether answers may arrive in another order than the calls.
+    fn may_reorder(&self) -> bool;
+    /// Returns the maximum number of messages in a call.
     fn batch(&self) -> usize;
 }
--- a/crates/contracts/src/link/platform.rs
+++ b/crates/contracts/src/link/platform.rs
@@ -1,7 +1,7 @@
-//! How an endpoint of the platform speaks: one call at a time.
+//! An endpoint of the platform: one call at a time on a connection.
 
 use super::http::{kind, requests, response};
-use super::{How, Receiver};
+use super::{CallOutcome, Receiver};
 use heronroute_config::Protocol;
 use heronroute_engine::link::{self, Link};
 use heronroute_http::Message;
@@ -10,13 +10,13 @@
 /// An endpoint of the platform.
 pub struct Platform;
 
-/// What is said of each message of a call of several.
-fn each(request: &Message, how: How) -> Vec<u8> {
+/// Returns the body that states the end of each message of a batch.
+fn each(request: &Message, how: CallOutcome) -> Vec<u8> {
     let asked: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let state = match how {
-        How::Done => "ok",
-        How::Busy(_) => "later",
-        How::Error => "failed",
+        CallOutcome::Done => "ok",
+        CallOutcome::Busy(_) => "later",
+        CallOutcome::Error => "failed",
     };
     let of = |m: &Value| json!({"id": m["id"], "state": state});
     let told: Vec<Value> = asked.as_array().into_iter().flatten().map(of).collect();
@@ -27,24 +27,24 @@
     fn link(&self) -> Box<dyn Link> {
         link::new(&kind(Protocol::Platform, 3), crate::front::SMPP_LIMITS, "h:1".into(), 0)
     }
-    fn greet(&self, _: &[u8]) -> Option<Vec<u8>> {
+    fn opening_reply(&self, _: &[u8]) -> Option<Vec<u8>> {
         None
     }
-    fn answers(&self, sent: &[u8], how: How) -> Vec<Vec<u8>> {
+    fn answers(&self, sent: &[u8], how: CallOutcome) -> Vec<Vec<u8>> {
         let answer = |request: &Message| match how {
-            How::Done => response(200, 0, &each(request, how)),
-            How::Busy(wait) => response(429, wait, b""),
-            How::Error => response(500, 0, b""),
+            CallOutcome::Done => response(200, 0, &each(request, how)),
+            CallOutcome::Busy(wait) => response(429, wait, b""),
+            CallOutcome::Error => response(500, 0, b""),
         };
         requests(sent).iter().map(answer).collect()
     }
-    fn stray(&self) -> Vec<u8> {
+    fn unrequested_answer(&self) -> Vec<u8> {
         response(200, 0, b"")
     }
-    fn at_once(&self) -> usize {
+    fn max_open_calls(&self) -> usize {
         1
     }
-    fn reorders(&self) -> bool {
+    fn may_reorder(&self) -> bool {
         false
     }
     fn batch(&self) -> usize {
--- a/crates/contracts/src/member/clauses.rs
+++ b/crates/contracts/src/member/clauses.rs
@@ -1,8 +1,8 @@
 //! What holds of each member.
 
 use super::{CLIENT, Joining, name};
-use crate::dice::Dice;
 use crate::ensure;
+use crate::random::SeededRandom;
 use crate::suite::Clause;
 use heronroute_fleet::{Life, Micros, Start};
 use heronroute_installation::seam::{Input, Member, Output};
@@ -121,12 +121,12 @@
 
 fn garbage(j: Of) -> Result<(), String> {
     let mut one = One::new(j, 3);
-    let mut dice = Dice::new(1);
+    let mut random = SeededRandom::new(1);
     let life = Life { name: name(1), start: Start(1) };
     one.give(Input::Linked { peer: 1, life });
     for n in 0..600 {
-        let length = dice.below(200);
-        let mut payload = dice.octets(length);
+        let length = random.below(200);
+        let mut payload = random.octets(length);
         // Small numbers are what heads are made of.
         payload.iter_mut().take(n % 5).for_each(|octet| *octet %= 8);
         let out = one.give(Input::Message { peer: n % 4, payload });
--- a/crates/contracts/src/names/mod.rs
+++ b/crates/contracts/src/names/mod.rs
@@ -5,8 +5,8 @@
 
 pub use wrong::{Fault, Wrong};
 
-use crate::dice::Dice;
 use crate::ensure;
+use crate::random::SeededRandom;
 use crate::suite::Clause;
 use heronroute_seen::{Name, SeenNames, Verdict};
 use std::collections::BTreeMap;
@@ -102,12 +102,12 @@
 /// Beside a plain map, in a memory that is far too small.
 fn crowded(fresh: &Fresh) -> Result<(), String> {
     for seed in 0..12 {
-        let (mut m, mut dice) = (fresh(24, seed), Dice::new(seed));
+        let (mut m, mut random) = (fresh(24, seed), SeededRandom::new(seed));
         let mut plain: BTreeMap<u64, (u64, i64)> = BTreeMap::new();
         let (mut now, mut unsure) = (0, 0);
         for id in 0..300 {
-            now += dice.below(3) as i64 * SECOND / 2;
-            let who = dice.below(200) as u64;
+            now += random.below(3) as i64 * SECOND / 2;
+            let who = random.below(200) as u64;
             let known = plain.get(&who).filter(|k| k.1 >= now).map(|k| k.0);
             match m.find(now, name(who)) {
                 Verdict::New => ensure!(known.is_none(), "seed {seed}: {who} is new, and is {known:?}"),
@@ -116,7 +116,7 @@
                 }
                 Verdict::Unsure => unsure += 1,
             }
-            let until = now + (20 + dice.below(60) as i64) * SECOND;
+            let until = now + (20 + random.below(60) as i64) * SECOND;
             m.add(now, name(who), id, until);
             plain.insert(who, (id, until));
         }
--- a/crates/contracts/src/dice.rs
+++ b/crates/contracts/src/random.rs
@@ -1,31 +1,31 @@
-//! Chance from a seed, the same in all runs.
+//! Pseudorandom numbers and bytes from a seed, the same in all runs.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, RngCore, SeedableRng};
 
-/// Dice.
+/// A pseudorandom generator.
 #[derive(Clone, Debug)]
-pub struct Dice(SmallRng);
+pub struct SeededRandom(SmallRng);
 
-impl Dice {
-    /// Dice of a seed.
+impl SeededRandom {
+    /// Creates a generator from a seed.
     pub fn new(seed: u64) -> Self {
-        Dice(SmallRng::seed_from_u64(seed))
+        SeededRandom(SmallRng::seed_from_u64(seed))
     }
 
-    /// A number below `end`; 0 where that is 0.
+    /// Returns a number below `end`, or 0 if `end` is 0.
     pub fn below(&mut self, end: usize) -> usize {
         if end == 0 { 0 } else { self.0.random_range(0..end) }
     }
 
-    /// So many octets.
+    /// Returns `length` random bytes.
     pub fn octets(&mut self, length: usize) -> Vec<u8> {
         let mut octets = vec![0; length];
         self.0.fill_bytes(&mut octets);
         octets
     }
 
-    /// A stream in pieces of one to `most` octets.
+    /// Splits bytes into pieces of one to `most` bytes.
     pub fn pieces<'a>(&mut self, mut octets: &'a [u8], most: usize) -> Vec<&'a [u8]> {
         let mut pieces = Vec::new();
         while !octets.is_empty() {
@@ -36,7 +36,7 @@
         pieces
     }
 
-    /// The stream with something wrong in it: octets changed, left out, doubled, or put in.
+    /// Returns the bytes with errors: some are changed, removed, repeated or inserted.
     pub fn spoil(&mut self, octets: &[u8]) -> Vec<u8> {
         let mut spoilt = octets.to_vec();
         for _ in 0..=self.below(3) {
--- a/crates/contracts/src/ship/clauses.rs
+++ b/crates/contracts/src/ship/clauses.rs
@@ -103,17 +103,17 @@
     w.complete()?;
     // Anything of older connections, either way, at any time.
     for seed in 0..4 {
-        let mut dice = crate::dice::Dice::new(seed);
+        let mut random = crate::random::SeededRandom::new(seed);
         let mut w = World::both(s)?;
         for (i, part) in workload(seed, 300).chunks(6).enumerate() {
             w.write(part);
             w.step();
             if i % 5 == 4 {
-                w.cut(dice.below(2) == 0);
+                w.cut(random.below(2) == 0);
                 w.link();
             }
-            if dice.below(2) == 0 && !w.past.is_empty() {
-                let (is_up, octets) = w.past[dice.below(w.past.len())].clone();
+            if random.below(2) == 0 && !w.past.is_empty() {
+                let (is_up, octets) = w.past[random.below(w.past.len())].clone();
                 if is_up { &mut w.up } else { &mut w.down }.push_back((w.now, octets));
             }
             w.sound().map_err(|e| format!("seed {seed}: {e}"))?;
@@ -332,7 +332,7 @@
     w.settle_well()?;
     w.complete()?;
     let mut w = World::both(s)?;
-    let mut dice = crate::dice::Dice::new(1);
+    let mut random = crate::random::SeededRandom::new(1);
     for part in workload(1, 200).chunks(4) {
         w.write(part);
         w.step();
@@ -341,15 +341,15 @@
         }
         // Spoilt in its head or cut short: of a life or a talk that is none, or no message. What is spoilt further in is the
         // connection's to find.
-        let (is_up, octets) = w.past[dice.below(w.past.len())].clone();
-        let mut bad = dice.octets(3);
-        bad.extend_from_slice(&octets[..dice.below(octets.len())]);
+        let (is_up, octets) = w.past[random.below(w.past.len())].clone();
+        let mut bad = random.octets(3);
+        bad.extend_from_slice(&octets[..random.below(octets.len())]);
         let mut whole = bad.clone();
         // Entries of the talk that stands, with one octet changed: they are not taken, or not as they are.
         let spoilt = w.up.back().and_then(|(_, octets)| up(octets)).and_then(|mut m| match &mut m.body {
             FromOrigin::Run(e) | FromOrigin::SnapshotEntries(e) => {
-                let at = dice.below(e.octets.len());
-                e.octets[at] ^= 1 << dice.below(8);
+                let at = random.below(e.octets.len());
+                e.octets[at] ^= 1 << random.below(8);
                 wire::write(&m)
             }
             _ => None,
--- a/crates/contracts/src/ship/world.rs
+++ b/crates/contracts/src/ship/world.rs
@@ -63,32 +63,32 @@
 
 /// Entries as a sender writes them; the same for a seed.
 pub fn workload(seed: u64, count: usize) -> Vec<Entry> {
-    let mut dice = crate::dice::Dice::new(seed);
+    let mut random = crate::random::SeededRandom::new(seed);
     let mut list: Vec<Entry> = Vec::new();
     let mut next = 0;
     while list.len() < count {
-        let id = 1 + dice.below(next as usize + 1) as u64;
-        let what = match dice.below(9) {
+        let id = 1 + random.below(next as usize + 1) as u64;
+        let what = match random.below(9) {
             0..3 => {
                 next += 1;
                 let named =
-                    (dice.below(3) == 0).then_some(Named { high: next, low: seed, id: next, until: 90 });
-                let body = dice.octets(20);
+                    (random.below(3) == 0).then_some(Named { high: next, low: seed, id: next, until: 90 });
+                let body = random.octets(20);
                 What::Accepted(Accepted { id: next, body, taken: next as i64, named, ..Accepted::default() })
             }
-            3 => What::Intent(Intent { id, endpoint: format!("e{}", dice.below(3)), at: 5 }),
-            4 => What::Outcome(Outcome { id, never_ran: dice.below(2) == 0 }),
+            3 => What::Intent(Intent { id, endpoint: format!("e{}", random.below(3)), at: 5 }),
+            4 => What::Outcome(Outcome { id, never_ran: random.below(2) == 0 }),
             5 => What::Answer(Answer { id, word: "DELIVRD".into(), retry_after: -1, at: 9 }),
             6 | 7 => What::Taken(Taken { id }),
-            _ if dice.below(2) == 0 => What::Place(Place {
-                endpoint: format!("e{}", dice.below(3)),
+            _ if random.below(2) == 0 => What::Place(Place {
+                endpoint: format!("e{}", random.below(3)),
                 wait_until: 3,
                 ..Place::default()
             }),
             _ => What::Session(Session {
                 client: "c".into(),
                 began: 1,
-                expiry: dice.below(2) as i64,
+                expiry: random.below(2) as i64,
                 ..Session::default()
             }),
         };
--- a/crates/contracts/src/storage/mod.rs
+++ b/crates/contracts/src/storage/mod.rs
@@ -7,7 +7,7 @@
 pub use wrong::{Fault, Wrong};
 
 use crate::suite::{Clause, done};
-use crate::{dice::Dice, ensure};
+use crate::{ensure, random::SeededRandom};
 use heronroute_journal::Storage;
 use std::io::ErrorKind;
 
@@ -74,11 +74,11 @@
 }
 
 fn in_order(fresh: &Fresh) -> Result<(), String> {
-    let (mut s, mut dice, mut all) = (fresh(), Dice::new(1), Vec::new());
+    let (mut s, mut random, mut all) = (fresh(), SeededRandom::new(1), Vec::new());
     done("create", s.create("a"))?;
     for round in 0..20 {
         let length = [0, 1, 7, 512, 9_000][round % 5];
-        let octets = dice.octets(length);
+        let octets = random.octets(length);
         done("append", s.append("a", &octets))?;
         all.extend_from_slice(&octets);
         if round % 3 == 0 {
--- a/crates/contracts/src/transport/clauses.rs
+++ b/crates/contracts/src/transport/clauses.rs
@@ -2,8 +2,8 @@
 
 use super::Transport;
 use super::world::{SECOND, World, settings};
-use crate::dice::Dice;
 use crate::ensure;
+use crate::random::SeededRandom;
 use crate::suite::Clause;
 use heronroute_fleet::Kind;
 use heronroute_fleet::key::Key;
@@ -66,11 +66,11 @@
 
 fn unaltered(t: Of) -> Result<(), String> {
     let mut w = World::linked(t, 2)?;
-    let mut dice = Dice::new(1);
+    let mut random = SeededRandom::new(1);
     // Nothing, less than a frame, and more than a frame carries.
     for length in [0, 1, 700, 90_000] {
         for kind in Kind::ALL {
-            let (there, back) = (dice.octets(length), dice.octets(length / 2));
+            let (there, back) = (random.octets(length), random.octets(length / 2));
             w.send((0, 1), kind, &there);
             w.send((1, 0), kind, &back);
             w.pump()?;
--- a/crates/contracts/tests/link.rs
+++ b/crates/contracts/tests/link.rs
@@ -1,6 +1,6 @@
 //! Each link, and planted wrong ones.
 
-use heronroute_contracts::link::{CLAUSES, Fault, Http, Planted, Platform, Receiver, Smpp};
+use heronroute_contracts::link::{CLAUSES, Fault, FaultyReceiver, Http, Platform, Receiver, Smpp};
 use heronroute_contracts::suite::{kept, kept_but, planted_in, run_all};
 
 /// `PlatformLink::forget` does nothing for what was sent; whoever keeps the calls passes the answer over.
@@ -59,7 +59,7 @@
         (smpp, Fault::Spins, "nothing happens before its time, and acting on time moves it on"),
     ] {
         let known = if std::ptr::addr_eq(receiver, http) { &http_known } else { &smpp_known };
-        planted_in(CLAUSES, &Planted(receiver, fault) as &dyn Receiver, clause, known);
+        planted_in(CLAUSES, &FaultyReceiver(receiver, fault) as &dyn Receiver, clause, known);
     }
 }
 
@@ -68,7 +68,7 @@
     let [copy, late] = HTTP_KNOWN else { panic!("two clauses on copies") };
     for (clause, other) in [(copy, late), (late, copy)] {
         let known = [PLATFORM_KNOWN, &[*other]].concat();
-        let wrong = Planted(&Platform, Fault::BelievesCopies);
+        let wrong = FaultyReceiver(&Platform, Fault::BelievesCopies);
         planted_in(CLAUSES, &wrong as &dyn Receiver, clause, &known);
     }
 }
