--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -30,7 +30,7 @@
     Connect(ConnId),
     /// The time at which a connection without calls is closed.
     Idle(ConnId),
-    /// The time at which doubtful answers on a connection are confirmed.
+    /// The time at which unconfirmed answers on a connection are handled as ones that may have run.
     Confirm(ConnId),
     /// The time by which a message of a call has to be answered.
     Part(u64, usize),
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -32,9 +32,9 @@
     /// Deliveries that could not be proved and were reported as failed, which does no harm to a delivered
     /// message.
     pub unproven_deliveries: u64,
-    /// Answers that might have been second copies of earlier ones.
+    /// Answers that may have belonged to another call.
     pub doubtful: u64,
-    /// Doubtful answers that were contradicted by what followed.
+    /// Unconfirmed answers that were contradicted by what followed.
     pub contradicted: u64,
     /// Calls to receivers.
     pub calls: u64,
--- a/crates/engine/src/unconfirmed.rs
+++ b/crates/engine/src/unconfirmed.rs
@@ -1,4 +1,4 @@
-//! Unconfirmed (doubtful) outcomes, by connection. Performs no I/O.
+//! Unconfirmed outcomes, by connection. Performs no I/O.
 
 use crate::Micros;
 use crate::ids::ConnId;
@@ -33,7 +33,7 @@
     },
 }
 
-/// The unconfirmed outcomes of each connection, with the time at which each is confirmed.
+/// The unconfirmed outcomes of each connection, with the time at which the wait for each ends.
 #[derive(Debug, Default)]
 pub struct UnconfirmedOutcomes {
     by_connection: BTreeMap<ConnId, Vec<(Micros, UnconfirmedOutcome)>>,
@@ -41,7 +41,7 @@
 }
 
 impl UnconfirmedOutcomes {
-    /// Adds an outcome that is confirmed at `due`.
+    /// Adds an outcome that is handled as unproved at `due`.
     pub fn add(&mut self, conn: ConnId, due: Micros, outcome: UnconfirmedOutcome) {
         if let UnconfirmedOutcome::Delivered { message, .. } = outcome {
             self.deliveries.insert(message);
@@ -49,7 +49,7 @@
         self.by_connection.entry(conn).or_default().push((due, outcome));
     }
 
-    /// Delays the confirmation of a connection's outcomes until at least `until`, but not beyond a delivery's
+    /// Delays the end of the wait for a connection's outcomes until at least `until`, but not beyond a delivery's
     /// `latest`.
     pub fn extend(&mut self, conn: ConnId, until: Micros) {
         for (due, outcome) in self.by_connection.get_mut(&conn).into_iter().flatten() {
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Returns the time at which the first outcome on a connection is confirmed.
+    /// Returns the time at which the wait for the first outcome on a connection ends.
     pub fn next(&self, conn: ConnId) -> Option<Micros> {
         self.by_connection.get(&conn)?.iter().map(|(due, _)| *due).min()
     }
