No call follows a refusal on its connection, so that each refusal proves what it says

Callers were told of messages that may have run, though endpoints had turned them away each time.

Cause: a second equal refusal on a connection may be a copy of the first, and counted as may-have-run. A connection now takes no more calls after a refusal or error that names no messages, so that no refusal comes twice there and a copy finds no call.

The tests of copied refusals hold that the connection is closed, or else what they held before; the planted link that believes copies keeps the connection in use, too.

--- a/crates/cli/tests/answer_copies.rs
+++ b/crates/cli/tests/answer_copies.rs
@@ -67,6 +67,11 @@
         let (mut stream, _) = sender.call();
         stream.write_all(refusal.as_bytes()).unwrap();
         let repeat = calls(&mut stream, 1, Duration::from_secs(4));
+        if repeat.is_empty() {
+            // No call follows on this connection, so that no copy can be taken for its answer.
+            assert!(!is_open(&stream), "neither closed nor used again");
+            continue;
+        }
         assert!(repeat.contains("X-Call-Id: first\r\n"), "{repeat:?}");
         stream.write_all(OK.as_bytes()).unwrap();
         sleep(20 * MS);
@@ -155,6 +160,11 @@
         let (mut stream, _) = sender.call();
         stream.write_all(UNAVAILABLE.as_bytes()).unwrap();
         let repeat = calls(&mut stream, 1, Duration::from_secs(4));
+        if repeat.is_empty() {
+            // No call follows on this connection, so that no copy can be taken for its answer.
+            assert!(!is_open(&stream), "neither closed nor used again");
+            continue;
+        }
         assert!(repeat.contains("X-Call-Id: first\r\n"), "{repeat:?}");
         stream.write_all(OK.as_bytes()).unwrap();
         sleep(20 * MS);
--- a/crates/contracts/src/link/faulty.rs
+++ b/crates/contracts/src/link/faulty.rs
@@ -34,7 +34,7 @@
     ProbeAsCall,
     /// Calls open when the receiver closes count as delivered.
     Hopeful,
-    /// An unconfirmed answer is reported as certain.
+    /// An unconfirmed answer is reported as certain, and its connection stays in use.
     BelievesCopies,
     /// The link panics at the byte 0xFD.
     Panics,
@@ -91,6 +91,9 @@
                 _ => {}
             }
         }
+        if self.is(Fault::BelievesCopies) {
+            events.retain(|e| *e != LinkEvent::NoMoreCalls);
+        }
         if self.is(Fault::LosesThird) {
             let third = |e: &LinkEvent| matches!(e, LinkEvent::Answered { part: 2, .. });
             events.retain(|e| !third(e));
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -5,8 +5,11 @@
 use super::{Link, LinkEvent, OutboundMessage, Reply};
 use crate::Micros;
 use crate::stream::Stream;
+use heronroute::Outcome;
 use heronroute_http::write_request;
-use heronroute_platform::call::{AnswerEvent, AnswerReader, MessageOutcome, OutgoingMessage, write_call};
+use heronroute_platform::call::{
+    AnswerEvent, AnswerReader, Identity, MessageOutcome, OutgoingMessage, write_call,
+};
 use std::cmp::Reverse;
 
 /// A connection to one of the platform's endpoints.
@@ -51,7 +54,10 @@
                     Certainty::Shifted => events.push(LinkEvent::PauseUntilConfirmed),
                     Certainty::Certain | Certainty::Unconfirmed => {}
                 }
-                if self.answer_history.is_full() {
+                // A second refusal on a connection could be a copy of the first.
+                let refused = outcomes.iter().any(|message| message.outcome != Outcome::Done);
+                let named = matches!(identity, Some(Identity::Named(_)));
+                if self.answer_history.is_full() || (refused && !named) {
                     events.push(LinkEvent::NoMoreCalls);
                 }
                 let unconfirmed = matches!(certainty, Certainty::Unconfirmed | Certainty::Shifted);
