--- a/crates/engine/tests/answer_copies.rs
+++ b/crates/engine/tests/answer_copies.rs
@@ -84,6 +84,8 @@
             self.harness.advance(5 * MS);
             if let Some((again, _)) = self.harness.take_received(1001).pop() {
                 self.harness.peer_sends(again, OK);
+                let closed = self.harness.closed.contains(&conn);
+                assert!(again == conn || closed, "{answer:?}: neither closed nor used again");
                 return (again == conn).then_some(conn);
             }
         }
