HTTP receivers: a refusal that may be a copy frees no message while its call may be out

Callers of serve saw a once-only message called twice: over HTTP an answer names no call, so that a second copy of a 503, or an own answer that came a call late behind a copied 200, was taken for the oldest call that was out, and freed its message at once. The link now keeps the history that the platform's link has: a refusal or an error is certain only if it and every answer before it on the connection differ; any other closes the connection before its message may start again (the guard waits where other calls are on it) and counts as may-have-run. No call follows a refusal on its connection, and nothing answers a call of which a part has not left.

--- a/crates/contracts/tests/link.rs
+++ b/crates/contracts/tests/link.rs
@@ -1,13 +1,13 @@
 //! Each link, and planted wrong ones.
 
 use heronroute_contracts::link::{CLAUSES, Fault, FaultyReceiver, Http, Platform, Receiver, Smpp};
-use heronroute_contracts::suite::{kept, kept_but, planted_in, run_all};
+use heronroute_contracts::suite::{kept, kept_but, planted, planted_in};
 
 /// `PlatformLink::forget` does nothing for what was sent; whoever keeps the calls passes the answer over.
 const PLATFORM_KNOWN: &[&str] = &["an answer that nobody waits for is passed over"];
 
-/// Answers over HTTP name no call, and are taken for the oldest call that is out (KNOWN-RED.txt, issue 45).
-const HTTP_KNOWN: &[&str] = &[
+/// Clauses on second copies of answers.
+const COPY_CLAUSES: [&str; 2] = [
     "a copy of an answer proves nothing of the next call",
     "an answer that comes a call late proves nothing",
 ];
@@ -19,12 +19,12 @@
 
 #[test]
 fn http() {
-    kept_but(CLAUSES, &Http(1) as &dyn Receiver, HTTP_KNOWN);
+    kept(CLAUSES, &Http(1) as &dyn Receiver);
 }
 
 #[test]
 fn http_batches() {
-    kept_but(CLAUSES, &Http(3) as &dyn Receiver, HTTP_KNOWN);
+    kept(CLAUSES, &Http(3) as &dyn Receiver);
 }
 
 #[test]
@@ -35,10 +35,6 @@
 #[test]
 fn planted_links_are_caught() {
     let (http, smpp): (&dyn Receiver, &dyn Receiver) = (&Http(3), &Smpp);
-    // What the right link breaks breaks behind a planted fault too.
-    let broken_by = |receiver| run_all(CLAUSES, receiver).into_iter().map(|b| b.clause).collect::<Vec<_>>();
-    let (http_known, smpp_known) = (broken_by(http), broken_by(smpp));
-    assert_eq!((http_known.as_slice(), smpp_known.len()), (HTTP_KNOWN, 0));
     for (receiver, fault, clause) in [
         (smpp, Fault::ReadyEarly, "it is ready once, and not before the receiver is"),
         (http, Fault::Confuses, "each call is answered as itself, once"),
@@ -58,17 +54,18 @@
         (smpp, Fault::Hasty, "nothing happens before its time, and acting on time moves it on"),
         (smpp, Fault::Spins, "nothing happens before its time, and acting on time moves it on"),
     ] {
-        let known = if std::ptr::addr_eq(receiver, http) { &http_known } else { &smpp_known };
-        planted_in(CLAUSES, &FaultyReceiver(receiver, fault) as &dyn Receiver, clause, known);
+        planted(CLAUSES, &FaultyReceiver(receiver, fault) as &dyn Receiver, clause);
     }
 }
 
 #[test]
 fn a_planted_link_that_believes_copies_is_caught() {
-    let [copy, late] = HTTP_KNOWN else { panic!("two clauses on copies") };
+    let [copy, late] = COPY_CLAUSES;
     for (clause, other) in [(copy, late), (late, copy)] {
-        let known = [PLATFORM_KNOWN, &[*other]].concat();
+        let known = [PLATFORM_KNOWN, &[other]].concat();
         let wrong = FaultyReceiver(&Platform, Fault::BelievesCopies);
         planted_in(CLAUSES, &wrong as &dyn Receiver, clause, &known);
+        let wrong = FaultyReceiver(&Http(3), Fault::BelievesCopies);
+        planted_in(CLAUSES, &wrong as &dyn Receiver, clause, &[other]);
     }
 }
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -2,7 +2,13 @@
 //! receiver rejected the call without processing it, and may announce a wait (Retry-After, in seconds). The
 //! RateLimit fields are the limit report, and a GET of the probe path is the probe. Guarded messages carry an
 //! Idempotency-Key. A call of several messages has a protobuf body (`heronroute_http::Batch`).
+//!
+//! Responses name no call and arrive in the order of the requests. A refusal or an error proves nothing if it,
+//! or a response before it, may be a second copy of an earlier response (see [`super::attribution`]). A 2xx
+//! status is believed unless such a refusal came before it: receivers often give every delivery the same
+//! response.
 
+use super::attribution::{AnswerHistory, Certainty};
 use super::{Link, LinkEvent, OutboundMessage, Reply};
 use crate::Micros;
 use crate::stream::Stream;
@@ -10,17 +16,26 @@
 use heronroute_config::KindConfig;
 use heronroute_http::prost::Message as _;
 use heronroute_http::{BATCH_TYPE, Batch, Item, Message, Reader, Side, write_request};
+use heronroute_platform::call::Identity;
 use std::collections::VecDeque;
 
 const MAX_BODY_BYTES: usize = 1 << 20;
 
-/// An open request on the connection.
+/// What a request is for.
 #[derive(Debug)]
 enum Request {
     Call { call: u64, parts: Vec<usize> },
     Probe,
 }
 
+/// A request without a response.
+#[derive(Debug)]
+struct OpenRequest {
+    request: Request,
+    /// Its size in the stream, in bytes.
+    length: u64,
+}
+
 /// A connection to a receiver that speaks HTTP/1.1.
 #[derive(Debug)]
 pub struct HttpLink {
@@ -32,7 +47,11 @@
     /// Whether calls have a protobuf body that can contain several messages.
     batches: bool,
     /// Requests without a response, in the order in which they were sent. Responses arrive in the same order.
-    open_requests: VecDeque<Request>,
+    open_requests: VecDeque<OpenRequest>,
+    /// Recognizes responses that may be copies of earlier ones.
+    answer_history: AnswerHistory,
+    /// Whether a refusal or an error may have belonged to another call than the one it was taken for.
+    has_unproven_refusal: bool,
     closed: bool,
 }
 
@@ -46,44 +65,78 @@
             probe_path: kind.probe_path.clone(),
             batches: kind.batch > 1,
             open_requests: VecDeque::new(),
+            answer_history: AnswerHistory::default(),
+            has_unproven_refusal: false,
             closed: false,
         }
     }
 
-    fn handle_responses(&mut self, events: &mut Vec<LinkEvent>) {
+    fn end_use(&mut self, why: &'static str, events: &mut Vec<LinkEvent>) {
+        self.closed = true;
+        events.push(LinkEvent::Unusable(why));
+    }
+
+    /// Handles the complete responses that were read. `unsent` is the number of bytes in the stream that were
+    /// not sent.
+    fn handle_responses(&mut self, now: Micros, unsent: u64, events: &mut Vec<LinkEvent>) {
         while !self.closed {
             match self.reader.next_message() {
                 Ok(Some(response)) if (100..200).contains(&response.status()) => {}
-                Ok(Some(response)) => self.handle_response(&response, events),
-                Ok(None) => break,
-                Err(e) => {
-                    self.closed = true;
-                    events.push(LinkEvent::Unusable(e.0));
+                Ok(Some(_)) if !self.is_oldest_request_sent(unsent) => {
+                    self.end_use("received a response before its request was sent", events);
                 }
+                Ok(Some(response)) => self.handle_response(now, &response, events),
+                Ok(None) => break,
+                Err(e) => self.end_use(e.0, events),
             }
         }
     }
 
-    fn handle_response(&mut self, response: &Message, events: &mut Vec<LinkEvent>) {
+    /// Returns whether all of the oldest open request was sent. Nothing can answer it before.
+    fn is_oldest_request_sent(&self, unsent: u64) -> bool {
+        unsent == 0 || unsent <= self.open_requests.iter().skip(1).map(|open| open.length).sum()
+    }
+
+    fn handle_response(&mut self, now: Micros, response: &Message, events: &mut Vec<LinkEvent>) {
+        let Some(OpenRequest { request, .. }) = self.open_requests.pop_front() else {
+            // It is unknown which request the next response would belong to.
+            return self.end_use("received a response without an open request", events);
+        };
         let reply = reply(response);
-        match self.open_requests.pop_front() {
-            Some(Request::Call { call, parts }) => {
-                for part in parts {
-                    events.push(LinkEvent::Answered { call, part, reply });
-                }
-            }
-            Some(Request::Probe) => events.push(LinkEvent::Probed(reply)),
-            None => {
-                // There is no open request, so it is unknown which request the next response would belong to.
-                self.closed = true;
-                return events.push(LinkEvent::Unusable("received a response without an open request"));
+        let believed = self.is_believed(now, response, reply.outcome);
+        // A second refusal on a connection could be a copy of the first.
+        if reply.outcome != Outcome::Done || self.answer_history.is_full() {
+            events.push(LinkEvent::NoMoreCalls);
+        }
+        match request {
+            Request::Call { call, parts } => {
+                events.extend(parts.into_iter().map(|part| answered(call, part, reply, believed)));
             }
+            Request::Probe => events.push(LinkEvent::Probed(reply)),
         }
         if response.closes_connection {
-            self.closed = true;
-            events.push(LinkEvent::Unusable("the receiver closes the connection"));
+            self.end_use("the receiver closes the connection", events);
         }
     }
+
+    /// Records a response, and returns whether it counts as the one to the oldest open request.
+    fn is_believed(&mut self, now: Micros, response: &Message, outcome: Outcome) -> bool {
+        let certainty = self.answer_history.attribute(now, Some(Identity::of(response, false)));
+        let certain = matches!(certainty, Certainty::Certain | Certainty::ConfirmsEarlier);
+        if outcome == Outcome::Done {
+            return certain || !self.has_unproven_refusal;
+        }
+        self.has_unproven_refusal |= !certain;
+        certain
+    }
+}
+
+fn answered(call: u64, part: usize, reply: Reply, believed: bool) -> LinkEvent {
+    if believed {
+        LinkEvent::Answered { call, part, reply }
+    } else {
+        LinkEvent::AnsweredUnconfirmed { call, part, reply }
+    }
 }
 
 fn reply(response: &Message) -> Reply {
@@ -163,12 +216,14 @@
             }
             write_request("POST", &self.path, &self.host, &fields, &submission.body, &mut stream.out);
         }
-        self.open_requests
-            .push_back(Request::Call { call, parts: messages.iter().map(|c| c.part).collect() });
-        vec![(start, stream.position()); messages.len()]
+        let end = stream.position();
+        let request = Request::Call { call, parts: messages.iter().map(|c| c.part).collect() };
+        self.open_requests.push_back(OpenRequest { request, length: end - start });
+        vec![(start, end); messages.len()]
     }
 
     fn probe(&mut self, _: Micros, stream: &mut Stream) {
+        let start = stream.position();
         write_request(
             "GET",
             &self.probe_path,
@@ -177,36 +232,39 @@
             b"",
             &mut stream.out,
         );
-        self.open_requests.push_back(Request::Probe);
+        let length = stream.position() - start;
+        self.open_requests.push_back(OpenRequest { request: Request::Probe, length });
     }
 
-    fn receive(&mut self, _: Micros, bytes: &[u8], _: &mut Stream, events: &mut Vec<LinkEvent>) {
+    fn receive(&mut self, now: Micros, bytes: &[u8], stream: &mut Stream, events: &mut Vec<LinkEvent>) {
+        let unsent = stream.out.len() as u64;
         self.reader.push(bytes);
-        self.handle_responses(events);
+        self.handle_responses(now, unsent, events);
+        if self.closed || !self.reader.has_partial_message() {
+            return;
+        }
         // The beginning of a second copy would be taken, together with its rest, for the answer to the next
         // call.
-        if !self.closed && self.open_requests.is_empty() && self.reader.has_partial_message() {
-            self.closed = true;
-            events.push(LinkEvent::Unusable("received bytes without an open request"));
+        if self.open_requests.is_empty() || !self.is_oldest_request_sent(unsent) {
+            self.end_use("received bytes without an open request", events);
         }
     }
 
-    fn ended(&mut self, _: Micros, events: &mut Vec<LinkEvent>) {
+    fn ended(&mut self, now: Micros, events: &mut Vec<LinkEvent>) {
         self.reader.end();
-        self.handle_responses(events);
+        self.handle_responses(now, 0, events);
         if !self.closed {
-            self.closed = true;
-            events.push(LinkEvent::Unusable("closed by the receiver"));
+            self.end_use("closed by the receiver", events);
         }
     }
 
     fn forget(&mut self, call: u64, part: usize, unsent: bool) {
-        let is_call = |request: &Request| matches!(request, Request::Call { call: c, .. } if *c == call);
+        let is_call = |open: &OpenRequest| matches!(open.request, Request::Call { call: c, .. } if c == call);
         if unsent {
-            self.open_requests.retain(|request| !is_call(request));
-        } else if let Some(Request::Call { parts, .. }) =
-            self.open_requests.iter_mut().find(|request| is_call(request))
-        {
+            return self.open_requests.retain(|open| !is_call(open));
+        }
+        let open = self.open_requests.iter_mut().find(|open| is_call(open));
+        if let Some(OpenRequest { request: Request::Call { parts, .. }, .. }) = open {
             parts.retain(|p| *p != part);
         }
     }
--- a/crates/engine/tests/attempt_starts.rs
+++ b/crates/engine/tests/attempt_starts.rs
@@ -27,6 +27,9 @@
     endpoint { name: \"a\" address: \"127.0.0.1:9001\" destination: 1 kind: \"k\" } \
     endpoint { name: \"b\" address: \"127.0.0.1:9002\" destination: 1 kind: \"k\" }";
 
+const DELIVERED: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const REFUSED: &[u8] = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+
 /// A node, and what it has sent on each open connection to the receiver.
 struct World {
     node: Node,
@@ -34,10 +37,20 @@
     received: BTreeMap<ConnId, String>,
     /// The calls with a message that must not run twice.
     once_calls: usize,
+    /// The number of messages submitted, by which their bodies differ.
+    submitted: usize,
 }
 
 impl World {
     fn new() -> Self {
+        World::with_config(CONFIG)
+    }
+
+    fn with_one_endpoint() -> Self {
+        World::with_config(&CONFIG[..CONFIG.rfind("endpoint").unwrap()])
+    }
+
+    fn with_config(config: &str) -> Self {
         let start = Start {
             index: 0,
             seed: 3,
@@ -48,8 +61,8 @@
             state: None,
             fleet: false,
         };
-        let node = Node::new(Arc::new(parse("test", CONFIG).unwrap()), start).unwrap();
-        World { node, now: 0, received: BTreeMap::new(), once_calls: 0 }
+        let node = Node::new(Arc::new(parse("test", config).unwrap()), start).unwrap();
+        World { node, now: 0, received: BTreeMap::new(), once_calls: 0, submitted: 0 }
     }
 
     /// Submits messages of these classes on one connection of the client.
@@ -63,14 +76,41 @@
                 service: (*class).into(),
                 destination: "234".into(),
                 wanted: ReceiptRequest::Always,
-                body: class.as_bytes().to_vec(),
+                body: format!("{class} {}.", self.submitted).into_bytes(),
                 ..Submission::default()
             };
             session.request(0, submission.submit(None), &mut out);
+            self.submitted += 1;
         }
         self.node.received(self.now, conn, &out);
     }
 
+    /// Advances the clock until a message was written, and returns the connection.
+    fn run_until_written(&mut self, body: &str) -> ConnId {
+        for _ in 0..4_000 {
+            for conn in self.step() {
+                if self.received.get(&conn).is_some_and(|text| text.contains(body)) {
+                    return conn;
+                }
+            }
+        }
+        panic!("{body} was not sent");
+    }
+
+    /// Advances the clock by a number of steps. Returns whether a message was sent again on another connection,
+    /// which must not be while its first one is open.
+    fn run_and_watch(&mut self, steps: usize, first: ConnId, body: &str) -> bool {
+        let mut again = false;
+        for _ in 0..steps {
+            self.step();
+            let open: Vec<ConnId> =
+                self.received.iter().filter(|(_, text)| text.contains(body)).map(|(conn, _)| *conn).collect();
+            assert!(open.len() <= 1, "{body} is out on two open connections at {} ms", self.now / MS);
+            again |= open.iter().any(|conn| *conn != first);
+        }
+        again
+    }
+
     /// Advances the clock by one step and handles the node's outputs. Returns the connections that were
     /// written to.
     fn step(&mut self) -> Vec<ConnId> {
@@ -131,7 +171,6 @@
 /// out, is taken for that call's answer.
 #[test]
 fn a_copied_refusal_over_http_does_not_free_the_next_calls_message() {
-    const REFUSED: &[u8] = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
     let mut world = World::new();
     world.submit(&["FREE"]);
     let conn = world.step()[0];
@@ -151,3 +190,52 @@
     }
     assert_eq!(world.once_calls, 1, "called again, and may have run");
 }
+
+/// The same with the next call already out behind the refused one.
+#[test]
+fn a_copied_refusal_over_http_does_not_free_a_pipelined_message() {
+    let mut world = World::new();
+    world.submit(&["FREE", "FREE", "ONCE", "ONCE"]);
+    world.run_until_written("ONCE 3.");
+    let pipelined =
+        |text: &str| text.find("FREE").zip(text.find("ONCE")).is_some_and(|(free, once)| free < once);
+    let conn =
+        *world.received.iter().find(|(_, text)| pipelined(text)).expect("two calls on one connection").0;
+    world.node.received(world.now, conn, REFUSED);
+    world.node.received(world.now, conn, REFUSED);
+    for _ in 0..2_000 {
+        world.step();
+    }
+    assert_eq!(world.once_calls, 2, "called again, and may have run");
+}
+
+/// Guards against a message that runs twice: a second copy of a delivery was taken for the answer to another call,
+/// so that the refusal of that call is taken for the next one's.
+#[test]
+fn a_refusal_behind_a_copied_delivery_over_http_frees_no_message() {
+    let mut world = World::with_one_endpoint();
+    world.submit(&["FREE", "FREE", "ONCE"]);
+    let conn = world.run_until_written("ONCE 2.");
+    for response in [DELIVERED, DELIVERED, REFUSED] {
+        world.node.received(world.now, conn, response);
+        world.step();
+    }
+    for _ in 0..2_000 {
+        world.step();
+    }
+    assert_eq!(world.once_calls, 1, "called again, and may have run");
+}
+
+/// Guards against a message that is out twice: a copied refusal frees it while its call is out beside others.
+#[test]
+fn a_message_behind_a_copied_refusal_over_http_waits_until_its_connection_is_closed() {
+    let mut world = World::with_one_endpoint();
+    world.submit(&["FREE", "FREE", "ONCE"]);
+    let conn = world.run_until_written("ONCE 2.");
+    for _ in 0..2 {
+        world.node.received(world.now, conn, REFUSED);
+    }
+    assert!(world.run_and_watch(8_000, conn, "FREE 1."), "it is sent again once its connection is closed");
+    assert!(world.node.stats().attempts_delayed > 0);
+    assert_eq!(world.once_calls, 1);
+}
--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -36,7 +36,8 @@
 }
 
 impl Identity {
-    fn of(answer: &Message, names_messages: bool) -> Self {
+    /// Returns the identity of an answer, which may name the messages of its call.
+    pub fn of(answer: &Message, names_messages: bool) -> Self {
         if names_messages {
             return Identity::Named(digest(answer));
         }
