HTTP receivers: calls that must not run twice go where their refusal proves something

Callers of serve would have had once-only messages end as unknown at each refusal on a used connection, since equal answers over HTTP can't be told apart. Such a call is now written behind no other call, and only to a connection whose answers so far all differ; one is opened if there is none, in place of an idle one that proves nothing.

Other protocols' calls are queued as they were.

--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -110,6 +110,7 @@
                 LinkEvent::WaitAnnounced(wait) => self.handle_announced_wait(endpoint, wait),
                 LinkEvent::PauseUntilConfirmed => self.pause_until_confirmed(endpoint, conn),
                 LinkEvent::NoMoreCalls => self.endpoints[endpoint].pool.retire(conn),
+                LinkEvent::RefusalsUnproven => self.endpoints[endpoint].pool.mark_ambiguous(conn),
                 LinkEvent::Probed(reply) => self.finish_probe(endpoint, reply),
                 LinkEvent::Unusable(why) => {
                     tracing::debug!(conn, why, "closing a connection to a receiver");
@@ -166,6 +167,7 @@
                     | LinkEvent::WaitAnnounced(_)
                     | LinkEvent::PauseUntilConfirmed
                     | LinkEvent::NoMoreCalls
+                    | LinkEvent::RefusalsUnproven
                     | LinkEvent::Unusable(_) => {}
                 }
             }
--- a/crates/engine/src/delivery/send.rs
+++ b/crates/engine/src/delivery/send.rs
@@ -7,6 +7,7 @@
 use crate::link::{self, OutboundMessage};
 use crate::node::{ConnRole, Effect as Deferred, Node, Output, TimerKey};
 use heronroute::{Action, Effect, EndpointId, MsgId};
+use heronroute_config::Protocol;
 use heronroute_held::What as TrailStep;
 use heronroute_journal::entry::{self, What};
 use std::collections::BTreeMap;
@@ -92,7 +93,13 @@
             return self.cancel_unsent_call(call);
         }
         if self.may_start(call, endpoint) {
-            self.endpoints[endpoint].pool.enqueue(call);
+            let needs_proof = self.needs_proof(call, endpoint);
+            let pool = &mut self.endpoints[endpoint].pool;
+            if needs_proof {
+                pool.enqueue_for_proof(call);
+            } else {
+                pool.enqueue(call);
+            }
             self.assign_calls(endpoint);
         }
     }
@@ -104,17 +111,31 @@
         while let Some((call, conn)) = self.endpoints[endpoint].pool.assign_next(window) {
             self.write_call(call, conn);
         }
+        let mut replaced = Vec::new();
         for _ in 0..self.endpoints[endpoint].pool.missing_connections(window) {
-            let remote = &mut self.endpoints[endpoint];
-            let kind = &self.cfg.kinds[remote.kind];
-            let address = remote.address;
-            let link = link::new(kind, self.smpp_limits, address.to_string(), self.index);
-            let conn = self.add_conn(ConnRole::Receiver { endpoint, link });
-            self.endpoints[endpoint].pool.add_connecting(conn);
-            self.stats.connections += 1;
-            self.timers.set(TimerKey::Connect(conn), self.now + self.cfg.service.connect_timeout);
-            self.outputs.push(Output::Connect { conn, address });
+            replaced.extend(self.endpoints[endpoint].pool.retire_replaceable());
+            self.open_connection(endpoint);
         }
+        replaced.into_iter().for_each(|conn| self.close_link(conn));
+    }
+
+    fn open_connection(&mut self, endpoint: EndpointId) {
+        let remote = &self.endpoints[endpoint];
+        let kind = &self.cfg.kinds[remote.kind];
+        let address = remote.address;
+        let link = link::new(kind, self.smpp_limits, address.to_string(), self.index);
+        let conn = self.add_conn(ConnRole::Receiver { endpoint, link });
+        self.endpoints[endpoint].pool.add_connecting(conn);
+        self.stats.connections += 1;
+        self.timers.set(TimerKey::Connect(conn), self.now + self.cfg.service.connect_timeout);
+        self.outputs.push(Output::Connect { conn, address });
+    }
+
+    /// Returns whether a call must go to a connection on which its refusal would prove that it did not run.
+    /// Responses over HTTP name no call, and such connections are not scarce there.
+    fn needs_proof(&self, call: u64, endpoint: EndpointId) -> bool {
+        self.cfg.kinds[self.endpoints[endpoint].kind].protocol == Protocol::Http
+            && self.open_messages_of(call).into_iter().any(|message| self.runs_once(message))
     }
 
     fn write_call(&mut self, call: u64, conn: ConnId) {
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -103,7 +103,11 @@
             return self.end_use("received a response without an open request", events);
         };
         let reply = reply(response);
-        let believed = self.is_believed(now, response, reply.outcome);
+        let certain = self.is_certain(now, response);
+        if !certain {
+            events.push(LinkEvent::RefusalsUnproven);
+        }
+        let believed = self.is_believed(certain, reply.outcome);
         // A second refusal on a connection could be a copy of the first.
         if reply.outcome != Outcome::Done || self.answer_history.is_full() {
             events.push(LinkEvent::NoMoreCalls);
@@ -119,10 +123,14 @@
         }
     }
 
-    /// Records a response, and returns whether it counts as the one to the oldest open request.
-    fn is_believed(&mut self, now: Micros, response: &Message, outcome: Outcome) -> bool {
+    /// Records a response, and returns whether it certainly belongs to the oldest open request.
+    fn is_certain(&mut self, now: Micros, response: &Message) -> bool {
         let certainty = self.answer_history.attribute(now, Some(Identity::of(response, false)));
-        let certain = matches!(certainty, Certainty::Certain | Certainty::ConfirmsEarlier);
+        matches!(certainty, Certainty::Certain | Certainty::ConfirmsEarlier)
+    }
+
+    /// Returns whether a response counts as the one to the oldest open request.
+    fn is_believed(&mut self, certain: bool, outcome: Outcome) -> bool {
         if outcome == Outcome::Done {
             return certain || !self.has_unproven_refusal;
         }
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -84,6 +84,8 @@
     WaitAnnounced(Micros),
     /// The connection takes no more calls. Answers to the calls on it are still accepted.
     NoMoreCalls,
+    /// A refusal on the connection proves nothing any more, because responses may belong to earlier calls.
+    RefusalsUnproven,
     /// A probe was answered.
     Probed(Reply),
     /// The connection can't be used any more and must be closed. Contains the reason.
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -4,6 +4,8 @@
 //! The decision library limits the number of open calls, and the number of connections follows from it. A
 //! call goes to the connection with the fewest calls, no connection carries more than the kind's window, and
 //! a new one is opened only for calls that do not fit on the existing connections and those being opened.
+//! Where responses name no call, a call that must not run twice is not written behind others, and not to a
+//! connection on which its refusal would prove nothing.
 
 use std::collections::VecDeque;
 
@@ -18,15 +20,31 @@
     retired: bool,
     /// Whether it takes no calls for a while.
     paused: bool,
+    /// Whether a refusal on it proves nothing.
+    ambiguous: bool,
     calls: usize,
 }
 
+impl PooledConnection {
+    /// Returns whether it takes calls at all.
+    fn is_open(&self) -> bool {
+        self.ready && !self.retired && !self.paused
+    }
+
+    /// Returns whether a refusal of a call that is written to it now would prove that the call did not run.
+    fn proves_refusals(&self) -> bool {
+        self.is_open() && !self.ambiguous && self.calls == 0
+    }
+}
+
 /// The connections to one endpoint.
 #[derive(Debug, Default)]
 pub struct Pool {
     connections: Vec<PooledConnection>,
     /// Calls that wait for a connection.
     waiting: VecDeque<u64>,
+    /// Calls that wait for a connection on which their refusal would prove that they did not run.
+    waiting_for_proof: VecDeque<u64>,
     /// Whether a probe waits for a connection.
     pub probe_waiting: bool,
 }
@@ -37,24 +55,43 @@
         self.waiting.push_back(call);
     }
 
+    /// Adds a call to those that wait for a connection on which their refusal would prove that they did not
+    /// run.
+    pub fn enqueue_for_proof(&mut self, call: u64) {
+        self.waiting_for_proof.push_back(call);
+    }
+
     /// Returns the calls that wait for a connection.
     pub fn waiting_calls(&self) -> Vec<u64> {
-        self.waiting.iter().copied().collect()
+        self.waiting_for_proof.iter().chain(&self.waiting).copied().collect()
     }
 
     /// Removes a waiting call, and returns whether it was waiting.
     pub fn remove_waiting(&mut self, call: u64) -> bool {
-        let before = self.waiting.len();
+        let count = |pool: &Pool| pool.waiting.len() + pool.waiting_for_proof.len();
+        let before = count(self);
         self.waiting.retain(|c| *c != call);
-        self.waiting.len() < before
+        self.waiting_for_proof.retain(|c| *c != call);
+        count(self) < before
     }
 
     /// Assigns the next waiting call to the ready connection with the fewest calls. Returns both, or nothing
     /// if no connection has room.
     pub fn assign_next(&mut self, window: usize) -> Option<(u64, ConnNumber)> {
+        self.assign_next_for_proof().or_else(|| self.assign_next_to_any(window))
+    }
+
+    fn assign_next_for_proof(&mut self) -> Option<(u64, ConnNumber)> {
+        self.waiting_for_proof.front()?;
+        let connection = self.connections.iter_mut().find(|c| c.proves_refusals())?;
+        connection.calls += 1;
+        let conn = connection.conn;
+        self.waiting_for_proof.pop_front().map(|call| (call, conn))
+    }
+
+    fn assign_next_to_any(&mut self, window: usize) -> Option<(u64, ConnNumber)> {
         self.waiting.front()?;
-        let open =
-            self.connections.iter_mut().filter(|c| c.ready && !c.retired && !c.paused && c.calls < window);
+        let open = self.connections.iter_mut().filter(|c| c.is_open() && c.calls < window);
         let best = open.min_by_key(|c| c.calls)?;
         best.calls += 1;
         let conn = best.conn;
@@ -64,10 +101,21 @@
     /// Returns how many further connections must be opened.
     pub fn missing_connections(&self, window: usize) -> usize {
         let connecting = self.connections.iter().filter(|c| !c.ready && !c.retired).count();
-        let needed = self.waiting.len().div_ceil(window.max(1)).max(usize::from(self.probe_waiting));
+        let calls = self.waiting_for_proof.len() + self.waiting.len().div_ceil(window.max(1));
+        let needed = calls.max(usize::from(self.probe_waiting));
         needed.saturating_sub(connecting)
     }
 
+    /// Retires and returns a connection to be closed for a new one, so that idle connections do not add up:
+    /// calls wait for one on which a refusal would prove something, and on this idle one it would not.
+    pub fn retire_replaceable(&mut self) -> Option<ConnNumber> {
+        self.waiting_for_proof.front()?;
+        let idle = |c: &&mut PooledConnection| c.is_open() && c.ambiguous && c.calls == 0;
+        let connection = self.connections.iter_mut().find(idle)?;
+        connection.retired = true;
+        Some(connection.conn)
+    }
+
     /// Adds a connection that is being opened.
     pub fn add_connecting(&mut self, conn: ConnNumber) {
         self.connections.push(PooledConnection {
@@ -75,6 +123,7 @@
             ready: false,
             retired: false,
             paused: false,
+            ambiguous: false,
             calls: 0,
         });
     }
@@ -84,6 +133,11 @@
         self.connections.iter_mut().filter(|c| c.conn == conn).for_each(|c| c.ready = true);
     }
 
+    /// Records that a refusal on a connection proves nothing any more.
+    pub fn mark_ambiguous(&mut self, conn: ConnNumber) {
+        self.connections.iter_mut().filter(|c| c.conn == conn).for_each(|c| c.ambiguous = true);
+    }
+
     /// Assigns no more calls to a connection.
     pub fn retire(&mut self, conn: ConnNumber) {
         self.connections.iter_mut().filter(|c| c.conn == conn).for_each(|c| c.retired = true);
@@ -125,6 +179,9 @@
         if was_ready {
             return Vec::new();
         }
+        if let Some(call) = self.waiting_for_proof.pop_front() {
+            return vec![call];
+        }
         let n = self.waiting.len().min(window);
         self.waiting.drain(..n).collect()
     }
@@ -136,8 +193,7 @@
 
     /// Returns a connection that can carry a probe.
     pub fn probe_connection(&self, window: usize) -> Option<ConnNumber> {
-        let usable =
-            |c: &&PooledConnection| c.ready && !c.retired && !c.paused && (window > 1 || c.calls == 0);
+        let usable = |c: &&PooledConnection| c.is_open() && (window > 1 || c.calls == 0);
         self.connections.iter().filter(usable).min_by_key(|c| c.calls).map(|c| c.conn)
     }
 
@@ -148,7 +204,7 @@
 
     /// Returns whether there are no connections and nothing waits for one.
     pub fn is_empty(&self) -> bool {
-        self.connections.is_empty() && self.waiting.is_empty() && !self.probe_waiting
+        self.connections.is_empty() && self.waiting_calls().is_empty() && !self.probe_waiting
     }
 
     /// Returns all connections.
