Close a connection on which a message may still be out by that message's deadline

Cause: two copies of earlier answers came while the endpoint was busy with a long call, and were taken for that call's answer and for the next one's. The second message's delivery, never proved, was reported as failed after 0.4 s, but its call stayed in the connection's buffer, which was used on. The endpoint read it when the long call ended; that call's own answer then closed the connection.

A connection with an unproved delivery now takes calls for half of the time that is left to that message, and is closed by its deadline at the latest; a later answer that names its call lifts this.

The new test fails on the code before, idle and with further calls.

--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -172,6 +172,7 @@
                 }
             }
         }
+        self.remove_expiry(conn);
         let window = self.cfg.kinds[self.endpoints[endpoint].kind].window;
         // The connection is removed from the pool first, so that calls which its end releases go to other
         // connections.
--- a/crates/engine/src/delivery/unconfirmed.rs
+++ b/crates/engine/src/delivery/unconfirmed.rs
@@ -34,11 +34,41 @@
             let due = latest.min(self.now + CONFIRMATION_DELAY);
             let dest = self.endpoints[endpoint].dest;
             let delivery = UnconfirmedOutcome::Delivered { message, dest, endpoint, began, latest };
+            let deadline = entry.deadline;
             self.add_unconfirmed(conn, due, delivery);
+            self.limit_connection(conn, deadline);
         }
         self.record_outcome(call, part, reply);
     }
 
+    /// Makes sure that a connection is closed by a deadline of a message whose call may still be out on it.
+    /// Calls are written to it in the first half of that time, so that they can end in the second.
+    fn limit_connection(&mut self, conn: ConnId, deadline: Micros) {
+        if self.unconfirmed.limit_connection(conn, deadline) {
+            self.timers.set(TimerKey::Expiry(conn), self.now + (deadline - self.now) / 2);
+        }
+    }
+
+    /// Handles the times set by [`Self::limit_connection`].
+    pub(crate) fn expire_connection(&mut self, conn: ConnId) {
+        let Some(ConnRole::Receiver { endpoint, .. }) = self.conns.get(&conn).map(|c| &c.role) else {
+            return;
+        };
+        let Some(deadline) = self.unconfirmed.expiry(conn) else { return };
+        let pool = &mut self.endpoints[*endpoint].pool;
+        pool.retire(conn);
+        if self.now >= deadline || pool.is_closable(conn) {
+            return self.close_link(conn);
+        }
+        self.timers.set(TimerKey::Expiry(conn), deadline);
+    }
+
+    /// Records that no call but the current one can be out on a connection any more.
+    pub(crate) fn remove_expiry(&mut self, conn: ConnId) {
+        self.unconfirmed.remove_expiry(conn);
+        self.timers.clear(TimerKey::Expiry(conn));
+    }
+
     /// Handles an unconfirmed answer other than a delivery. If the answer to the call before it is unconfirmed
     /// too, what follows may tell which of them belongs to which call, so the connection is kept for a while
     /// and the message is not released.
@@ -116,6 +146,7 @@
     /// Accepts the unconfirmed deliveries of a connection on which a later answer certainly was its call's own:
     /// answers arrive in the order of the calls.
     pub(crate) fn confirm_deliveries(&mut self, conn: ConnId) {
+        self.remove_expiry(conn);
         for outcome in self.unconfirmed.take_due(conn, Micros::MAX) {
             match outcome {
                 UnconfirmedOutcome::Refused { call, part, reply } => {
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -101,6 +101,7 @@
             TimerKey::Connect(conn) => self.drop_link(conn),
             TimerKey::Idle(conn) => self.close_if_idle(conn),
             TimerKey::Confirm(conn) => self.confirm_due(conn),
+            TimerKey::Expiry(conn) => self.expire_connection(conn),
             TimerKey::Part(call, part) => self.part_timed_out(call, part),
             TimerKey::Probe(endpoint) => self.probe_timed_out(EndpointId(endpoint)),
             TimerKey::Outbox(mailbox) => self.deliver_owed(mailbox),
--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -32,6 +32,9 @@
     Idle(ConnId),
     /// The time at which unconfirmed answers on a connection are handled as ones that may have run.
     Confirm(ConnId),
+    /// The time at which a connection takes no more calls, or is closed, because a call on it may still be out
+    /// at its message's deadline.
+    Expiry(ConnId),
     /// The time by which a message of a call has to be answered.
     Part(u64, usize),
     /// The time by which a probe has to be answered.
--- a/crates/engine/src/unconfirmed.rs
+++ b/crates/engine/src/unconfirmed.rs
@@ -38,6 +38,9 @@
 pub struct UnconfirmedOutcomes {
     by_connection: BTreeMap<ConnId, Vec<(Micros, UnconfirmedOutcome)>>,
     deliveries: BTreeSet<MsgId>,
+    /// For each connection the earliest deadline of a message whose delivery was never confirmed, so that its
+    /// call may still be out.
+    expiries: BTreeMap<ConnId, Micros>,
 }
 
 impl UnconfirmedOutcomes {
@@ -83,6 +86,25 @@
         due
     }
 
+    /// Records the deadline of a message whose call may still be out on a connection. Returns whether it is the
+    /// earliest there.
+    pub fn limit_connection(&mut self, conn: ConnId, deadline: Micros) -> bool {
+        let earliest = self.expiries.entry(conn).or_insert(Micros::MAX);
+        let is_earliest = deadline < *earliest;
+        *earliest = deadline.min(*earliest);
+        is_earliest
+    }
+
+    /// Returns the time by which a connection must be closed, if there is one.
+    pub fn expiry(&self, conn: ConnId) -> Option<Micros> {
+        self.expiries.get(&conn).copied()
+    }
+
+    /// Records that no delivery on a connection is unconfirmed any more, or that it was closed.
+    pub fn remove_expiry(&mut self, conn: ConnId) {
+        self.expiries.remove(&conn);
+    }
+
     /// Returns whether a message's delivery is unconfirmed.
     pub fn is_unconfirmed_delivery(&self, message: MsgId) -> bool {
         self.deliveries.contains(&message)
--- a/crates/engine/tests/answer_copies.rs
+++ b/crates/engine/tests/answer_copies.rs
@@ -329,3 +329,37 @@
         "its own answer was never received: {notices}"
     );
 }
+
+/// Guards against a call that is out on an open connection once its message's time is over: a second copy was taken
+/// for its answer, and the endpoint is still busy with the call before it.
+#[test]
+fn a_connection_with_an_uncertain_delivery_is_closed_once_the_messages_time_is_over() {
+    const TIME: i64 = 2_500 * MS;
+    // The page allows so much beyond it.
+    const SLACK: i64 = 50 * MS;
+    for further_calls in [false, true] {
+        let mut harness = new_harness();
+        let client = harness.connect_client();
+        harness.submit(client, "before", SAFE);
+        let (conn, _) = harness.take_received(1001).remove(0);
+        harness.peer_sends(conn, OK);
+        harness.submit(client, "long", SAFE);
+        assert_eq!(harness.take_received(1001).remove(0).0, conn);
+        harness.peer_sends(conn, OK);
+        let end = harness.now + TIME + SLACK;
+        harness.submit(client, "m", &format!("c=once,t=t,d={},dest=1", TIME / MS));
+        assert_eq!(harness.take_received(1001).remove(0).0, conn);
+        harness.peer_sends(conn, OK);
+        // The endpoint reads neither the message's call nor any that follows it.
+        while harness.now < end {
+            if further_calls && (harness.now / MS) % 200 == 0 {
+                harness.submit(client, &format!("further-{}", harness.now), SAFE);
+            }
+            harness.advance(5 * MS);
+            for (other, _) in harness.take_received(1001) {
+                harness.peer_sends(other, OK);
+            }
+        }
+        assert!(harness.closed.contains(&conn), "still open, further calls: {further_calls}");
+    }
+}
