--- a/crates/cli/tests/soak/connection.rs
+++ b/crates/cli/tests/soak/connection.rs
@@ -31,18 +31,28 @@
 }
 
 /// A connection from the process.
-pub struct Connection(Mutex<State>);
+pub struct Connection {
+    state: Mutex<State>,
+    accepted: Instant,
+}
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         stream.set_nonblocking(true).unwrap();
         stream.set_nodelay(true).unwrap();
-        Connection(Mutex::new(State { stream, unread: Vec::new(), ended: false }))
+        let state = Mutex::new(State { stream, unread: Vec::new(), ended: false });
+        Connection { state, accepted: Instant::now() }
+    }
+
+    /// The connection in words: how long ago it was accepted, and whether it is open.
+    pub fn description(&self) -> String {
+        let state = if self.is_open() { "open" } else { "closed" };
+        format!("a connection accepted {:?} ago, {state}", self.accepted.elapsed())
     }
 
     /// Whether the process has neither closed the connection nor ended its sending on it.
     pub fn is_open(&self) -> bool {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         state.read();
         !state.ended
     }
@@ -50,7 +60,7 @@
     /// The next request whole; none at the end of the connection.
     pub fn next_request(&self, world: &World) -> Option<String> {
         while !world.is_over() {
-            let mut state = self.0.lock().unwrap();
+            let mut state = self.state.lock().unwrap();
             state.read();
             if let Some(length) = request_length(&state.unread) {
                 let request: Vec<u8> = state.unread.drain(..length).collect();
@@ -67,7 +77,7 @@
 
     /// Writes octets, which are few. False where the connection has ended.
     pub fn write(&self, text: &str) -> bool {
-        let mut state = self.0.lock().unwrap();
+        let mut state = self.state.lock().unwrap();
         state.read();
         !state.ended && state.stream.write_all(text.as_bytes()).is_ok()
     }
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -160,12 +160,13 @@
     let began = Instant::now();
     let fate = Fate::draw(random, call.in_bulk);
     let (states, answer) = answer_to(call, fate, random);
+    let on = connection.description();
     for (id, state) in call.ids.iter().zip(&states) {
         world.with(id, |trail| {
             if *state != "later" {
                 trail.runs.push(began);
             }
-            trail.steps.push(format!("{began:?} called with {}, {fate:?} {state}", call.ids.len()));
+            trail.steps.push(format!("{began:?} called with {}, {fate:?} {state}, on {on}", call.ids.len()));
         });
     }
     if !connection.stays_open_for(run_time(random), world) {
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //! stepped between a kill and the next start. Judged from what crossed the sockets.
 //!
 //! In CI on a few fixed seeds. By hand: `SOAK_SEEDS=50 cargo test -p heronroute-cli --test soak -- --nocapture`, one seed
-//! again with `SOAK_SEED=N`, with the program's log by `TEST_LOG=debug`.
+//! again with `SOAK_SEED=N`. Where a rule is broken, the program's log is kept; `TEST_LOG=debug` makes it longer.
 
 #[path = "../alone/mod.rs"]
 mod alone;
@@ -18,6 +18,8 @@
 use endpoint::{discovery, endpoint};
 use heronroute_syscall_faults::{Call, Control};
 use judge::{Downs, MACHINE, START_SLACK, judge_end, judge_runs};
+use std::fs::OpenOptions;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{scope, sleep, spawn};
@@ -42,6 +44,8 @@
     control: Control,
     world: Arc<World>,
     downs: Downs,
+    /// The faults so far, in words.
+    faults: Vec<String>,
     broken: Vec<String>,
 }
 
@@ -78,14 +82,32 @@
         config["settings"]["FamilyInfo"]["BatchByKind"] = serde_json::json!([1, 8]);
         std::fs::write(file, config.to_string()).unwrap();
         let control = Control::new(&sender.folder.join("faults")).unwrap();
-        let mut run = Run { sender, control, world, downs: Vec::new(), broken: Vec::new() };
+        let (downs, faults, broken) = (Vec::new(), Vec::new(), Vec::new());
+        let mut run = Run { sender, control, world, downs, faults, broken };
         run.start();
         run
     }
 
+    fn log_file(&self) -> PathBuf {
+        self.sender.folder.join("log")
+    }
+
+    /// Keeps the program's log beyond the run, and returns where it is.
+    fn keep_log(&self, seed: u64) -> PathBuf {
+        let kept = std::env::temp_dir().join(format!("heronroute-soak-{seed}.log"));
+        _ = std::fs::copy(self.log_file(), &kept);
+        kept
+    }
+
+    fn note(&mut self, fault: &str) {
+        self.faults.push(format!("{:?} {fault}", Instant::now()));
+    }
+
     fn start(&mut self) {
         let mut command = command(&self.sender.folder, 256);
         self.control.preload(&mut command, &self.sender.folder.join("state"));
+        let log = OpenOptions::new().create(true).append(true).open(self.log_file()).unwrap();
+        command.stderr(log);
         self.sender.child = command.spawn().unwrap();
         self.sender.ready();
     }
@@ -99,7 +121,10 @@
                 self.kill(began, random);
             }
             2 => self.pause(random),
-            3 => (0..=random.below(3)).for_each(|_| self.sender.signal("-HUP")),
+            3 => {
+                self.note("SIGHUP");
+                (0..=random.below(3)).for_each(|_| self.sender.signal("-HUP"));
+            }
             4 => self.terminate(random),
             _ => {}
         }
@@ -112,6 +137,7 @@
     fn fail_folder(&mut self, random: &mut Random) {
         let call = if random.one_in(2) { Call::Write } else { Call::HalfWrite };
         let errno = if random.one_in(2) { 5 } else { 28 };
+        self.note(&format!("{call:?} fails with errno {errno}"));
         self.control.fail(call, errno).unwrap();
         if random.one_in(2) {
             self.control.fail(Call::Truncate, errno).unwrap();
@@ -123,17 +149,21 @@
         }
         self.control.heal(call).unwrap();
         self.control.heal(Call::Truncate).unwrap();
+        self.note("the folder is well");
     }
 
     fn pause(&mut self, random: &mut Random) {
+        self.note("SIGSTOP");
         self.sender.hold();
         sleep(random.millis(20, 150));
         self.sender.go_on();
+        self.note("SIGCONT");
     }
 
     /// SIGTERM, with further signals behind it, and SIGKILL as early as the page allows.
     fn terminate(&mut self, random: &mut Random) {
         let began = Instant::now();
+        self.note("SIGTERM");
         self.sender.signal("-TERM");
         while began.elapsed() < KILL_AFTER && self.sender.child.try_wait().unwrap().is_none() {
             match random.below(8) {
@@ -150,16 +180,20 @@
 
     /// SIGKILL, and a start after a while, with another wall clock. The process was ending since `began`.
     fn kill(&mut self, began: Instant, random: &mut Random) {
+        self.note("SIGKILL");
         _ = self.sender.child.kill();
         self.sender.child.wait().unwrap();
         let step = [0, 2, -2, 60, -60, 3_600, -3_600][random.below(7) as usize];
+        self.note(&format!("the wall clock is {step} s off"));
         self.control.step_wall_clock(step * 1_000_000).unwrap();
         sleep(random.millis(10, 600));
         // What fails at a start delays it, which is another test's matter.
         [Call::Write, Call::HalfWrite, Call::Truncate]
             .iter()
             .for_each(|call| self.control.heal(*call).unwrap());
+        self.note("start");
         self.start();
+        self.note("ready");
         self.downs.push((began, Instant::now()));
     }
 }
@@ -195,6 +229,10 @@
         run.broken.extend(judge_end(message, &trail, &run.downs));
     }
     run.world.over.store(true, Ordering::Relaxed);
+    if !run.broken.is_empty() {
+        let log = run.keep_log(seed);
+        println!("seed {seed}: the faults, and the program's log in {log:?}: {:#?}", run.faults);
+    }
     (std::mem::take(&mut run.broken), all.iter().filter(|m| m.accepted).count())
 }
 
