--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -13,6 +13,27 @@
 const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
 const LIMITED: &str = "HTTP/1.1 429 No\r\nretry-after: 0.2\r\ncontent-length: 0\r\n\r\n";
 
+/// How often the endpoints of a run do what is hard to bear.
+#[derive(Clone, Copy, Debug)]
+pub struct Profile {
+    /// Of ten answers, those that are written a second time behind the next call.
+    copied_behind: u64,
+    /// Of ten answers, those that are written a second time after a while.
+    copied_later: u64,
+    /// Of sixteen calls, those that take long.
+    long_calls: u64,
+}
+
+impl Profile {
+    /// One run in three has copies of most answers, and more long calls.
+    pub fn of_run(seed: u64) -> Self {
+        if seed.is_multiple_of(3) {
+            return Profile { copied_behind: 3, copied_later: 5, long_calls: 5 };
+        }
+        Profile { copied_behind: 2, copied_later: 1, long_calls: 3 }
+    }
+}
+
 /// What an endpoint does with a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Fate {
@@ -91,13 +112,16 @@
 }
 
 /// How long a call takes: at times longer than any timer of the program, also where it is refused.
-fn run_time(random: &mut Random) -> Duration {
-    match random.below(16) {
-        0 | 1 => random.millis(420, 1_200),
-        2 => random.millis(1_200, 3_500),
-        3..7 => random.millis(1, 10),
-        _ => random.millis(5, 150),
+fn run_time(profile: Profile, random: &mut Random) -> Duration {
+    let number = random.below(16);
+    if number < profile.long_calls {
+        let much_longer = random.one_in(3);
+        return if much_longer { random.millis(1_200, 3_500) } else { random.millis(420, 1_200) };
+    }
+    if number < profile.long_calls + 4 {
+        return random.millis(1, 10);
     }
+    random.millis(5, 150)
 }
 
 /// Splits an answer where it is to be written in pieces.
@@ -117,7 +141,7 @@
 }
 
 /// An endpoint: answers calls as its seed says, often twice.
-pub fn endpoint(stream: TcpStream, seed: u64, world: &World) {
+pub fn endpoint(stream: TcpStream, profile: Profile, seed: u64, world: &World) {
     let mut random = Random::new(seed);
     let connection = Arc::new(Connection::new(stream));
     // A second copy of the last answer, which is written behind the next call.
@@ -131,13 +155,14 @@
             sleep(random.millis(0, 20));
             write_answer(&connection, &copy, &mut random);
         }
-        let answer = take_call(&connection, &call, &mut random, world);
+        let answer = take_call(&connection, &call, profile, &mut random, world);
         world.call_ended(&call.ids, &connection);
         let Some(answer) = answer else { return };
-        match random.below(10) {
-            0 | 1 => copy = Some(answer),
-            2 => write_later(connection.clone(), answer, random.millis(1, 80)),
-            _ => {}
+        let number = random.below(10);
+        if number < profile.copied_behind {
+            copy = Some(answer);
+        } else if number < profile.copied_behind + profile.copied_later {
+            write_later(connection.clone(), answer, random.millis(1, 80));
         }
     }
 }
@@ -154,6 +179,7 @@
 fn take_call(
     connection: &Arc<Connection>,
     call: &IncomingCall,
+    profile: Profile,
     random: &mut Random,
     world: &World,
 ) -> Option<String> {
@@ -169,7 +195,7 @@
             trail.steps.push(format!("{began:?} called with {}, {fate:?} {state}, on {on}", call.ids.len()));
         });
     }
-    if !connection.stays_open_for(run_time(random), world) {
+    if !connection.stays_open_for(run_time(profile, random), world) {
         world.step(&call.ids, "given up");
         return None;
     }
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -15,7 +15,7 @@
 
 use alone::{MS, Sender, command, set_up};
 use clients::{DESTINATIONS, Submitted, TIME, client, crowd};
-use endpoint::{discovery, endpoint};
+use endpoint::{Profile, discovery, endpoint};
 use heronroute_syscall_faults::{Call, Control};
 use judge::{Downs, MACHINE, START_SLACK, judge_end, judge_runs};
 use std::fs::OpenOptions;
@@ -62,7 +62,8 @@
             .map(|n: u64| {
                 let seen = world.clone();
                 let at = serve(address, &world, move |stream, count| {
-                    endpoint(stream, seed * 1_000_003 + n * 1_009 + count, &seen);
+                    let own_seed = seed * 1_000_003 + n * 1_009 + count;
+                    endpoint(stream, Profile::of_run(seed), own_seed, &seen);
                 });
                 let cell = 1 + n / ENDPOINTS_PER_DESTINATION;
                 let kind = if cell == DESTINATIONS { "bulk" } else { "m" };
