Give up a shared call behind an unproved delivery once one message's time is over

Where a connection has an unproved delivery, the earliest deadline of such a call now limits the connection too.

--- a/crates/engine/src/delivery/send.rs
+++ b/crates/engine/src/delivery/send.rs
@@ -162,9 +162,11 @@
         let ConnRole::Receiver { link, .. } = &mut entry.role else { return };
         let ranges = link.send(self.now, call, &messages, &mut entry.stream);
         self.calls.record_written(call, conn, &ranges);
-        for message in self.open_messages_of(call) {
-            self.attempts.written(message, call, conn);
+        let messages = self.open_messages_of(call);
+        for message in &messages {
+            self.attempts.written(*message, call, conn);
         }
+        self.limit_connection_by(conn, &messages);
         self.timers.clear(TimerKey::Idle(conn));
         self.flush(conn);
         self.schedule_link_tick(conn);
--- a/crates/engine/src/delivery/unconfirmed.rs
+++ b/crates/engine/src/delivery/unconfirmed.rs
@@ -49,6 +49,20 @@
         }
     }
 
+    /// Limits a connection with an unconfirmed delivery by the messages of a call that was written behind it:
+    /// the endpoint may read the call only once it has ended an earlier one. Without such a delivery it has read
+    /// the call at once.
+    pub(crate) fn limit_connection_by(&mut self, conn: ConnId, messages: &[MsgId]) {
+        // A call of one message is given up at its deadline in any case.
+        if messages.len() < 2 || self.unconfirmed.expiry(conn).is_none() {
+            return;
+        }
+        let deadlines = messages.iter().filter_map(|id| Some(self.messages.get(id)?.deadline));
+        if let Some(earliest) = deadlines.min() {
+            self.limit_connection(conn, earliest);
+        }
+    }
+
     /// Handles the times set by [`Self::limit_connection`].
     pub(crate) fn expire_connection(&mut self, conn: ConnId) {
         let Some(ConnRole::Receiver { endpoint, .. }) = self.conns.get(&conn).map(|c| &c.role) else {
--- a/crates/engine/tests/answer_copies.rs
+++ b/crates/engine/tests/answer_copies.rs
@@ -363,3 +363,28 @@
         assert!(harness.closed.contains(&conn), "still open, further calls: {further_calls}");
     }
 }
+
+/// Guards against the same for one message of several in a call, behind a call that a second copy has answered.
+#[test]
+fn a_shared_call_behind_an_uncertain_delivery_is_given_up_once_the_time_of_one_message_is_over() {
+    const TIME: i64 = 600 * MS;
+    const SLACK: i64 = 50 * MS;
+    let mut harness = new_harness();
+    let client = harness.connect_client();
+    let safe = "c=safe,t=t,d=7000,dest=2";
+    harness.submit(client, "before", safe);
+    let (conn, _) = harness.take_received(1002).remove(0);
+    harness.peer_sends(conn, OK);
+    harness.submit(client, "long", safe);
+    assert_eq!(harness.take_received(1002).remove(0).0, conn);
+    harness.peer_sends(conn, OK);
+    let short = out_add_command("short", &format!("c=safe,t=t,d={},dest=2", TIME / MS), "body");
+    let both = short + &out_add_command("other", safe, "body");
+    harness.node.received(harness.now, client, both.as_bytes());
+    let end = harness.now + TIME + SLACK;
+    harness.advance(5 * MS);
+    let (shared, text) = harness.take_received(1002).remove(0);
+    assert!(shared == conn && text.contains("short") && text.contains("other"), "{text}");
+    harness.advance(end - harness.now);
+    assert!(harness.closed.contains(&conn), "still open");
+}
