Notices: each request has a connection of its own, so that no copy acknowledges one

A 204 on a connection that had answered before may be a second copy, and was believed after 0.4 s in which nothing contradicted it; where the connection ended in that time the notice was lost, and with it the end of its message. A time proves nothing here either. Each request now goes on a new connection to the platform's address, which is on the same machine, at most one in 5 ms; an answer before the whole request has left acknowledges nothing.

an_acknowledgement_that_is_not_contradicted_counts held that a time proves an acknowledgement, and that the end of the connection is no contradiction: both are wrong, and a test that no time acknowledges a notice stands in its place. That of copies now holds that no request is written behind an answer; a third bounds the connections.

--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -1,4 +1,4 @@
-//! Notices that report the ends of messages to the platform, on a connection of their own.
+//! Notices that report the ends of messages to the platform, on connections of their own.
 
 use crate::Micros;
 use crate::ids::ConnId;
@@ -41,8 +41,6 @@
                 }
             }
         }
-        let confirmed = self.notices.iter_mut().flat_map(|n| n.take_confirmed(self.now)).collect::<Vec<_>>();
-        confirmed.into_iter().for_each(|id| self.taken(id));
         if let Some(conn) = self.notices_conn {
             self.flush(conn);
         }
@@ -63,7 +61,7 @@
     pub(crate) fn notices_received(&mut self, conn: ConnId, bytes: &[u8]) {
         let now = self.now;
         let (Some(n), Some(c)) = (&mut self.notices, self.conns.get_mut(&conn)) else { return };
-        let (acknowledged, disconnect) = match n.receive(now, bytes, &mut c.stream.out) {
+        let (acknowledged, disconnect) = match n.receive(now, bytes, &c.stream.out) {
             Ok(acknowledged) => (acknowledged, n.is_disconnected()),
             Err(why) => {
                 tracing::warn!(
--- a/crates/platform/src/notice.rs
+++ b/crates/platform/src/notice.rs
@@ -4,6 +4,9 @@
 //! A notice is pending until the platform has answered with a 2xx status. Repeats are harmless, so notices
 //! that are in flight when a connection breaks are sent again. Their number is bounded by the number of open
 //! messages: a message stays open until its notice is acknowledged (see the engine).
+//!
+//! An answer names no request, and may be a second copy of an earlier one. So each request has a connection of
+//! its own, whose only answer can belong to no other. The platform's address is on the same machine.
 
 use bytes::BytesMut;
 use heronroute::Micros;
@@ -26,9 +29,8 @@
 /// The maximum delay between attempts, in microseconds.
 const MAX_BACKOFF: Micros = 200_000;
 
-/// The time in microseconds after which an acknowledgement that may be a second copy of an earlier one on its
-/// connection counts, unless it was contradicted. The platform answers at once.
-const CONFIRMATION_DELAY: Micros = 400_000;
+/// The delay after an acknowledged request, in microseconds. It bounds the number of connections.
+const REQUEST_INTERVAL: Micros = 5_000;
 
 /// How an undelivered message ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,10 +80,6 @@
     waiting: VecDeque<(N, String)>,
     /// Notices in the request in flight.
     in_flight: VecDeque<(N, String)>,
-    /// Notices acknowledged on a connection that was used before, with the time from which that counts.
-    unconfirmed: VecDeque<(Micros, (N, String))>,
-    /// An answer has been read on this connection.
-    is_used: bool,
     state: State,
     backoff: Micros,
     reader: Reader,
@@ -104,6 +102,9 @@
     /// The platform refused notices, or sent an answer without a request.
     #[error("notices were answered {0}")]
     Status(u16),
+    /// The platform answered before the request was sent.
+    #[error("notices were answered before they were sent")]
+    Premature,
     /// The answer can't be read.
     #[error(transparent)]
     Parse(#[from] ParseError),
@@ -116,8 +117,6 @@
             address,
             waiting: VecDeque::new(),
             in_flight: VecDeque::new(),
-            unconfirmed: VecDeque::new(),
-            is_used: false,
             state: State::Disconnected(0),
             backoff: MIN_BACKOFF,
             reader: Reader::new(Side::Responses, 4_096),
@@ -144,11 +143,6 @@
 
     /// Returns the time at which [`Notices::tick`] must be called next.
     pub fn wake(&self) -> Micros {
-        let confirmed = self.unconfirmed.front().map_or(Micros::MAX, |(at, _)| *at);
-        confirmed.min(self.connection_wake())
-    }
-
-    fn connection_wake(&self) -> Micros {
         match self.state {
             State::Disconnected(at) if self.pending_count() > 0 => at,
             State::Connecting(at) | State::AwaitingAnswer(at) => at,
@@ -157,20 +151,6 @@
         }
     }
 
-    /// Takes the messages whose unconfirmed acknowledgements count by now.
-    pub fn take_confirmed(&mut self, now: Micros) -> Vec<N> {
-        let due = self.unconfirmed.iter().take_while(|(at, _)| *at <= now).count();
-        self.unconfirmed.drain(..due).map(|(_, (message, _))| message).collect()
-    }
-
-    /// Handles an answer that no request in flight asked for: recent acknowledgements may have been copies,
-    /// so their notices are pending again.
-    fn requeue_unconfirmed(&mut self) {
-        while let Some((_, notice)) = self.unconfirmed.pop_back() {
-            self.waiting.push_front(notice);
-        }
-    }
-
     /// Handles timeouts, and sends pending notices.
     pub fn tick(&mut self, now: Micros, out: &mut BytesMut) -> NoticeAction {
         match self.state {
@@ -193,7 +173,6 @@
     /// Handles an established connection.
     pub fn connected(&mut self, now: Micros, out: &mut BytesMut) {
         self.reader = Reader::new(Side::Responses, 4_096);
-        self.is_used = false;
         self.state = State::Idle;
         self.write(now, out);
     }
@@ -223,47 +202,37 @@
         self.state = State::AwaitingAnswer(now + self.timeout());
     }
 
-    /// Processes received bytes, and returns the messages whose notices were acknowledged.
+    /// Processes received bytes, and returns the messages whose notices were acknowledged. The connection is of
+    /// no more use then, and the caller closes it. `out` is what was not sent of the request.
     ///
     /// # Errors
     /// If the connection can't be used any more.
-    pub fn receive(&mut self, now: Micros, bytes: &[u8], out: &mut BytesMut) -> Result<Vec<N>, NoticeError> {
+    pub fn receive(&mut self, now: Micros, bytes: &[u8], out: &BytesMut) -> Result<Vec<N>, NoticeError> {
         self.reader.push(bytes);
-        let mut acknowledged = Vec::new();
         loop {
-            match self.reader.next_message() {
-                Ok(None) => return Ok(acknowledged),
-                Ok(Some(answer)) if (100..200).contains(&answer.status()) => {}
-                Ok(Some(answer))
-                    if matches!(self.state, State::AwaitingAnswer(_))
-                        && (200..300).contains(&answer.status()) =>
-                {
-                    let answered = self.in_flight.drain(..);
-                    if std::mem::replace(&mut self.is_used, true) {
-                        let counts_from = now + CONFIRMATION_DELAY;
-                        self.unconfirmed.extend(answered.map(|notice| (counts_from, notice)));
-                    } else {
-                        acknowledged.extend(answered.map(|(message, _)| message));
-                    }
-                    (self.state, self.backoff) = (State::Idle, MIN_BACKOFF);
-                    if answer.closes_connection {
-                        self.state = State::Disconnected(now);
-                        return Ok(acknowledged);
-                    }
-                    self.write(now, out);
-                }
-                Ok(Some(answer)) => {
-                    self.requeue_unconfirmed();
-                    return Err(NoticeError::Status(answer.status()));
-                }
-                Err(e) => {
-                    self.requeue_unconfirmed();
-                    return Err(e.into());
+            match self.reader.next_message()? {
+                None => return Ok(Vec::new()),
+                Some(answer) if (100..200).contains(&answer.status()) => {}
+                Some(answer) if (200..300).contains(&answer.status()) => {
+                    return self.acknowledge(now, answer.status(), out);
                 }
+                Some(answer) => return Err(NoticeError::Status(answer.status())),
             }
         }
     }
 
+    fn acknowledge(&mut self, now: Micros, status: u16, out: &BytesMut) -> Result<Vec<N>, NoticeError> {
+        if !matches!(self.state, State::AwaitingAnswer(_)) {
+            return Err(NoticeError::Status(status));
+        }
+        if !out.is_empty() {
+            return Err(NoticeError::Premature);
+        }
+        self.state = State::Disconnected(now + REQUEST_INTERVAL);
+        self.backoff = MIN_BACKOFF;
+        Ok(self.in_flight.drain(..).map(|(message, _)| message).collect())
+    }
+
     /// Returns whether there is no connection.
     pub fn is_disconnected(&self) -> bool {
         matches!(self.state, State::Disconnected(_))
--- a/crates/platform/tests/notices.rs
+++ b/crates/platform/tests/notices.rs
@@ -36,16 +36,20 @@
     assert!(out.len() > text.len() - 8);
     notices.add(3, "c", UndeliveredEnd::Failed);
     out.clear();
-    let acknowledged = notices.receive(12, b"HTTP/1.1 204 No Content\r\n\r\n", &mut out).unwrap();
+    let acknowledged = notices.receive(12, b"HTTP/1.1 204 No Content\r\n\r\n", &out).unwrap();
     assert_eq!((acknowledged, notices.pending_count()), (vec![1, 2], 1));
-    assert!(!out.is_empty(), "the next one is sent on the same connection");
+    assert!(notices.is_disconnected() && out.is_empty(), "each request has a connection of its own");
+    let next = notices.wake();
+    assert_eq!(notices.tick(next, &mut out), NoticeAction::Connect(at(2)));
+    notices.connected(next, &mut out);
+    assert!(!out.is_empty());
     let unanswered = notices.wake();
     assert_eq!(notices.tick(unanswered, &mut out), NoticeAction::Drop, "the answer timed out");
     let again = notices.wake();
     assert!(again > unanswered);
     assert_eq!(notices.tick(again, &mut out), NoticeAction::Connect(at(2)));
     notices.connected(again, &mut out);
-    assert!(notices.receive(again, b"HTTP/1.1 400 Bad\r\ncontent-length: 0\r\n\r\n", &mut out).is_err());
+    assert!(notices.receive(again, b"HTTP/1.1 400 Bad\r\ncontent-length: 0\r\n\r\n", &out).is_err());
     assert_eq!(notices.pending_count(), 1);
 }
 
@@ -83,9 +87,7 @@
     match failure {
         Failure::Refused | Failure::ConnectionLost => notices.ended(*now),
         Failure::InvalidAnswer => {
-            assert!(
-                notices.receive(*now, b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n", &mut out).is_err()
-            );
+            assert!(notices.receive(*now, b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n", &out).is_err());
             notices.ended(*now);
         }
         Failure::NeverConnected | Failure::Unanswered => {
@@ -108,7 +110,8 @@
             assert_eq!(notices.tick(now, &mut out), NoticeAction::Connect(at(1)));
             notices.connected(now, &mut out);
             assert!(now < MAX_REPORT_DELAY, "{first:?}, then {second:?}: sent after {now} us");
-            assert_eq!(notices.receive(now, b"HTTP/1.1 204 No Content\r\n\r\n", &mut out).unwrap(), [1]);
+            out.clear();
+            assert_eq!(notices.receive(now, ACKNOWLEDGED, &out).unwrap(), [1]);
         }
     }
 }
@@ -134,54 +137,64 @@
         notices.add(1, "a", UndeliveredEnd::Failed);
         notices.tick(0, &mut out);
         notices.connected(0, &mut out);
-        let error = notices.receive(0, answer.as_bytes(), &mut out).unwrap_err();
+        out.clear();
+        let error = notices.receive(0, answer.as_bytes(), &out).unwrap_err();
         assert_eq!(error.to_string(), text);
     }
 }
 
 const ACKNOWLEDGED: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
 
-/// Returns notices of which the first is acknowledged and the second is in flight on the same connection.
-fn second_in_flight() -> (Notices<u64>, BytesMut) {
+/// Guards against a message whose end is never reported because a copy of an earlier answer acknowledged its
+/// notice: no request is written to a connection on which an answer was read.
+#[test]
+fn a_copy_of_an_answer_acknowledges_no_notice() {
     let (mut notices, mut out) = (Notices::new(at(1)), BytesMut::new());
     notices.add(1, "a", UndeliveredEnd::Failed);
     assert_eq!(notices.tick(0, &mut out), NoticeAction::Connect(at(1)));
     notices.connected(0, &mut out);
-    assert_eq!(notices.receive(10, ACKNOWLEDGED, &mut out).unwrap(), [1]);
+    out.clear();
     notices.add(2, "b", UndeliveredEnd::Failed);
-    assert_eq!(notices.tick(20, &mut out), NoticeAction::Nothing);
-    (notices, out)
+    assert_eq!(notices.receive(10, ACKNOWLEDGED, &out).unwrap(), [1]);
+    assert!(out.is_empty(), "the next one is not written behind it");
+    assert!(notices.receive(11, ACKNOWLEDGED, &out).is_err(), "a copy answers nothing");
+    assert_eq!(notices.pending_count(), 1);
+    let next = notices.wake();
+    assert_eq!(notices.tick(next, &mut out), NoticeAction::Connect(at(1)));
+    notices.connected(next, &mut out);
+    let unsent = out.clone();
+    assert!(notices.receive(next, ACKNOWLEDGED, &unsent).is_err(), "its request has not been sent");
+    notices.ended(next);
+    assert_eq!(notices.pending_count(), 1, "it is sent again");
 }
 
-/// Guards against a message whose end is never reported because a copy of an earlier answer acknowledged its
-/// notice.
+/// Guards against a notice whose acknowledgement counted by a time in which nothing contradicted it.
 #[test]
-fn a_copy_of_an_answer_does_not_acknowledge_the_next_notice() {
-    for own in [&b"HTTP/1.1 400 Bad\r\ncontent-length: 0\r\n\r\n"[..], b"noise\r\n\r\n"] {
-        let (mut notices, mut out) = second_in_flight();
-        assert_eq!(
-            notices.receive(30, ACKNOWLEDGED, &mut out).unwrap(),
-            [0_u64; 0],
-            "it may be a copy of the first answer"
-        );
-        assert!(notices.receive(50, own, &mut out).is_err());
-        notices.ended(50);
-        assert_eq!(
-            (notices.pending_count(), notices.take_confirmed(10_000_000)),
-            (1, vec![]),
-            "it is sent again"
-        );
+fn time_acknowledges_no_notice() {
+    let (mut notices, mut out) = (Notices::new(at(1)), BytesMut::new());
+    notices.add(1, "a", UndeliveredEnd::Failed);
+    assert_eq!(notices.tick(0, &mut out), NoticeAction::Connect(at(1)));
+    let mut now = 0;
+    for _ in 0..100 {
+        notices.connected(now, &mut out);
+        out.clear();
+        notices.ended(now);
+        now = notices.wake();
+        assert_eq!((notices.tick(now, &mut out), notices.pending_count()), (NoticeAction::Connect(at(1)), 1));
     }
 }
 
 #[test]
-fn an_acknowledgement_that_is_not_contradicted_counts() {
-    let (mut notices, mut out) = second_in_flight();
-    assert!(notices.receive(30, ACKNOWLEDGED, &mut out).unwrap().is_empty());
-    assert_eq!(notices.pending_count(), 0, "it is not sent again meanwhile");
-    let due = notices.wake();
-    assert!(notices.take_confirmed(due - 1).is_empty());
-    // The end of the connection is no contradiction.
-    notices.ended(due - 1);
-    assert_eq!((notices.take_confirmed(due), notices.wake()), (vec![2], Micros::MAX));
+fn the_number_of_connections_is_bounded_while_all_requests_are_acknowledged() {
+    let (mut notices, mut out, mut now, mut connections) = (Notices::new(at(1)), BytesMut::new(), 0, 0);
+    while now < 1_000_000 {
+        notices.add(1, "a", UndeliveredEnd::Failed);
+        now = notices.wake().max(now);
+        assert_eq!(notices.tick(now, &mut out), NoticeAction::Connect(at(1)));
+        notices.connected(now, &mut out);
+        out.clear();
+        assert_eq!(notices.receive(now, ACKNOWLEDGED, &out).unwrap(), [1]);
+        connections += 1;
+    }
+    assert!(connections <= 201, "{connections} in 1 s");
 }
