Soak: endpoints drain and return, close behind answers, and answer what can't be read

Faults that the soak did not have. A new rule: nothing is sent to an endpoint later than 1 s after discovery had told that it drains, by the first octet's arrival; spans after a start are left out.

--- a/crates/cli/tests/soak/connection.rs
+++ b/crates/cli/tests/soak/connection.rs
@@ -12,6 +12,8 @@
 struct State {
     stream: TcpStream,
     unread: Vec<u8>,
+    /// When the first of the unread octets came.
+    unread_since: Option<Instant>,
     ended: bool,
 }
 
@@ -21,7 +23,10 @@
         let mut buffer = [0; 8_192];
         while !self.ended {
             match self.stream.read(&mut buffer) {
-                Ok(length @ 1..) => self.unread.extend_from_slice(&buffer[..length]),
+                Ok(length @ 1..) => {
+                    self.unread_since.get_or_insert_with(Instant::now);
+                    self.unread.extend_from_slice(&buffer[..length]);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Ok(_) | Err(_) => self.ended = true,
@@ -40,7 +45,7 @@
     pub fn new(stream: TcpStream) -> Self {
         stream.set_nonblocking(true).unwrap();
         stream.set_nodelay(true).unwrap();
-        let state = Mutex::new(State { stream, unread: Vec::new(), ended: false });
+        let state = Mutex::new(State { stream, unread: Vec::new(), unread_since: None, ended: false });
         Connection { state, accepted: Instant::now() }
     }
 
@@ -57,14 +62,18 @@
         !state.ended
     }
 
-    /// The next request whole; none at the end of the connection.
-    pub fn next_request(&self, world: &World) -> Option<String> {
+    /// The next request whole, and when its first octet came; none at the end of the connection.
+    pub fn next_request(&self, world: &World) -> Option<(String, Instant)> {
         while !world.is_over() {
             let mut state = self.state.lock().unwrap();
             state.read();
             if let Some(length) = request_length(&state.unread) {
                 let request: Vec<u8> = state.unread.drain(..length).collect();
-                return Some(String::from_utf8_lossy(&request).into_owned());
+                let began = state.unread_since.take().unwrap_or_else(Instant::now);
+                if !state.unread.is_empty() {
+                    state.unread_since = Some(Instant::now());
+                }
+                return Some((String::from_utf8_lossy(&request).into_owned(), began));
             }
             if state.ended {
                 return None;
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const CLOSING: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+const SPOILT: &str = "HTTP/1.1 5O3 No\r\ncontent-length: x\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n";
 const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
 const LIMITED: &str = "HTTP/1.1 429 No\r\nretry-after: 0.2\r\ncontent-length: 0\r\n\r\n";
@@ -45,6 +47,10 @@
     Failed,
     /// The connection ends without an answer.
     Broken,
+    /// Delivered, and the connection is closed behind the answer.
+    Closing,
+    /// The answer can't be read.
+    Spoilt,
 }
 
 impl Fate {
@@ -56,7 +62,7 @@
             16 => Fate::Limited,
             17 => Fate::Failed,
             18 => Fate::Broken,
-            _ => Fate::Delivered,
+            _ => [Fate::Delivered, Fate::Closing, Fate::Spoilt][random.below(3) as usize],
         }
     }
 }
@@ -89,24 +95,27 @@
         .ids
         .iter()
         .map(|_| match fate {
-            Fate::Delivered => "ok",
+            Fate::Delivered | Fate::Closing => "ok",
             Fate::Mixed => ["ok", "later", "error"][random.below(3) as usize],
             Fate::Full | Fate::Limited => "later",
-            Fate::Failed | Fate::Broken => "error",
+            Fate::Failed | Fate::Broken | Fate::Spoilt => "error",
         })
         .collect();
     let answer = match fate {
-        Fate::Delivered | Fate::Mixed if call.in_bulk => {
+        Fate::Delivered | Fate::Mixed | Fate::Closing if call.in_bulk => {
             let entries = call.ids.iter().zip(&states);
             let body =
                 Value::from_iter(entries.map(|(id, state)| json!({"id": id, "state": state}))).to_string();
-            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+            let close = if fate == Fate::Closing { "connection: close\r\n" } else { "" };
+            format!("HTTP/1.1 200 OK\r\n{close}content-length: {}\r\n\r\n{body}", body.len())
         }
         Fate::Delivered | Fate::Mixed => OK.to_string(),
         Fate::Full => FULL.to_string(),
         Fate::Limited => LIMITED.to_string(),
         Fate::Failed => FAILED.to_string(),
         Fate::Broken => String::new(),
+        Fate::Closing => CLOSING.to_string(),
+        Fate::Spoilt => SPOILT.to_string(),
     };
     (states, answer)
 }
@@ -140,14 +149,15 @@
     _ = connection.write(rest);
 }
 
-/// An endpoint: answers calls as its seed says, often twice.
-pub fn endpoint(stream: TcpStream, profile: Profile, seed: u64, world: &World) {
+/// An endpoint, by its number: answers calls as its seed says, often twice.
+pub fn endpoint(number: usize, stream: TcpStream, profile: Profile, seed: u64, world: &World) {
     let mut random = Random::new(seed);
     let connection = Arc::new(Connection::new(stream));
     // A second copy of the last answer, which is written behind the next call.
     let mut copy: Option<String> = None;
-    while let Some(request) = connection.next_request(world) {
+    while let Some((request, began)) = connection.next_request(world) {
         let call = IncomingCall::read(&request);
+        call.ids.iter().for_each(|id| world.with(id, |trail| trail.calls.push((number, began))));
         world.call_began(&call.ids, &connection);
         if let Some(copy) = copy.take() {
             world.step(&call.ids, &format!("a copy of {:?} behind its call", &copy[9..12]));
@@ -158,6 +168,9 @@
         let answer = take_call(&connection, &call, profile, &mut random, world);
         world.call_ended(&call.ids, &connection);
         let Some(answer) = answer else { return };
+        if answer.contains("connection: close") || answer == SPOILT {
+            return;
+        }
         let number = random.below(10);
         if number < profile.copied_behind {
             copy = Some(answer);
@@ -232,16 +245,12 @@
     }
 }
 
-/// Discovery: a watch that says nothing, and notices, which are taken.
+/// Discovery: a watch of the list, and notices, which are taken.
 pub fn discovery(stream: TcpStream, world: &World) {
     let connection = Connection::new(stream);
-    while let Some(request) = connection.next_request(world) {
+    while let Some((request, _)) = connection.next_request(world) {
         if request.starts_with("GET") {
-            _ = connection.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
-            while connection.stays_open_for(Duration::from_millis(500), world)
-                && connection.write("1\r\n\n\r\n")
-            {}
-            return;
+            return world.listing.follow(&connection, &request, world);
         }
         for line in request.lines().filter(|l| l.starts_with('{')) {
             let id = line.split("\"id\":\"").nth(1).and_then(|t| t.split('"').next()).unwrap_or("?");
--- a/crates/cli/tests/soak/judge.rs
+++ b/crates/cli/tests/soak/judge.rs
@@ -1,6 +1,7 @@
 //! The rules that a run is judged by, from what crossed the sockets.
 
 use crate::clients::{Submitted, TIME};
+use crate::listing::{Drain, called_while_draining};
 use crate::world::Trail;
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,8 @@
 /// The page allows 0.3 s and 50 ms behind a message's time, and 1.5 s behind the start of a process.
 const END_SLACK: Duration = Duration::from_millis(350);
 pub const START_SLACK: Duration = Duration::from_millis(1_500);
+/// Within this span a drain that was told may still be followed by calls.
+const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
 /// What a loaded machine may add to what the test sees late.
 pub const MACHINE: Duration = Duration::from_millis(400);
 
@@ -44,3 +47,9 @@
     let is_lost = message.accepted && ended.is_none_or(|at| at > due + MACHINE);
     is_lost.then(|| broken("lost", message, trail))
 }
+
+/// Whether a message was sent to an endpoint that had long been told as draining.
+pub fn judge_drains(message: &Submitted, trail: &Trail, drains: &[Drain], downs: &Downs) -> Option<String> {
+    let (endpoint, at) = called_while_draining(trail, drains, DRAIN_GRACE + MACHINE, downs)?;
+    Some(broken(&format!("sent to {endpoint}, which drains, at {at:?}"), message, trail))
+}
--- /dev/null
+++ b/crates/cli/tests/soak/listing.rs
@@ -0,0 +1,136 @@
+//! The list of endpoints that discovery tells of, as it changes: endpoints drain, and serve again.
+
+use crate::connection::Connection;
+use crate::world::{Trail, World};
+use serde_json::{Value, json};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// How often a watch looks for changes.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// After so long without a change a watch gets an empty line.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A span in which an endpoint was draining.
+#[derive(Clone, Debug)]
+pub struct Drain {
+    pub endpoint: usize,
+    /// When discovery had written it to the process, if it has.
+    pub told: Option<Instant>,
+    pub over: Option<Instant>,
+    version: u64,
+}
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    entries: Vec<Value>,
+    /// The changes since the first version, oldest first.
+    changes: Vec<(u64, Value)>,
+    drains: Vec<Drain>,
+}
+
+/// The list, and what has been told of it.
+#[derive(Default)]
+pub struct Listing(Mutex<State>);
+
+impl Listing {
+    /// Sets the endpoints that the process knows at its start.
+    pub fn set_entries(&self, entries: &[Value]) {
+        let mut state = self.0.lock().unwrap();
+        state.version = 1;
+        state.entries = entries.to_vec();
+    }
+
+    /// Lets an endpoint drain, or serve again where it drains. Gives what was done, in words.
+    pub fn toggle(&self, endpoint: usize) -> String {
+        let mut state = self.0.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        let open = state.drains.iter_mut().find(|drain| drain.endpoint == endpoint && drain.over.is_none());
+        let word = match open {
+            Some(drain) => {
+                drain.over = Some(Instant::now());
+                "SERVING"
+            }
+            None => {
+                state.drains.push(Drain { endpoint, told: None, over: None, version });
+                "DRAINING"
+            }
+        };
+        state.entries[endpoint]["state"] = word.into();
+        let entry = state.entries[endpoint].clone();
+        state.changes.push((version, entry));
+        format!("endpoint {endpoint} is {word}")
+    }
+
+    pub fn drains(&self) -> Vec<Drain> {
+        self.0.lock().unwrap().drains.clone()
+    }
+
+    /// Answers a watch until it ends.
+    pub fn follow(&self, connection: &Connection, request: &str, world: &World) {
+        let since =
+            request.split("since=").nth(1).and_then(|text| text.split([' ', '&']).next()?.parse().ok());
+        let mut version = since.unwrap_or(1);
+        let mut open = connection.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        let mut last_write = Instant::now();
+        while open {
+            if let Some(line) = self.line_after(version) {
+                open = connection.write(&chunk(&line));
+                last_write = Instant::now();
+                version = self.mark_told(last_write);
+            } else if last_write.elapsed() >= IDLE_INTERVAL {
+                open = connection.write(&chunk("\n"));
+                last_write = Instant::now();
+            }
+            open = open && connection.stays_open_for(POLL_INTERVAL, world);
+        }
+    }
+
+    /// The changes after a version as a line, if there are any.
+    fn line_after(&self, version: u64) -> Option<String> {
+        let state = self.0.lock().unwrap();
+        let entries: Vec<&Value> =
+            state.changes.iter().filter(|(of, _)| *of > version).map(|(_, entry)| entry).collect();
+        entries.first()?;
+        // The last state of each endpoint.
+        let mut newest: Vec<&Value> = Vec::new();
+        for entry in entries {
+            newest.retain(|other| other["id"] != entry["id"]);
+            newest.push(entry);
+        }
+        Some(format!("{}\n", json!({"version": state.version, "full": false, "servers": newest})))
+    }
+
+    /// Records that all drains so far have been told, and gives the version.
+    fn mark_told(&self, now: Instant) -> u64 {
+        let mut state = self.0.lock().unwrap();
+        let version = state.version;
+        for drain in state.drains.iter_mut().filter(|drain| drain.version <= version) {
+            drain.told = drain.told.or(Some(now));
+        }
+        version
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The first call of a message that came while its endpoint was draining and this had long been told.
+pub fn called_while_draining(
+    trail: &Trail,
+    drains: &[Drain],
+    grace: Duration,
+    starts: &[(Instant, Instant)],
+) -> Option<(usize, Instant)> {
+    trail.calls.iter().copied().find(|(endpoint, at)| {
+        let after_start = starts.iter().any(|(began, ready)| *began <= *at && *at <= *ready + grace);
+        let in_drain = |drain: &Drain| {
+            let told = drain.told.is_some_and(|told| told + grace < *at);
+            drain.endpoint == *endpoint && told && drain.over.is_none_or(|over| *at < over)
+        };
+        !after_start && drains.iter().any(in_drain)
+    })
+}
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -1,5 +1,5 @@
-//! Seeded runs of the real program beside faults: answers that come twice, calls that take longer than any timer, refusals and
-//! resets of endpoints, a folder that fails for a while, signals in series, a crowd of idle clients, a wall clock that is
+//! Seeded runs of the real program beside faults: answers that come twice, calls that take longer than any timer, refusals,
+//! resets and spoilt answers of endpoints, endpoints that drain and return, a folder that fails for a while, signals in series, a crowd of idle clients, a wall clock that is
 //! stepped between a kill and the next start. Judged from what crossed the sockets.
 //!
 //! In CI on a few fixed seeds. By hand: `SOAK_SEEDS=50 cargo test -p heronroute-cli --test soak -- --nocapture`, one seed
@@ -11,13 +11,14 @@
 mod connection;
 mod endpoint;
 mod judge;
+mod listing;
 mod world;
 
 use alone::{MS, Sender, command, set_up};
 use clients::{DESTINATIONS, Submitted, TIME, client, crowd};
 use endpoint::{Profile, discovery, endpoint};
 use heronroute_syscall_faults::{Call, Control};
-use judge::{Downs, MACHINE, START_SLACK, judge_end, judge_runs};
+use judge::{Downs, MACHINE, START_SLACK, judge_drains, judge_end, judge_runs};
 use std::fs::OpenOptions;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -63,7 +64,7 @@
                 let seen = world.clone();
                 let at = serve(address, &world, move |stream, count| {
                     let own_seed = seed * 1_000_003 + n * 1_009 + count;
-                    endpoint(stream, Profile::of_run(seed), own_seed, &seen);
+                    endpoint(n as usize, stream, Profile::of_run(seed), own_seed, &seen);
                 });
                 let cell = 1 + n / ENDPOINTS_PER_DESTINATION;
                 let kind = if cell == DESTINATIONS { "bulk" } else { "m" };
@@ -71,6 +72,7 @@
                     "state": "SERVING", "weight": 400.0})
             })
             .collect();
+        world.listing.set_entries(&servers);
         let seen = world.clone();
         let discovery = serve(address, &world, move |stream, _| discovery(stream, &seen));
         let file = sender.folder.join("config.json");
@@ -115,7 +117,7 @@
 
     /// One fault, or a short series.
     fn fault(&mut self, random: &mut Random) {
-        match random.below(6) {
+        match random.below(8) {
             0 => self.fail_folder(random),
             1 => {
                 let began = Instant::now();
@@ -127,6 +129,12 @@
                 (0..=random.below(3)).for_each(|_| self.sender.signal("-HUP"));
             }
             4 => self.terminate(random),
+            5 | 6 => {
+                // One endpoint of each destination serves all the time.
+                let destination = random.below(DESTINATIONS);
+                let change = self.world.listing.toggle((destination * ENDPOINTS_PER_DESTINATION) as usize);
+                self.note(&change);
+            }
             _ => {}
         }
         if let Some(status) = self.sender.child.try_wait().unwrap() {
@@ -224,10 +232,12 @@
     sleep(TIME + START_SLACK + MACHINE + 200 * MS);
     let all = all.lock().unwrap().clone();
     let trails = run.world.trails.lock().unwrap().clone();
+    let drains = run.world.listing.drains();
     for message in &all {
         let trail = trails.get(&message.id).cloned().unwrap_or_default();
         run.broken.extend(judge_runs(message, &trail));
         run.broken.extend(judge_end(message, &trail, &run.downs));
+        run.broken.extend(judge_drains(message, &trail, &drains, &run.downs));
     }
     run.world.over.store(true, Ordering::Relaxed);
     if !run.broken.is_empty() {
--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -1,6 +1,7 @@
 //! What all parts of a run share: the random numbers of its seed, and what was seen of each message outside the process.
 
 use crate::connection::Connection;
+use crate::listing::Listing;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -38,6 +39,8 @@
 pub struct Trail {
     /// When it ran, or may have run.
     pub runs: Vec<Instant>,
+    /// The endpoint of each call with it, and when its first octet came.
+    pub calls: Vec<(usize, Instant)>,
     /// When a call with it came while an earlier one was out on a connection that the process had not closed.
     pub overlaps: Vec<Instant>,
     /// When a 200 was written for it.
@@ -52,6 +55,7 @@
 #[derive(Default)]
 pub struct World {
     pub trails: Mutex<HashMap<String, Trail>>,
+    pub listing: Listing,
     /// The connections with a call that is out, by the ids of the call's messages.
     calls_out: Mutex<HashMap<String, Vec<Arc<Connection>>>>,
     pub over: AtomicBool,
