--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -5,8 +5,8 @@
 use heronroute_net::Clock;
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
-use heronroute_standins::clients::{Herd, Plan, Step};
 use heronroute_standins::run::Running;
+use heronroute_standins::smpp_clients::{Plan, SmppClients, Step};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
@@ -73,7 +73,8 @@
     let until = ((args.count as f64 / args.rate + args.wait) * 1e6) as i64;
     let clock = Clock::start();
     let address = args.connect;
-    let herd = Running::start(&[], clock, move |_| Herd::new(address, vec![plan], vec![i64::MAX / 4], until));
+    let herd =
+        Running::start(&[], clock, move |_| SmppClients::new(address, vec![plan], vec![i64::MAX / 4], until));
     let herd = match herd.and_then(Running::join) {
         Ok(herd) => herd,
         Err(e) => return fail(1, e),
--- a/crates/cli/src/held.rs
+++ b/crates/cli/src/held.rs
@@ -3,8 +3,8 @@
 use crate::fail;
 use clap::{Args, Subcommand};
 use heronroute_net::Clock;
-use heronroute_standins::asker::Asker;
-use heronroute_standins::mqtt::{Who, field};
+use heronroute_standins::mqtt::{ClientOptions, field};
+use heronroute_standins::mqtt_request::MqttRequest;
 use heronroute_standins::run::Running;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -100,11 +100,12 @@
     }
     // A name of its own, so that it takes no session from the client's own programs.
     let id = format!("held-{}", std::process::id());
-    let mut them = Who::new(true, &who.system_id, &id);
+    let mut them = ClientOptions::new(true, &who.system_id, &id);
     (them.password, them.clean, them.expiry) = (who.password.clone(), true, 0);
     let (address, topic) = (who.connect, format!("held/{topic}"));
-    let asker = Running::start(&[], Clock::start(), move |_| Asker::new(address, them, topic, 10_000_000));
-    match asker.and_then(Running::join).map(|a| a.answer) {
+    let mqtt_request =
+        Running::start(&[], Clock::start(), move |_| MqttRequest::new(address, them, topic, 10_000_000));
+    match mqtt_request.and_then(Running::join).map(|a| a.answer) {
         Ok(Some(Ok(text))) => {
             println!("{text}");
             let refused = [
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -5,8 +5,8 @@
 use heronroute_config::{parse_listing, raw};
 use heronroute_net::Clock;
 use heronroute_standins::directory::Directory;
-use heronroute_standins::farm::{Destination, Endpoint, Farm, Speaks};
-use heronroute_standins::model::{Shape, Strike, Trouble};
+use heronroute_standins::model::{Incident, ReceiverModel, Trouble};
+use heronroute_standins::receivers::{Destination, Endpoint, Receivers, Speaks};
 use heronroute_standins::run::Running;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -65,7 +65,7 @@
     Ok(())
 }
 
-fn strike(words: &[String]) -> Result<Strike, String> {
+fn strike(words: &[String]) -> Result<Incident, String> {
     let seconds = |w: &String| w.parse::<f64>().map_err(|_| format!("\"{w}\" is no number of seconds"));
     let trouble = match words[0].as_str() {
         "hang" => Trouble::Hang,
@@ -75,7 +75,7 @@
         other => return Err(format!("\"{other}\" is no trouble: hang, refuse, vanish or shut")),
     };
     let (from, to) = (seconds(&words[1])?, seconds(&words[2])?);
-    Ok(Strike { from: (from * 1e6) as i64, to: (to * 1e6) as i64, trouble })
+    Ok(Incident { from: (from * 1e6) as i64, to: (to * 1e6) as i64, trouble })
 }
 
 pub fn run(what: &Standin) -> ExitCode {
@@ -90,7 +90,7 @@
     match what {
         Standin::Receiver { speaks, listen, pace, trouble, span } => {
             let pace = heronroute_config::parse_duration(pace)?;
-            let strikes = trouble.iter().map(|w| strike(w)).collect::<Result<Vec<_>, _>>()?;
+            let incidents = trouble.iter().map(|w| strike(w)).collect::<Result<Vec<_>, _>>()?;
             let speaks = match speaks {
                 Protocol::Smpp => Speaks::Smpp,
                 Protocol::Http => Speaks::Http,
@@ -98,13 +98,17 @@
             let name = "receiver".to_string();
             let endpoint =
                 Endpoint { name, destination: 1, speaks, batches: false, leaves: None, strays: false };
-            let destination =
-                Destination { destination: 1, shape: Shape { pace, ..Shape::default() }, strikes };
-            let farm = Running::start(&[*listen], clock, |_| Farm::new(vec![endpoint], vec![destination], 1))
-                .map_err(|e| format!("{listen}: {e}"))?;
-            println!("listening at {}", farm.addresses[0]);
+            let destination = Destination {
+                destination: 1,
+                shape: ReceiverModel { pace, ..ReceiverModel::default() },
+                incidents,
+            };
+            let receivers =
+                Running::start(&[*listen], clock, |_| Receivers::new(vec![endpoint], vec![destination], 1))
+                    .map_err(|e| format!("{listen}: {e}"))?;
+            println!("listening at {}", receivers.addresses[0]);
             wait(span.as_ref())?;
-            for a in farm.stop().map_err(|e| e.to_string())?.arrivals {
+            for a in receivers.stop().map_err(|e| e.to_string())?.arrivals {
                 println!("{:.3} {} from {}: {:?}", a.at as f64 / 1e6, a.message, a.sender, a.verdict);
             }
         }
--- a/crates/cli/tests/fleet/rig.rs
+++ b/crates/cli/tests/fleet/rig.rs
@@ -1,6 +1,6 @@
 //! An installation of real processes, and questions to its members.
 
-use crate::traffic::{CLASSES, Receivers, Traffic};
+use crate::traffic::{CLASSES, MemberReceivers, Traffic};
 use heronroute_net::Clock;
 use heronroute_relay::client::{Client, ClientError, Login};
 use heronroute_relay::fleet::{Fleet, FleetSpec};
@@ -27,7 +27,7 @@
 pub struct Rig {
     pub fleet: Fleet,
     pub clock: Clock,
-    receivers: Vec<Option<Receivers>>,
+    receivers: Vec<Option<MemberReceivers>>,
     /// Connections of the client and the operator with each member.
     clients: Vec<[Option<Client>; 2]>,
 }
@@ -47,7 +47,8 @@
         change: impl FnOnce(FleetSpec) -> FleetSpec,
     ) -> Self {
         let clock = Clock::start();
-        let receivers: Vec<_> = (0..members).map(|m| Receivers::start(clock, seed + m as u64)).collect();
+        let receivers: Vec<_> =
+            (0..members).map(|m| MemberReceivers::start(clock, seed + m as u64)).collect();
         let base = format!("{BASE}{CLASSES}");
         let mut spec = FleetSpec::new(env!("CARGO_BIN_EXE_heronroute"), members, seed)
             .keepers(keepers)
--- a/crates/cli/tests/fleet/traffic.rs
+++ b/crates/cli/tests/fleet/traffic.rs
@@ -3,10 +3,10 @@
 use heronroute_audit::{Class, Effect, Record, Slack, Told, check};
 use heronroute_net::Clock;
 use heronroute_relay::lag::Lag;
-use heronroute_standins::farm::{Destination, Endpoint, Farm, Speaks};
-use heronroute_standins::flock::{Flock, Letter, MqttPlan, Step};
-use heronroute_standins::model::Shape;
-use heronroute_standins::mqtt::Who;
+use heronroute_standins::model::ReceiverModel;
+use heronroute_standins::mqtt::ClientOptions;
+use heronroute_standins::mqtt_clients::{MqttClients, MqttPlan, PlannedMessage, Step};
+use heronroute_standins::receivers::{Destination, Endpoint, Receivers, Speaks};
 use heronroute_standins::run::Running;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -27,9 +27,9 @@
 kind { name: \"s\" protocol: \"smpp\" }\n";
 
 /// Receivers of one member.
-pub struct Receivers(Running<Farm>);
+pub struct MemberReceivers(Running<Receivers>);
 
-impl Receivers {
+impl MemberReceivers {
     pub fn start(clock: Clock, seed: u64) -> Self {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let endpoint = |i: usize| Endpoint {
@@ -42,14 +42,14 @@
         };
         let destination = |destination: i64| Destination {
             destination,
-            shape: Shape { pace: 5 * MS, width: 24, ..Shape::default() },
-            strikes: vec![],
+            shape: ReceiverModel { pace: 5 * MS, width: 24, ..ReceiverModel::default() },
+            incidents: vec![],
         };
-        let farm = Running::start(&[any; 2 * DESTINATIONS], clock, |_| {
+        let receivers = Running::start(&[any; 2 * DESTINATIONS], clock, |_| {
             let endpoints = (0..2 * DESTINATIONS).map(endpoint).collect();
-            Farm::new(endpoints, (1..=DESTINATIONS as i64).map(destination).collect(), seed)
+            Receivers::new(endpoints, (1..=DESTINATIONS as i64).map(destination).collect(), seed)
         });
-        Receivers(farm.unwrap())
+        MemberReceivers(receivers.unwrap())
     }
 
     /// Endpoints and routes, for its member's settings.
@@ -71,8 +71,8 @@
 
 /// Clients of one member, and its receivers.
 pub struct Traffic {
-    clients: Running<Flock>,
-    receivers: Receivers,
+    clients: Running<MqttClients>,
+    receivers: MemberReceivers,
     handed: usize,
     lag: Lag,
 }
@@ -84,10 +84,10 @@
 
 impl Traffic {
     /// Two clients of one user hand in a message every 12 ms together, for so long from now on.
-    pub fn start(front: SocketAddr, receivers: Receivers, clock: Clock, length: i64) -> Self {
+    pub fn start(front: SocketAddr, receivers: MemberReceivers, clock: Clock, length: i64) -> Self {
         let begin = clock.now();
         let plan = |i: u64| MqttPlan {
-            who: Who::new(i == 0, "oduya", &format!("t{i}")),
+            who: ClientOptions::new(i == 0, "oduya", &format!("t{i}")),
             returns: true,
             steps: vec![(begin + 100 * MS, Step::Connect)],
         };
@@ -95,7 +95,7 @@
         let handed = (length / (12 * MS)) as usize;
         for n in 0..handed {
             let class = [0, 1, 2, 3][n % 4];
-            let letter = Letter {
+            let letter = PlannedMessage {
                 address: format!("{:06}{n:06}", 1 + n / 4 % DESTINATIONS),
                 class: (NAMES[class], class),
                 key: (class == 3).then(|| format!("k{}", n % 5)),
@@ -107,7 +107,8 @@
         }
         let until = begin + length + PATIENCE;
         let clients =
-            Running::start(&[], clock, move |_| Flock::new(front, plans, DEADLINES.to_vec(), until)).unwrap();
+            Running::start(&[], clock, move |_| MqttClients::new(front, plans, DEADLINES.to_vec(), until))
+                .unwrap();
         Traffic { clients, receivers, handed, lag: Lag::start() }
     }
 
@@ -117,17 +118,17 @@
     ///
     /// Gives the lowest number that a message was given: the time of day at the sender's first start, in microseconds and 64ths.
     pub fn audit(self, name: &str, paused: i64) -> u64 {
-        let mut flock = self.clients.join().unwrap();
-        let farm = self.receivers.0.stop().unwrap();
-        flock.close();
-        assert_eq!(flock.wrong, [], "{name}: no client found anything wrong");
+        let mut mqtt_clients = self.clients.join().unwrap();
+        let receivers = self.receivers.0.stop().unwrap();
+        mqtt_clients.close();
+        assert_eq!(mqtt_clients.wrong, [], "{name}: no client found anything wrong");
         let record = Record {
-            fell: farm.fallen(),
-            arrivals: farm.arrivals,
-            submissions: flock.accepted,
-            away: flock.away,
-            unheard: flock.unheard,
-            strays: flock.strays,
+            fell: receivers.fallen(),
+            arrivals: receivers.arrivals,
+            submissions: mqtt_clients.accepted,
+            away: mqtt_clients.away,
+            unheard: mqtt_clients.unheard,
+            strays: mqtt_clients.strays,
             ..Record::default()
         };
         let class = |effect, ordered| Class { effect, ordered };
@@ -151,7 +152,7 @@
         println!(
             "{name}: {accepted} of {} accepted, {} refused, {} unheard; {delivered} delivered, {not_run} not run, {unknown} unknown",
             self.handed,
-            flock.refused.len(),
+            mqtt_clients.refused.len(),
             record.unheard
         );
         assert!(breaches.is_empty(), "{name}: {:#?}", &breaches[..breaches.len().min(8)]);
--- a/crates/cli/tests/kill.rs
+++ b/crates/cli/tests/kill.rs
@@ -11,12 +11,12 @@
 use heronroute_relay::lag::Lag;
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
-use heronroute_standins::clients::{Herd, Plan, Step};
-use heronroute_standins::farm::{Destination, Endpoint, Farm, Speaks};
-use heronroute_standins::flock::{self, Flock, Letter, MqttPlan};
-use heronroute_standins::model::{Shape, Strike, Trouble};
-use heronroute_standins::mqtt::Who;
+use heronroute_standins::model::{Incident, ReceiverModel, Trouble};
+use heronroute_standins::mqtt::ClientOptions;
+use heronroute_standins::mqtt_clients::{self, MqttClients, MqttPlan, PlannedMessage};
+use heronroute_standins::receivers::{Destination, Endpoint, Receivers, Speaks};
 use heronroute_standins::run::Running;
+use heronroute_standins::smpp_clients::{Plan, SmppClients, Step};
 use std::fmt::Write as _;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -120,9 +120,9 @@
 /// MQTT clients of both versions, and what they hand in.
 fn mqtt_plans(dice: &mut Dice, sessions: u64, length: i64) -> Vec<MqttPlan> {
     let plan = |i: u64| MqttPlan {
-        who: Who::new(i % 4 < 2, ["oduya", "askwell"][i as usize % 2], &format!("m{i}")),
+        who: ClientOptions::new(i % 4 < 2, ["oduya", "askwell"][i as usize % 2], &format!("m{i}")),
         returns: true,
-        steps: vec![(100 * MS + i as i64 * 300, flock::Step::Connect)],
+        steps: vec![(100 * MS + i as i64 * 300, mqtt_clients::Step::Connect)],
     };
     let mut plans: Vec<MqttPlan> = (0..sessions).map(plan).collect();
     let (mut at, mut n) = (S, 500_000);
@@ -130,14 +130,14 @@
         at += 1 + dice.below(8_000) as i64;
         n += 1;
         let class = [0, 0, 1, 2, 3][dice.below(5) as usize];
-        let letter = Letter {
+        let letter = PlannedMessage {
             address: format!("{:06}{n:06}", 1 + dice.below(4)),
             class: (NAMES[class], class),
             key: (class == 3).then(|| format!("m{}", dice.below(5))),
             body: format!("message {n}").into_bytes(),
             qos: 1 + (n % 2) as u8,
         };
-        plans[dice.below(sessions) as usize].steps.push((at, flock::Step::Submit(letter)));
+        plans[dice.below(sessions) as usize].steps.push((at, mqtt_clients::Step::Submit(letter)));
     }
     plans
 }
@@ -155,14 +155,18 @@
         leaves: None,
         strays: false,
     };
-    let lost = Strike { from: 0, to: i64::MAX, trouble: Trouble::AnswerLost(0.02) };
+    let lost = Incident { from: 0, to: i64::MAX, trouble: Trouble::AnswerLost(0.02) };
     let destination = |destination: i64| Destination {
         destination,
-        shape: Shape { pace: (5 + 30 * (destination % 3)) * MS, width: 24, ..Shape::default() },
-        strikes: if destination == 3 { vec![lost] } else { vec![] },
+        shape: ReceiverModel {
+            pace: (5 + 30 * (destination % 3)) * MS,
+            width: 24,
+            ..ReceiverModel::default()
+        },
+        incidents: if destination == 3 { vec![lost] } else { vec![] },
     };
-    let farm = Running::start(&[any; 8], clock, |_| {
-        Farm::new((0..8).map(endpoint).collect(), (1..=4).map(destination).collect(), seed)
+    let receivers = Running::start(&[any; 8], clock, |_| {
+        Receivers::new((0..8).map(endpoint).collect(), (1..=4).map(destination).collect(), seed)
     })
     .unwrap();
     let (listen, mqtt) = (free_port(&mut dice), free_port(&mut dice));
@@ -171,16 +175,17 @@
     _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     let config = folder.join("settings.txt");
-    std::fs::write(&config, settings(listen, mqtt, &farm.addresses, &folder.join("journal"))).unwrap();
+    std::fs::write(&config, settings(listen, mqtt, &receivers.addresses, &folder.join("journal"))).unwrap();
     let plans = plans(&mut dice, length);
     let mqtt_plans = mqtt_plans(&mut dice, sessions, length);
     let lag = Lag::start();
     let mut service = start(&config);
-    let herd =
-        Running::start(&[], clock, move |_| Herd::new(listen, plans, DEADLINES.to_vec(), length + PATIENCE))
-            .unwrap();
-    let flock = Running::start(&[], clock, move |_| {
-        Flock::new(mqtt, mqtt_plans, DEADLINES.to_vec(), length + PATIENCE)
+    let herd = Running::start(&[], clock, move |_| {
+        SmppClients::new(listen, plans, DEADLINES.to_vec(), length + PATIENCE)
+    })
+    .unwrap();
+    let mqtt_clients = Running::start(&[], clock, move |_| {
+        MqttClients::new(mqtt, mqtt_plans, DEADLINES.to_vec(), length + PATIENCE)
     })
     .unwrap();
     for _ in 0..kills {
@@ -191,25 +196,25 @@
         service = start(&config);
     }
     let mut herd = herd.join().unwrap();
-    let mut flock = flock.join().unwrap();
+    let mut mqtt_clients = mqtt_clients.join().unwrap();
     assert!(service.try_wait().unwrap().is_none(), "the service runs to the end");
     service.kill().unwrap();
     service.wait().unwrap();
-    let farm = farm.stop().unwrap();
+    let receivers = receivers.stop().unwrap();
     herd.close();
-    let open = flock.open();
-    flock.close();
-    assert_eq!(flock.wrong, [], "no client found anything wrong");
-    let by_mqtt = flock.accepted.len();
-    herd.accepted.append(&mut flock.accepted);
-    herd.away.append(&mut flock.away);
-    herd.strays.append(&mut flock.strays);
+    let open = mqtt_clients.open();
+    mqtt_clients.close();
+    assert_eq!(mqtt_clients.wrong, [], "no client found anything wrong");
+    let by_mqtt = mqtt_clients.accepted.len();
+    herd.accepted.append(&mut mqtt_clients.accepted);
+    herd.away.append(&mut mqtt_clients.away);
+    herd.strays.append(&mut mqtt_clients.strays);
     let record = Record {
-        fell: farm.fallen(),
-        arrivals: farm.arrivals,
+        fell: receivers.fallen(),
+        arrivals: receivers.arrivals,
         submissions: herd.accepted,
         away: herd.away,
-        unheard: herd.unheard + flock.unheard,
+        unheard: herd.unheard + mqtt_clients.unheard,
         strays: herd.strays,
         ..Record::default()
     };
--- a/crates/drill/benches/fronts.rs
+++ b/crates/drill/benches/fronts.rs
@@ -14,9 +14,9 @@
 use heronroute_smpp::client;
 use heronroute_smpp::server::Mode;
 use heronroute_standins::Micros;
-use heronroute_standins::actor::{Actor, Ask, Conn};
-use heronroute_standins::farm::{Destination, Endpoint, Farm, Speaks};
-use heronroute_standins::model::Shape;
+use heronroute_standins::actor::{Action, Actor, Conn};
+use heronroute_standins::model::ReceiverModel;
+use heronroute_standins::receivers::{Destination, Endpoint, Receivers, Speaks};
 use heronroute_standins::run::Running;
 use shared::{BODY, LIMITS, Receiver, SmppLoad};
 use std::collections::BTreeMap;
@@ -29,7 +29,7 @@
 #[derive(Default)]
 struct MqttEcho {
     sessions: BTreeMap<Conn, session::Session>,
-    asks: Vec<Ask>,
+    actions: Vec<Action>,
 }
 
 impl Actor for MqttEcho {
@@ -55,7 +55,7 @@
             }
         }
         session.receive(now, &[], &mut out, &mut Vec::new());
-        self.asks.push(Ask::Write(conn, out.to_vec()));
+        self.actions.push(Action::Write(conn, out.to_vec()));
     }
     fn closed(&mut self, _: Micros, conn: Conn) {
         self.sessions.remove(&conn);
@@ -64,8 +64,8 @@
     fn wake(&self) -> Micros {
         Micros::MAX
     }
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 }
 
@@ -131,7 +131,7 @@
     /// Done with the answer, not with the acknowledgement.
     answers: bool,
     made: BTreeMap<Conn, Raw>,
-    asks: Vec<Ask>,
+    actions: Vec<Action>,
     total: usize,
     done: usize,
     delivered: usize,
@@ -151,7 +151,7 @@
             left: total,
             answers,
             made: BTreeMap::new(),
-            asks: (0..sessions).map(|tag| Ask::Connect { tag, address }).collect(),
+            actions: (0..sessions).map(|tag| Action::Connect { tag, address }).collect(),
             total,
             done: 0,
             delivered: 0,
@@ -181,7 +181,7 @@
     fn connected(&mut self, _: Micros, tag: usize, conn: Conn) {
         let entry = entry(self.user, &format!("{}{tag}", self.user), 0);
         self.made.insert(conn, Raw { buffer: Vec::new(), next: 0, inside: false, out: 0 });
-        self.asks.push(Ask::Write(conn, entry));
+        self.actions.push(Action::Write(conn, entry));
     }
     fn received(&mut self, _: Micros, conn: Conn, octets: &[u8]) {
         let Some(mut raw) = self.made.remove(&conn) else { return };
@@ -214,7 +214,7 @@
             let n = if entered { self.window } else { more };
             (0..n).for_each(|_| self.publish(conn, &mut out));
         }
-        self.asks.push(Ask::Write(conn, out));
+        self.actions.push(Action::Write(conn, out));
     }
     fn closed(&mut self, _: Micros, conn: Conn) {
         self.made.remove(&conn);
@@ -236,7 +236,7 @@
             }
             let mut out = Vec::new();
             self.publish(conn, &mut out);
-            self.asks.push(Ask::Write(conn, out));
+            self.actions.push(Action::Write(conn, out));
         }
         if now >= self.until {
             self.left = 0;
@@ -245,8 +245,8 @@
     fn wake(&self) -> Micros {
         if self.every.is_some() { self.next.min(self.until) } else { Micros::MAX }
     }
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
     fn finished(&self) -> bool {
         if self.every.is_some() { self.left == 0 } else { self.done >= self.total }
@@ -301,13 +301,13 @@
             leaves: None,
             strays: false,
         };
-        let shape = Shape { pace: 20_000, width: 2, ..Shape::default() };
-        let model = |i: i64| Destination { destination: i, shape, strikes: Vec::new() };
-        let farm = Running::start(&[any; 20], Clock::start(), |_| {
-            Farm::new((0..20).map(endpoint).collect(), (0..20).map(model).collect(), 1)
+        let shape = ReceiverModel { pace: 20_000, width: 2, ..ReceiverModel::default() };
+        let model = |i: i64| Destination { destination: i, shape, incidents: Vec::new() };
+        let receivers = Running::start(&[any; 20], Clock::start(), |_| {
+            Receivers::new((0..20).map(endpoint).collect(), (0..20).map(model).collect(), 1)
         });
-        let farm = farm.expect("farm");
-        let s = service(&farm.addresses, room);
+        let receivers = receivers.expect("the receivers run");
+        let s = service(&receivers.addresses, room);
         let (smpp, mqtt) = (s.address(), s.mqtt_address().expect("mqtt"));
         let flood = (flooding > 0).then(|| {
             Running::start(&[], Clock::start(), move |_| {
@@ -341,7 +341,7 @@
         }
         s.shut_down();
         s.join().expect("service");
-        farm.stop().expect("farm");
+        receivers.stop().expect("the receivers run");
     }
 }
 
--- a/crates/drill/benches/shared/mod.rs
+++ b/crates/drill/benches/shared/mod.rs
@@ -6,7 +6,7 @@
 use heronroute_smpp::server::{self, Limits, Mode};
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
 use heronroute_standins::Micros;
-use heronroute_standins::actor::{Actor, Ask, Conn};
+use heronroute_standins::actor::{Action, Actor, Conn};
 use rusmpp_core::CommandStatus;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
 #[derive(Default)]
 pub struct Receiver {
     sessions: BTreeMap<Conn, server::Session>,
-    asks: Vec<Ask>,
+    actions: Vec<Action>,
 }
 
 impl Actor for Receiver {
@@ -45,7 +45,7 @@
                 _ => {}
             }
         }
-        self.asks.push(Ask::Write(conn, out.to_vec()));
+        self.actions.push(Action::Write(conn, out.to_vec()));
     }
     fn closed(&mut self, _: Micros, conn: Conn) {
         self.sessions.remove(&conn);
@@ -54,8 +54,8 @@
     fn wake(&self) -> Micros {
         Micros::MAX
     }
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 }
 
@@ -69,7 +69,7 @@
     sessions: usize,
     made: BTreeMap<Conn, (client::Session, BTreeMap<u32, Micros>)>,
     sent: BTreeMap<String, Micros>,
-    asks: Vec<Ask>,
+    actions: Vec<Action>,
     done: usize,
     /// Done with the receipt, not with the response.
     receipts: bool,
@@ -92,7 +92,7 @@
             sessions,
             made: BTreeMap::new(),
             sent: BTreeMap::new(),
-            asks: (0..sessions).map(|tag| Ask::Connect { tag, address }).collect(),
+            actions: (0..sessions).map(|tag| Action::Connect { tag, address }).collect(),
             done: 0,
             receipts,
             refused: 0,
@@ -132,7 +132,7 @@
         let mut out = BytesMut::new();
         let session = client::Session::bind(now, LIMITS, Mode::Transceiver, self.user, "p", &mut out);
         self.made.insert(conn, (session, BTreeMap::new()));
-        self.asks.push(Ask::Write(conn, out.to_vec()));
+        self.actions.push(Action::Write(conn, out.to_vec()));
     }
     fn received(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
         let Some((session, asked)) = self.made.get_mut(&conn) else { return };
@@ -169,7 +169,7 @@
             (0..more).for_each(|_| self.submit(now, now, conn, &mut out));
         }
         if !out.is_empty() {
-            self.asks.push(Ask::Write(conn, out.to_vec()));
+            self.actions.push(Action::Write(conn, out.to_vec()));
         }
     }
     fn closed(&mut self, _: Micros, conn: Conn) {
@@ -188,14 +188,14 @@
             let Some(conn) = self.made.keys().nth(at).copied() else { return };
             let mut out = BytesMut::new();
             self.submit(now, planned, conn, &mut out);
-            self.asks.push(Ask::Write(conn, out.to_vec()));
+            self.actions.push(Action::Write(conn, out.to_vec()));
         }
     }
     fn wake(&self) -> Micros {
         if self.every.is_some() { self.next } else { Micros::MAX }
     }
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
     fn finished(&self) -> bool {
         self.done >= self.total
--- a/crates/drill/src/bad_day.rs
+++ b/crates/drill/src/bad_day.rs
@@ -6,11 +6,11 @@
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
 use heronroute_standins::Micros;
-use heronroute_standins::clients::{Plan, Step};
-use heronroute_standins::farm::Speaks;
-use heronroute_standins::flock::{self, Letter, MqttPlan};
-use heronroute_standins::model::{Shape, Strike, Trouble};
-use heronroute_standins::mqtt::Who;
+use heronroute_standins::model::{Incident, ReceiverModel, Trouble};
+use heronroute_standins::mqtt::ClientOptions;
+use heronroute_standins::mqtt_clients::{self, MqttPlan, PlannedMessage};
+use heronroute_standins::receivers::Speaks;
+use heronroute_standins::smpp_clients::{Plan, Step};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng as _, SeedableRng as _};
 
@@ -87,8 +87,8 @@
 }
 
 /// The same for MQTT.
-fn letter(class: (&ClassSpec, usize), destination: i64, n: usize, key: Option<String>) -> flock::Step {
-    flock::Step::Submit(Letter {
+fn letter(class: (&ClassSpec, usize), destination: i64, n: usize, key: Option<String>) -> mqtt_clients::Step {
+    mqtt_clients::Step::Submit(PlannedMessage {
         address: format!("{destination:06}{n:06}"),
         class: (class.0.name, class.1),
         key,
@@ -105,12 +105,12 @@
     for number in 1..=destinations as i64 {
         let speaks = if dice.part() < 0.5 { Speaks::Smpp } else { Speaks::Http };
         let batch = if dice.part() < 0.3 { 5 } else { 1 };
-        let shape = Shape {
+        let shape = ReceiverModel {
             pace: dice.between(4e3, 40e3) as Micros,
             width: 4 + dice.below(8),
             limit: (dice.part() < 0.4).then(|| (20 + dice.below(60) as u32, S / 2)),
             tells_waits: dice.part(),
-            ..Shape::default()
+            ..ReceiverModel::default()
         };
         list.push(Destination {
             number,
@@ -118,7 +118,7 @@
             batch,
             endpoints: vec![Listed::default(); 1 + dice.below(3)],
             shape,
-            strikes: Vec::new(),
+            incidents: Vec::new(),
             strays: false,
         });
     }
@@ -143,8 +143,8 @@
     for c in &clients {
         for five in [true, false] {
             let id = if five { "five" } else { "three" };
-            let who = Who::new(five, &c.system_id, id);
-            mqtt.push(MqttPlan { who, returns: true, steps: vec![(S / 5, flock::Step::Connect)] });
+            let who = ClientOptions::new(five, &c.system_id, id);
+            mqtt.push(MqttPlan { who, returns: true, steps: vec![(S / 5, mqtt_clients::Step::Connect)] });
         }
     }
     let mut at = S / 2;
@@ -195,8 +195,8 @@
 /// A quiet day with a little trouble, for those who see the program for the first time.
 pub fn demo(seed: u64) -> BadDay {
     let (mut day, _) = plain(seed, 6, 150.0, 8 * S);
-    day.destinations[1].strikes.push(Strike { from: 3 * S, to: 5 * S, trouble: Trouble::Hang });
-    day.destinations[2].strikes.push(Strike { from: 2 * S, to: 4 * S, trouble: Trouble::Slow(8.0) });
+    day.destinations[1].incidents.push(Incident { from: 3 * S, to: 5 * S, trouble: Trouble::Hang });
+    day.destinations[2].incidents.push(Incident { from: 2 * S, to: 4 * S, trouble: Trouble::Slow(8.0) });
     day.destinations[0].endpoints = vec![
         Listed { drains: Some(4 * S), lag: S / 2, ..Listed::default() },
         Listed::default(),
@@ -335,7 +335,7 @@
             if kind == "strays" {
                 day.destinations[at].strays = true;
             } else {
-                day.destinations[at].strikes.push(Strike { from, to, trouble });
+                day.destinations[at].incidents.push(Incident { from, to, trouble });
             }
         }
         let what = if kind == "strays" { "answers what nobody asked".into() } else { format!("{trouble:?}") };
@@ -394,8 +394,11 @@
             let plan = dice.below(day.mqtt.len());
             let back = to.min(length);
             let p = &mut day.mqtt[plan];
-            p.steps.push((from, if kind == "unbind" { flock::Step::Leave } else { flock::Step::Cut }));
-            p.steps.push((back, flock::Step::Connect));
+            p.steps.push((
+                from,
+                if kind == "unbind" { mqtt_clients::Step::Leave } else { mqtt_clients::Step::Cut },
+            ));
+            p.steps.push((back, mqtt_clients::Step::Connect));
             let other = format!("{}/{}", p.who.user, p.who.id);
             // The transceiver of a client goes and comes back.
             let plan = dice.below(day.plans.len() / 2) * 2;
--- a/crates/drill/src/setup.rs
+++ b/crates/drill/src/setup.rs
@@ -5,12 +5,12 @@
 use heronroute_engine::Stats;
 use heronroute_net::{Clock, Service, StartError};
 use heronroute_standins::Micros;
-use heronroute_standins::clients::{Herd, Plan, Refused};
 use heronroute_standins::directory::{Change, Directory};
-use heronroute_standins::farm::{self, Endpoint, Farm, Speaks};
-use heronroute_standins::flock::{Flock, MqttPlan};
-use heronroute_standins::model::{Shape, Strike};
+use heronroute_standins::model::{Incident, ReceiverModel};
+use heronroute_standins::mqtt_clients::{MqttClients, MqttPlan};
+use heronroute_standins::receivers::{self, Endpoint, Receivers, Speaks};
 use heronroute_standins::run::Running;
+use heronroute_standins::smpp_clients::{Plan, Refused, SmppClients};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
@@ -57,9 +57,9 @@
     /// Its endpoints, those that come later included.
     pub endpoints: Vec<Listed>,
     /// How it is made.
-    pub shape: Shape,
+    pub shape: ReceiverModel,
     /// What strikes it.
-    pub strikes: Vec<Strike>,
+    pub incidents: Vec<Incident>,
     /// Before each response it answers something that nobody asked.
     pub strays: bool,
 }
@@ -162,7 +162,7 @@
 pub struct Drill {
     day: Day,
     clock: Clock,
-    farm: Running<Farm>,
+    receivers: Running<Receivers>,
     directory: Running<Directory>,
     service: Option<Service>,
 }
@@ -189,15 +189,19 @@
                 });
             }
         }
-        let models: Vec<farm::Destination> = day
+        let models: Vec<receivers::Destination> = day
             .destinations
             .iter()
-            .map(|d| farm::Destination { destination: d.number, shape: d.shape, strikes: d.strikes.clone() })
+            .map(|d| receivers::Destination {
+                destination: d.number,
+                shape: d.shape,
+                incidents: d.incidents.clone(),
+            })
             .collect();
         let seed = day.seed;
-        let farm =
-            Running::start(&vec![any; endpoints.len()], clock, |_| Farm::new(endpoints, models, seed))?;
-        let (list, changes) = listing(&day, &farm.addresses);
+        let receivers =
+            Running::start(&vec![any; endpoints.len()], clock, |_| Receivers::new(endpoints, models, seed))?;
+        let (list, changes) = listing(&day, &receivers.addresses);
         let errors = day.directory_errors.clone();
         let directory = Running::start(&[any], clock, |_| Directory::new(list, changes, errors))?;
         if let Some(folder) = &day.journal {
@@ -206,7 +210,7 @@
         let text = settings(&day, directory.addresses[0]);
         let cfg: Arc<Config> = Arc::new(parse("day", &text)?);
         let service = Some(Service::start(cfg, day.seed)?);
-        Ok(Drill { day, clock, farm, directory, service })
+        Ok(Drill { day, clock, receivers, directory, service })
     }
 
     /// Lets the day pass, and checks what was recorded.
@@ -218,25 +222,28 @@
         let (plans, until) = (self.day.plans.clone(), self.day.until);
         let deadlines: Vec<Micros> = self.day.classes.iter().map(|c| c.deadline).collect();
         let address = service.address();
-        let flock = match service.mqtt_address().filter(|_| !self.day.mqtt.is_empty()) {
+        let mqtt_clients = match service.mqtt_address().filter(|_| !self.day.mqtt.is_empty()) {
             Some(address) => {
                 let (plans, deadlines) = (self.day.mqtt.clone(), deadlines.clone());
-                let flock =
-                    move |_: &[SocketAddr]| Flock::new(address, plans, deadlines, until).with_trails();
-                Some(Running::start(&[], self.clock, flock)?)
+                let mqtt_clients =
+                    move |_: &[SocketAddr]| MqttClients::new(address, plans, deadlines, until).with_trails();
+                Some(Running::start(&[], self.clock, mqtt_clients)?)
             }
             None => None,
         };
         let herd = if plans.is_empty() {
             None
         } else {
-            Some(Running::start(&[], self.clock, move |_| Herd::new(address, plans, deadlines, until))?)
+            Some(Running::start(&[], self.clock, move |_| {
+                SmppClients::new(address, plans, deadlines, until)
+            })?)
         };
         let mut stalls = self.day.stalls.clone();
         stalls.sort_unstable();
         stalls.reverse();
-        let done =
-            || herd.as_ref().is_none_or(Running::finished) && flock.as_ref().is_none_or(Running::finished);
+        let done = || {
+            herd.as_ref().is_none_or(Running::finished) && mqtt_clients.as_ref().is_none_or(Running::finished)
+        };
         while !done() {
             if let Some((_, sender, span)) = stalls.pop_if(|s| s.0 <= self.clock.now()) {
                 service.stall(sender, Duration::from_micros(span as u64));
@@ -244,14 +251,14 @@
             std::thread::sleep(Duration::from_millis(5));
         }
         let mut herd = herd.map(Running::join).transpose()?;
-        let mut flock = flock.map(Running::join).transpose()?;
+        let mut mqtt_clients = mqtt_clients.map(Running::join).transpose()?;
         service.shut_down();
         let stats = service.join()?;
-        let farm = self.farm.stop()?;
+        let receivers = self.receivers.stop()?;
         let directory = self.directory.stop()?;
         let mut record = Record {
-            fell: farm.fallen(),
-            arrivals: farm.arrivals,
+            fell: receivers.fallen(),
+            arrivals: receivers.arrivals,
             drained: directory.told,
             ..Record::default()
         };
@@ -265,7 +272,7 @@
             record.strays.append(&mut h.strays);
             refused.append(&mut h.refused);
         }
-        if let Some(f) = &mut flock {
+        if let Some(f) = &mut mqtt_clients {
             f.close();
             record.submissions.append(&mut f.accepted);
             record.away.append(&mut f.away);
--- a/crates/drill/tests/hard_cases.rs
+++ b/crates/drill/tests/hard_cases.rs
@@ -6,9 +6,9 @@
 use heronroute_smpp::codec::encode;
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
-use heronroute_standins::clients::{Plan, Step};
-use heronroute_standins::farm::Speaks;
-use heronroute_standins::model::{Shape, Strike, Trouble};
+use heronroute_standins::model::{Incident, ReceiverModel, Trouble};
+use heronroute_standins::receivers::Speaks;
+use heronroute_standins::smpp_clients::{Plan, Step};
 use rusmpp_core::CommandStatus;
 
 const MS: i64 = 1_000;
@@ -28,8 +28,8 @@
         speaks,
         batch: 1,
         endpoints: vec![Listed::default(); endpoints],
-        shape: Shape { pace: 10 * MS, ..Shape::default() },
-        strikes: Vec::new(),
+        shape: ReceiverModel { pace: 10 * MS, ..ReceiverModel::default() },
+        incidents: Vec::new(),
         strays: false,
     }
 }
@@ -126,7 +126,7 @@
 #[test]
 fn a_receiver_loses_its_reply_to_an_unsafe_message() {
     let mut d = destination(1, Speaks::Http, 1);
-    d.strikes = vec![Strike { from: 0, to: 60 * S, trouble: Trouble::AnswerLost(1.0) }];
+    d.incidents = vec![Incident { from: 0, to: 60 * S, trouble: Trouble::AnswerLost(1.0) }];
     let steps = vec![(100 * MS, Step::Bind(Mode::Transceiver)), (300 * MS, submit(PAY, 1, 0))];
     let o = pass(day(vec![d], vec![plan(steps)]));
     assert_eq!((o.record.arrivals.len(), told(&o, Told::Unknown)), (1, 1));
@@ -135,7 +135,7 @@
 #[test]
 fn a_receiver_hangs_and_returns_cold() {
     let mut ds = vec![destination(1, Speaks::Smpp, 2), destination(2, Speaks::Http, 2)];
-    ds[0].strikes = vec![Strike { from: S, to: 3 * S, trouble: Trouble::Hang }];
+    ds[0].incidents = vec![Incident { from: S, to: 3 * S, trouble: Trouble::Hang }];
     let o = pass(day(ds, vec![plan(steady(RESP, 2, 1000, 500 * MS, 6 * MS))]));
     assert!(o.record.fell.is_empty());
     let healthy =
@@ -193,8 +193,8 @@
 #[test]
 fn keys_keep_their_order_through_troubles() {
     let mut ds = vec![destination(1, Speaks::Smpp, 2), destination(2, Speaks::Http, 2)];
-    ds[0].strikes = vec![Strike { from: S, to: 3 * S, trouble: Trouble::Reset(0.5) }];
-    ds[1].strikes = vec![Strike { from: S, to: 3 * S, trouble: Trouble::AnswerLost(0.3) }];
+    ds[0].incidents = vec![Incident { from: S, to: 3 * S, trouble: Trouble::Reset(0.5) }];
+    ds[1].incidents = vec![Incident { from: S, to: 3 * S, trouble: Trouble::AnswerLost(0.3) }];
     let o = pass(day(ds, vec![plan(steady(QUOTA, 2, 200, 500 * MS, 15 * MS))]));
     assert!(told(&o, Told::Delivered) > 20);
 }
@@ -202,7 +202,7 @@
 #[test]
 fn in_forward_mode_the_response_is_the_answer() {
     let mut ds = vec![destination(1, Speaks::Smpp, 1), destination(2, Speaks::Http, 1)];
-    ds[1].strikes = vec![Strike { from: 0, to: 60 * S, trouble: Trouble::Refuse }];
+    ds[1].incidents = vec![Incident { from: 0, to: 60 * S, trouble: Trouble::Refuse }];
     let mut steps = steady(PAY, 2, 40, 500 * MS, 10 * MS);
     for (_, step) in &mut steps {
         if let Step::Submit(s, _) = step {
@@ -239,7 +239,8 @@
         })
         .collect();
     let mut ds: Vec<Destination> = (1..=4).map(|n| destination(n, Speaks::Smpp, 2)).collect();
-    ds.iter_mut().for_each(|d| d.shape = Shape { pace: 2 * MS, width: 32, ..Shape::default() });
+    ds.iter_mut()
+        .for_each(|d| d.shape = ReceiverModel { pace: 2 * MS, width: 32, ..ReceiverModel::default() });
     let mut one = day(ds, plans);
     one.senders = 2;
     one.slots = 200;
@@ -254,7 +255,7 @@
     let mut one =
         day(vec![destination(1, Speaks::Smpp, 2)], vec![plan(steady(RESP, 1, 1_200, 500 * MS, 2 * MS))]);
     // Slow enough for messages to pile up, with room for some hundred of them in the journal.
-    one.destinations[0].shape = Shape { pace: 300 * MS, width: 4, ..Shape::default() };
+    one.destinations[0].shape = ReceiverModel { pace: 300 * MS, width: 4, ..ReceiverModel::default() };
     one.classes[RESP].deadline = 6 * S;
     let folder =
         std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("full-{}", std::process::id()));
@@ -282,7 +283,7 @@
     });
     calm.system_id = "calm".into();
     let mut ds = vec![destination(1, Speaks::Smpp, 1), destination(2, Speaks::Http, 1)];
-    ds[0].shape = Shape { pace: 200 * MS, width: 2, queue: 4, ..Shape::default() };
+    ds[0].shape = ReceiverModel { pace: 200 * MS, width: 2, queue: 4, ..ReceiverModel::default() };
     let mut one = day(ds, vec![flood, calm]);
     one.room = 300;
     one.clients = ["flood", "calm"].map(|id| ClientSpec { system_id: id.into(), rate: 0.0 }).to_vec();
--- a/crates/drill/tests/mqtt.rs
+++ b/crates/drill/tests/mqtt.rs
@@ -7,11 +7,11 @@
 use heronroute_net::Service;
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
-use heronroute_standins::clients::{Plan, Step as SmppStep};
-use heronroute_standins::farm::Speaks;
-use heronroute_standins::flock::{Letter, MqttPlan, Step};
-use heronroute_standins::model::{Shape, Strike, Trouble};
-use heronroute_standins::mqtt::Who;
+use heronroute_standins::model::{Incident, ReceiverModel, Trouble};
+use heronroute_standins::mqtt::ClientOptions;
+use heronroute_standins::mqtt_clients::{MqttPlan, PlannedMessage, Step};
+use heronroute_standins::receivers::Speaks;
+use heronroute_standins::smpp_clients::{Plan, Step as SmppStep};
 use rumqttc::v5::mqttbytes::QoS;
 use rumqttc::v5::mqttbytes::v5::{Packet, PublishProperties};
 use rumqttc::v5::{Client, Event, MqttOptions};
@@ -54,14 +54,14 @@
         speaks: Speaks::Smpp,
         batch: 1,
         endpoints: vec![Listed::default(); 2],
-        shape: Shape { pace: 3 * MS, width: 32, ..Shape::default() },
-        strikes: Vec::new(),
+        shape: ReceiverModel { pace: 3 * MS, width: 32, ..ReceiverModel::default() },
+        incidents: Vec::new(),
         strays: false,
     }
 }
 
 fn letter(class: usize, destination: i64, n: usize) -> Step {
-    Step::Submit(Letter {
+    Step::Submit(PlannedMessage {
         address: format!("{destination:06}{n:06}"),
         class: (["PAY", "STAT"][class], class),
         key: None,
@@ -77,7 +77,7 @@
     let plans = (0..2_000)
         .map(|i| {
             let user = ["oduya", "askwell"][i % 2];
-            let who = Who::new(i % 4 < 2, user, &format!("m{i}"));
+            let who = ClientOptions::new(i % 4 < 2, user, &format!("m{i}"));
             let at = i as i64 * 50;
             let steps = vec![
                 (100 * MS + at * 10, Step::Connect),
@@ -99,7 +99,7 @@
 #[test]
 fn both_fronts_at_once_through_lost_answers_and_cuts() {
     let mut d = destination(1);
-    d.strikes = vec![Strike { from: S, to: 2 * S, trouble: Trouble::AnswerLost(0.3) }];
+    d.incidents = vec![Incident { from: S, to: 2 * S, trouble: Trouble::AnswerLost(0.3) }];
     let mqtt = [("five", true), ("three", false)].map(|(id, five)| {
         let mut steps = vec![(100 * MS, Step::Connect)];
         steps.extend((0..200).map(|n| (500 * MS + n as i64 * 10 * MS, letter(n % 2, 1, n))));
@@ -110,7 +110,7 @@
             (2_200 * MS, Step::Connect),
         ]);
         steps.sort_by_key(|s| s.0);
-        MqttPlan { who: Who::new(five, "oduya", id), returns: true, steps }
+        MqttPlan { who: ClientOptions::new(five, "oduya", id), returns: true, steps }
     });
     let mut day = day(vec![d], mqtt.to_vec());
     let mut steps = vec![(100 * MS, SmppStep::Bind(Mode::Transceiver))];
@@ -141,8 +141,8 @@
 fn service(
     folder: &Path,
     more: &str,
-) -> (Service, heronroute_standins::run::Running<heronroute_standins::farm::Farm>) {
-    use heronroute_standins::farm::{self, Endpoint, Farm};
+) -> (Service, heronroute_standins::run::Running<heronroute_standins::receivers::Receivers>) {
+    use heronroute_standins::receivers::{self, Endpoint, Receivers};
     use heronroute_standins::run::Running;
     let clock = heronroute_net::Clock::start();
     let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
@@ -154,9 +154,10 @@
         leaves: None,
         strays: false,
     };
-    let shape = Shape { pace: 2 * MS, width: 16, ..Shape::default() };
-    let model = farm::Destination { destination: 1, shape, strikes: Vec::new() };
-    let farm = Running::start(&[any], clock, |_| Farm::new(vec![endpoint], vec![model], 1)).unwrap();
+    let shape = ReceiverModel { pace: 2 * MS, width: 16, ..ReceiverModel::default() };
+    let model = receivers::Destination { destination: 1, shape, incidents: Vec::new() };
+    let receivers =
+        Running::start(&[any], clock, |_| Receivers::new(vec![endpoint], vec![model], 1)).unwrap();
     let text = format!(
         "service {{ senders: 1 drain_for: \"2s\" }} smpp {{ listen: \"127.0.0.1:0\" }} \
          mqtt {{ listen: \"127.0.0.1:0\" }} journal {{ folder: \"{}\" }} \
@@ -165,9 +166,9 @@
          kind {{ name: \"k\" protocol: \"http\" }} route {{ destination: 1 }} \
          endpoint {{ name: \"a\" address: \"{}\" destination: 1 kind: \"k\" }}",
         folder.display(),
-        farm.addresses[0]
+        receivers.addresses[0]
     );
-    (Service::start(Arc::new(parse("test", &text).unwrap()), 1).unwrap(), farm)
+    (Service::start(Arc::new(parse("test", &text).unwrap()), 1).unwrap(), receivers)
 }
 
 /// What an ordinary client hears until it has heard enough, or ten seconds have passed.
@@ -186,7 +187,7 @@
 #[test]
 fn an_ordinary_client_hands_in_and_hears_its_answers() {
     let folder = std::env::temp_dir().join(format!("heronroute-ordinary-{}", std::process::id()));
-    let (service, farm) = service(&folder, "rate: 100 burst: 5");
+    let (service, receivers) = service(&folder, "rate: 100 burst: 5");
     let mut options = MqttOptions::new("till-7", "127.0.0.1", service.mqtt_address().unwrap().port());
     options.set_credentials("oduya", "secret").set_keep_alive(Duration::from_secs(5));
     let (client, mut connection) = Client::new(options, 100);
@@ -240,7 +241,7 @@
     service.shut_down();
     let stats = service.join().unwrap();
     assert_eq!((stats.answers[0], stats.receipts), (acked.len() as u64, acked.len() as u64));
-    let arrived = farm.stop().unwrap().arrivals.len();
+    let arrived = receivers.stop().unwrap().arrivals.len();
     assert_eq!(arrived, acked.len());
     _ = std::fs::remove_dir_all(folder);
 }
--- a/crates/engine/benches/release.rs
+++ b/crates/engine/benches/release.rs
@@ -15,7 +15,7 @@
 use heronroute_smpp::receipt::Receipt;
 use heronroute_smpp::server::{self, Limits, Mode, Session};
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
-use heronroute_standins::mqtt::{Hand, MqttClient, Who};
+use heronroute_standins::mqtt::{ClientOptions, MqttClient, Publication};
 use rusmpp_core::CommandStatus;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -108,7 +108,7 @@
     out.clear();
     let mut owner = Client::bind(now, LIMITS, Mode::Receiver, "c", "secret", &mut out);
     let owner_conn = node.accepted(now, Speaks::Smpp, &out).expect("room");
-    let mut mqtt_client = MqttClient::new(Who::new(true, "c", "clerk"));
+    let mut mqtt_client = MqttClient::new(ClientOptions::new(true, "c", "clerk"));
     out.clear();
     mqtt_client.connect(&mut out);
     let mqtt = node.accepted(now, Speaks::Mqtt, &out).expect("room");
@@ -165,8 +165,11 @@
                             mqtt_client.receive(&bytes, &mut reply, &mut heard);
                             if !release_requested {
                                 release_requested = true;
-                                let message =
-                                    Hand { topic: "held/release".into(), qos: 1, ..Hand::default() };
+                                let message = Publication {
+                                    topic: "held/release".into(),
+                                    qos: 1,
+                                    ..Publication::default()
+                                };
                                 mqtt_client.publish(&message, &mut reply);
                             }
                         } else if conn == owner_conn {
--- a/crates/engine/tests/keeping.rs
+++ b/crates/engine/tests/keeping.rs
@@ -9,7 +9,7 @@
 use heronroute_journal::disk::Faults;
 use heronroute_rules::seam::{Apply, Token, Told};
 use heronroute_rules::{Rule, RuleLimits, RuleSet, Turn};
-use heronroute_standins::mqtt::{Heard, field};
+use heronroute_standins::mqtt::{ClientEvent, field};
 use kept::{Harness, MS, SECOND, apply, id, rule, set, settings};
 
 #[test]
@@ -67,7 +67,7 @@
     }
     harness.clients[0].events.clear();
     harness.advance(1_500);
-    let answers = harness.clients[0].events.iter().filter(|h| matches!(h, Heard::Told(..))).count();
+    let answers = harness.clients[0].events.iter().filter(|h| matches!(h, ClientEvent::Received(_))).count();
     assert_eq!(answers, 1, "{:?}", harness.clients[0].events);
 }
 
@@ -528,7 +528,7 @@
         let now = harness.now;
         harness.node().told(now, Told { token, text: "{\"version\":1}".into(), state: "shown" });
         harness.advance(2);
-        let mine = |h: &&Heard| matches!(h, Heard::Told(_, text, ..) if text == "{\"version\":1}");
+        let mine = |h: &&ClientEvent| matches!(h, ClientEvent::Received(message) if message.text == "{\"version\":1}");
         harness.clients[0].events.iter().filter(mine).count()
     };
     assert_eq!(reply(&mut harness, Token { sender: 1, ..request.token }), 0, "the token of another sender");
--- a/crates/engine/tests/kept/mod.rs
+++ b/crates/engine/tests/kept/mod.rs
@@ -12,7 +12,9 @@
 use heronroute_rules::seam::{Apply, ClientRequest, Fence, Live};
 use heronroute_rules::{Plan, Rule, RuleLimits, RuleSet, Turn};
 use heronroute_smpp::server::{self, Session};
-use heronroute_standins::mqtt::{Hand, Heard, MqttClient, Who, field};
+use heronroute_standins::mqtt::{
+    ClientEvent, ClientOptions, MqttClient, Publication, ReceivedMessage, field,
+};
 use rusmpp_core::CommandStatus;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -39,7 +41,7 @@
 pub struct Client {
     pub mqtt: MqttClient,
     pub conn: Option<ConnId>,
-    pub events: Vec<Heard>,
+    pub events: Vec<ClientEvent>,
 }
 
 pub struct Harness {
@@ -78,7 +80,7 @@
 impl Harness {
     pub fn with_config(cfg: Arc<Config>, fleet: bool, faults: Faults) -> Self {
         let client = |user, id| Client {
-            mqtt: MqttClient::new(Who::new(true, user, id)),
+            mqtt: MqttClient::new(ClientOptions::new(true, user, id)),
             conn: None,
             events: Vec::new(),
         };
@@ -275,17 +277,22 @@
         self.clients[i].events.clear();
         let mut out = BytesMut::new();
         let (correlation, payload) = (self.now.to_string().into_bytes(), topic.as_bytes().to_vec());
-        let message = Hand { topic: topic.into(), payload, qos: 1, correlation, ..Hand::default() };
+        let message =
+            Publication { topic: topic.into(), payload, qos: 1, correlation, ..Publication::default() };
         let packet = self.clients[i].mqtt.publish(&message, &mut out);
         self.send(i, &out);
         self.advance(ms);
         let events = &self.clients[i].events;
         let code = events.iter().find_map(|h| match h {
-            Heard::Acked(p, code, _) if *p == packet => Some(*code),
+            ClientEvent::Acknowledged(p, code, _) if *p == packet => Some(*code),
             _ => None,
         });
         let answers = events.iter().filter_map(|h| match h {
-            Heard::Told(_, text, c, ..) if *c == message.correlation => Some(text.clone()),
+            ClientEvent::Received(ReceivedMessage { text, correlation: c, .. })
+                if *c == message.correlation =>
+            {
+                Some(text.clone())
+            }
             _ => None,
         });
         (code.unwrap_or(0xFF), answers.collect())
--- a/crates/engine/tests/mqtt.rs
+++ b/crates/engine/tests/mqtt.rs
@@ -14,7 +14,9 @@
 use heronroute_smpp::client::Session as SmppClient;
 use heronroute_smpp::server::{self, Mode, Session};
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
-use heronroute_standins::mqtt::{Hand, Heard, MqttClient, Who, field};
+use heronroute_standins::mqtt::{
+    ClientEvent, ClientOptions, MqttClient, Publication, ReceivedMessage, field,
+};
 use rig::{LIMITS, SMALL, TestRng, commit};
 use rusmpp_core::CommandStatus;
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,7 +48,7 @@
     mqtt: MqttClient,
     conn: Option<ConnId>,
     /// The events received since the list was last cleared.
-    events: Vec<Heard>,
+    events: Vec<ClientEvent>,
     /// Whether the current connection was accepted (CONNACK received).
     session_open: bool,
     subscribed: bool,
@@ -61,7 +63,7 @@
 
 impl Client {
     fn new(five: bool, user: &str, id: &str) -> Self {
-        let who = Who { window: 5, ..Who::new(five, user, id) };
+        let who = ClientOptions { window: 5, ..ClientOptions::new(five, user, id) };
         Client {
             mqtt: MqttClient::new(who),
             conn: None,
@@ -75,20 +77,20 @@
         }
     }
 
-    fn record_events(&mut self, events: Vec<Heard>) {
+    fn record_events(&mut self, events: Vec<ClientEvent>) {
         for h in &events {
             match h {
-                Heard::In(present) => {
+                ClientEvent::Connected(present) => {
                     self.session_open = true;
                     if !present {
                         self.published.clear();
                         self.subscribed = false;
                     }
                 }
-                Heard::Acked(packet, code, _) if *code < 0x80 => {
+                ClientEvent::Acknowledged(packet, code, _) if *code < 0x80 => {
                     self.acked.extend(self.published.get(packet));
                 }
-                Heard::Told(_, text, correlation, ..) => {
+                ClientEvent::Received(ReceivedMessage { text, correlation, .. }) => {
                     let id = field(text, "id").unwrap_or_default().to_string();
                     let stat = field(text, "stat").unwrap_or_default().to_string();
                     let own = String::from_utf8_lossy(correlation).into_owned();
@@ -204,7 +206,14 @@
         self.send(now, client, &out, rng);
     }
 
-    fn publish(&mut self, now: i64, client: &mut Client, n: u64, message: &Hand, rng: &mut TestRng) -> u16 {
+    fn publish(
+        &mut self,
+        now: i64,
+        client: &mut Client,
+        n: u64,
+        message: &Publication,
+        rng: &mut TestRng,
+    ) -> u16 {
         let mut out = BytesMut::new();
         let packet = client.mqtt.publish(message, &mut out);
         client.published.insert(packet, n);
@@ -294,7 +303,7 @@
             };
             let mut events = Vec::new();
             client.mqtt.receive(&bytes[..kept_len], &mut reply, &mut events);
-            assert!(!events.iter().any(|h| matches!(h, Heard::Wrong(_))), "{events:?}");
+            assert!(!events.iter().any(|h| matches!(h, ClientEvent::Failed(_))), "{events:?}");
             client.record_events(events);
             if lost {
                 return self.cut(now, client);
@@ -335,12 +344,12 @@
     }
 }
 
-fn message(n: u64, five: bool, qos: u8, class: &str) -> Hand {
+fn message(n: u64, five: bool, qos: u8, class: &str) -> Publication {
     let address = format!("1{n:06}");
     // A version 3.1.1 client tells its answers apart by the name in the topic.
     let topic = if five { format!("to/{address}/{class}") } else { format!("to/{address}/{class}//{n}") };
     let correlation = if five { n.to_string().into_bytes() } else { Vec::new() };
-    Hand { topic, payload: n.to_string().into_bytes(), qos, correlation, ..Hand::default() }
+    Publication { topic, payload: n.to_string().into_bytes(), qos, correlation, ..Publication::default() }
 }
 
 fn check_outcomes(clients: &[Client], arrivals: &Arrivals) -> Result<(), String> {
@@ -485,7 +494,7 @@
         self.process.as_mut().unwrap().connect(now, &mut self.clients[i]);
         self.advance(3);
         let present = self.clients[i].events.iter().find_map(|h| match h {
-            Heard::In(present) => Some(*present),
+            ClientEvent::Connected(present) => Some(*present),
             _ => None,
         })?;
         if !present {
@@ -495,7 +504,7 @@
         Some(present)
     }
 
-    fn publish(&mut self, i: usize, n: u64, message: &Hand) -> u16 {
+    fn publish(&mut self, i: usize, n: u64, message: &Publication) -> u16 {
         let now = self.now;
         self.process.as_mut().unwrap().publish(now, &mut self.clients[i], n, message, &mut self.rng)
     }
@@ -553,7 +562,7 @@
                 let answers = harness.clients[0].answers[&1].clone();
                 assert!(answers.iter().all(|a| a.1 == "DELIVRD"), "{answers:?}");
                 assert!(
-                    harness.clients[0].events.contains(&Heard::Completed(1)),
+                    harness.clients[0].events.contains(&ClientEvent::Completed(1)),
                     "{:?}",
                     harness.clients[0].events
                 );
@@ -578,7 +587,13 @@
     let dup_flags: Vec<bool> = harness.clients[0]
         .events
         .iter()
-        .filter_map(|h| if let Heard::Told(.., dup) = h { Some(*dup) } else { None })
+        .filter_map(|h| {
+            if let ClientEvent::Received(ReceivedMessage { duplicate: dup, .. }) = h {
+                Some(*dup)
+            } else {
+                None
+            }
+        })
         .collect();
     assert_eq!((dup_flags, harness.process().node.owed()), (vec![true], 0));
     // After a clean start the unacknowledged answer comes again as a new packet, without the DUP flag.
@@ -591,7 +606,13 @@
     let dup_flags: Vec<bool> = harness.clients[0]
         .events
         .iter()
-        .filter_map(|h| if let Heard::Told(.., dup) = h { Some(*dup) } else { None })
+        .filter_map(|h| {
+            if let ClientEvent::Received(ReceivedMessage { duplicate: dup, .. }) = h {
+                Some(*dup)
+            } else {
+                None
+            }
+        })
         .collect();
     assert_eq!((dup_flags, harness.process().node.owed()), (vec![false], 0));
 }
@@ -607,7 +628,7 @@
         assert_eq!(harness.connect_client(here), Some(true), "the session moves to the new connection");
         assert!(harness.clients[there].conn.is_none());
         assert!(
-            harness.clients[there].events.contains(&Heard::Bye(0x8E)),
+            harness.clients[there].events.contains(&ClientEvent::Disconnected(0x8E)),
             "{:?}",
             harness.clients[there].events
         );
@@ -652,12 +673,12 @@
     let id = id.unwrap_or_else(|| harness.arrivals[&7][0].clone());
     harness.connect_client(0);
     harness.connect_client(1);
-    let request = |topic: &str| Hand {
+    let request = |topic: &str| Publication {
         topic: format!("{topic}/{id}"),
         qos: 1,
         response: Some("answers/of/mine".into()),
         correlation: b"q".to_vec(),
-        ..Hand::default()
+        ..Publication::default()
     };
     for i in [0, 1] {
         harness.publish(i, 0, &request("ask"));
@@ -667,8 +688,8 @@
     harness.publish(0, 0, &request("withdraw"));
     harness.advance(5);
     let query_answers = |client: &Client| -> Vec<String> {
-        let each = |h: &Heard| match h {
-            Heard::Told(topic, text, correlation, ..)
+        let each = |h: &ClientEvent| match h {
+            ClientEvent::Received(ReceivedMessage { topic, text, correlation, .. })
                 if topic == "answers/of/mine" && correlation == b"q" =>
             {
                 Some(text.clone())
@@ -694,15 +715,19 @@
     harness.connect_client(0);
     harness.connect_client(1);
     // The class and the address are unknown.
-    let wrong = |five: bool, qos: u8| Hand { topic: "to/9/WHAT//9".into(), ..message(9, five, qos, "") };
+    let wrong =
+        |five: bool, qos: u8| Publication { topic: "to/9/WHAT//9".into(), ..message(9, five, qos, "") };
     for qos in [1, 2] {
         harness.publish(0, 9, &wrong(true, qos));
         harness.publish(1, 9, &wrong(false, qos));
         harness.advance(5);
     }
-    let five: Vec<&Heard> =
-        harness.clients[0].events.iter().filter(|h| matches!(h, Heard::Acked(..))).collect();
-    assert!(five.iter().all(|h| matches!(h, Heard::Acked(_, 0x90, None))) && five.len() == 2, "{five:?}");
+    let five: Vec<&ClientEvent> =
+        harness.clients[0].events.iter().filter(|h| matches!(h, ClientEvent::Acknowledged(..))).collect();
+    assert!(
+        five.iter().all(|h| matches!(h, ClientEvent::Acknowledged(_, 0x90, None))) && five.len() == 2,
+        "{five:?}"
+    );
     assert!(harness.clients[0].answers.is_empty());
     // Version 3.1.1 has no refusal: a message is acknowledged, then answered. Each was submitted as a message
     // of its own.
@@ -730,8 +755,9 @@
 fn a_subscription_is_acknowledged_only_once_it_is_durable() {
     for five in [true, false] {
         let mut harness = Harness::new("", vec![Client::new(five, "c", "one")]);
-        let acknowledged =
-            |harness: &Harness| harness.clients[0].events.iter().any(|h| matches!(h, Heard::Subscribed(_)));
+        let acknowledged = |harness: &Harness| {
+            harness.clients[0].events.iter().any(|h| matches!(h, ClientEvent::Subscribed(_)))
+        };
         let subscribe = |harness: &mut Harness| {
             let now = harness.now;
             harness.process.as_mut().unwrap().subscribe(now, &mut harness.clients[0], &mut harness.rng);
@@ -782,8 +808,11 @@
         }
         harness.advance(20);
         assert!(harness.process().node.owed() + harness.process().node.open() <= 22);
-        refused +=
-            harness.clients[0].events.drain(..).filter(|h| matches!(h, Heard::Acked(_, 0x97, _))).count();
+        refused += harness.clients[0]
+            .events
+            .drain(..)
+            .filter(|h| matches!(h, ClientEvent::Acknowledged(_, 0x97, _)))
+            .count();
     }
     assert!(refused > 10, "{refused}");
     assert!(
@@ -813,7 +842,8 @@
         vec![Client::new(true, "c", "one"), Client::new(false, "c", "two"), Client::new(true, "d", "x")],
     );
     (0..3).for_each(|i| _ = harness.connect_client(i));
-    let named = |five: bool| Hand { topic: "to/1000001/PAY//order-7".into(), ..message(7, five, 1, "PAY") };
+    let named =
+        |five: bool| Publication { topic: "to/1000001/PAY//order-7".into(), ..message(7, five, 1, "PAY") };
     harness.publish(0, 7, &named(true));
     harness.publish(1, 7, &named(false));
     harness.crash();
@@ -892,7 +922,7 @@
     harness.advance(60);
     assert_eq!(harness.arrivals[&77].len(), 2);
     assert_eq!(
-        harness.clients[0].events.iter().filter(|h| matches!(h, Heard::Told(..))).count(),
+        harness.clients[0].events.iter().filter(|h| matches!(h, ClientEvent::Received(_))).count(),
         1,
         "and is answered"
     );
@@ -910,7 +940,7 @@
     let mut harness = Harness::new("", vec![Client::new(true, "c", "well")]);
     harness.connect_client(0);
     // The bytes of a valid session; each attempt replaces some of them with random values.
-    let mut other = MqttClient::new(Who::new(true, "c", "odd"));
+    let mut other = MqttClient::new(ClientOptions::new(true, "c", "odd"));
     let mut good = BytesMut::new();
     other.connect(&mut good);
     good.extend_from_slice(b"\x82\x0b\x00\x01\x00\x05a/b/#\x01");
@@ -942,10 +972,16 @@
     fn ask_held(&mut self, i: usize, topic: &str) -> String {
         self.clients[i].events.clear();
         let topic = format!("held/{topic}");
-        self.publish(i, 0, &Hand { topic, qos: 1, correlation: b"held".to_vec(), ..Hand::default() });
+        self.publish(
+            i,
+            0,
+            &Publication { topic, qos: 1, correlation: b"held".to_vec(), ..Publication::default() },
+        );
         self.advance(3);
-        let each = |h: &Heard| match h {
-            Heard::Told(_, text, correlation, ..) if correlation == b"held" => Some(text.clone()),
+        let each = |h: &ClientEvent| match h {
+            ClientEvent::Received(ReceivedMessage { text, correlation, .. }) if correlation == b"held" => {
+                Some(text.clone())
+            }
             _ => None,
         };
         self.clients[i].events.iter().find_map(each).expect("an answer")
@@ -1044,7 +1080,11 @@
     assert!(harness.ask_held(0, "list").contains(&id));
     // A crash loses a resubmission that was not durable and keeps one that was.
     harness.crash_and_reconnect();
-    harness.publish(0, 0, &Hand { topic: format!("held/again/{id}"), qos: 1, ..Hand::default() });
+    harness.publish(
+        0,
+        0,
+        &Publication { topic: format!("held/again/{id}"), qos: 1, ..Publication::default() },
+    );
     harness.crash_and_reconnect();
     assert!(
         harness.ask_held(0, "list").contains(&id),
@@ -1052,7 +1092,7 @@
     );
     let again = format!("held/again/{id}");
     for i in [0, 1] {
-        harness.publish(i, 0, &Hand { topic: again.clone(), qos: 1, ..Hand::default() });
+        harness.publish(i, 0, &Publication { topic: again.clone(), qos: 1, ..Publication::default() });
     }
     harness.advance(2);
     harness.crash_and_reconnect();
--- a/crates/engine/tests/region.rs
+++ b/crates/engine/tests/region.rs
@@ -8,7 +8,7 @@
 use heronroute_engine::Output;
 use heronroute_journal::JournalState;
 use heronroute_journal::disk::{Disk, Faults};
-use heronroute_standins::mqtt::{Heard, field};
+use heronroute_standins::mqtt::{ClientEvent, field};
 use kept::{Harness, SECOND, settings};
 
 const REGIONS: &str = "held { } journal { folder: \"j\" } \
@@ -39,8 +39,8 @@
 
 /// Returns the states of the answers that a session has received since its events were last cleared.
 fn answer_states(harness: &Harness, i: usize) -> Vec<String> {
-    let stat = |h: &Heard| match h {
-        Heard::Told(_, text, ..) => field(text, "stat").map(str::to_string),
+    let stat = |h: &ClientEvent| match h {
+        ClientEvent::Received(message) => field(&message.text, "stat").map(str::to_string),
         _ => None,
     };
     harness.clients[i].events.iter().filter_map(stat).collect()
--- a/crates/standins/src/actor.rs
+++ b/crates/standins/src/actor.rs
@@ -8,7 +8,7 @@
 
 /// What an actor asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Ask {
+pub enum Action {
     /// Connect; the tag comes back with [`Actor::connected`] or [`Actor::closed`].
     Connect { tag: usize, address: SocketAddr },
     /// Write.
@@ -40,7 +40,7 @@
     /// When [`Actor::tick`] is next needed.
     fn wake(&self) -> Micros;
     /// What is asked for since the last call, in order.
-    fn asks(&mut self) -> Vec<Ask>;
+    fn actions(&mut self) -> Vec<Action>;
     /// Whether there is nothing more to do.
     fn finished(&self) -> bool {
         false
--- a/crates/standins/src/directory.rs
+++ b/crates/standins/src/directory.rs
@@ -1,7 +1,7 @@
 //! The directory: a list with scripted changes, told late and sometimes not at all.
 
 use crate::Micros;
-use crate::actor::{Actor, Ask, Conn};
+use crate::actor::{Action, Actor, Conn};
 use bytes::BytesMut;
 use heronroute_audit::Drained;
 use heronroute_config::{raw, write_listing};
@@ -33,7 +33,7 @@
     errors: Vec<(Micros, Micros)>,
     readers: BTreeMap<Conn, Reader>,
     polls: Vec<Poll>,
-    asks: Vec<Ask>,
+    actions: Vec<Action>,
     /// What it told.
     pub told: Vec<Drained>,
     /// Questions that it answered.
@@ -51,7 +51,7 @@
             errors,
             readers: BTreeMap::new(),
             polls: Vec::new(),
-            asks: Vec::new(),
+            actions: Vec::new(),
             told: Vec::new(),
             answered: 0,
         }
@@ -83,7 +83,7 @@
     fn write(&mut self, conn: Conn, status: u16, body: &str) {
         let mut out = BytesMut::new();
         write_response(status, &[("content-type", "text/plain")], body.as_bytes(), &mut out);
-        self.asks.push(Ask::Write(conn, out.to_vec()));
+        self.actions.push(Action::Write(conn, out.to_vec()));
     }
 
     fn answer(&mut self, now: Micros) {
@@ -126,7 +126,7 @@
                 Ok(None) => return,
                 Err(_) => {
                     self.readers.remove(&conn);
-                    self.asks.push(Ask::Drop(conn));
+                    self.actions.push(Action::Drop(conn));
                 }
             }
         }
@@ -161,7 +161,7 @@
         self.polls.iter().map(|p| p.until).fold(change, Micros::min)
     }
 
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,15 +8,15 @@
 #![forbid(unsafe_code)]
 
 pub mod actor;
-pub mod agenda;
-pub mod asker;
-pub mod clients;
 pub mod directory;
-pub mod farm;
-pub mod flock;
 pub mod model;
 pub mod mqtt;
+pub mod mqtt_clients;
+pub mod mqtt_request;
+pub mod receivers;
 pub mod run;
+pub mod schedule;
+pub mod smpp_clients;
 
 /// Time in microseconds on the one clock of a run.
 pub type Micros = i64;
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -40,7 +40,7 @@
 
 /// A trouble and when it strikes.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Strike {
+pub struct Incident {
     /// From and to, on the run's clock.
     pub from: Micros,
     /// See `from`.
@@ -51,7 +51,7 @@
 
 /// How a receiver is made.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Shape {
+pub struct ReceiverModel {
     /// Mean time for one call.
     pub pace: Micros,
     /// Calls served at once.
@@ -72,9 +72,9 @@
     pub fall_window: Micros,
 }
 
-impl Default for Shape {
+impl Default for ReceiverModel {
     fn default() -> Self {
-        Shape {
+        ReceiverModel {
             pace: 20_000,
             width: 8,
             queue: 64,
@@ -90,7 +90,7 @@
 
 /// What becomes of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Fate {
+pub enum CallOutcome {
     /// Answered at this time: done.
     Done(Micros),
     /// Answered at this time with an error; whether it ran.
@@ -111,8 +111,8 @@
 /// One destination: all its endpoints together.
 #[derive(Debug)]
 pub struct Model {
-    shape: Shape,
-    strikes: Vec<Strike>,
+    shape: ReceiverModel,
+    incidents: Vec<Incident>,
     random: ChaCha8Rng,
     /// When each place to serve is free again.
     serving: BinaryHeap<Reverse<Micros>>,
@@ -124,11 +124,11 @@
 
 impl Model {
     /// A receiver of this shape, struck by these.
-    pub fn new(shape: Shape, mut strikes: Vec<Strike>, seed: u64) -> Self {
-        strikes.sort_by_key(|s| s.from);
+    pub fn new(shape: ReceiverModel, mut incidents: Vec<Incident>, seed: u64) -> Self {
+        incidents.sort_by_key(|s| s.from);
         Model {
             shape,
-            strikes,
+            incidents,
             random: ChaCha8Rng::seed_from_u64(seed),
             serving: BinaryHeap::new(),
             span: (0, 0),
@@ -143,13 +143,13 @@
     }
 
     /// The trouble just now.
-    pub fn trouble(&self, now: Micros) -> Option<Strike> {
-        self.strikes.iter().find(|s| s.from <= now && now < s.to).copied()
+    pub fn trouble(&self, now: Micros) -> Option<Incident> {
+        self.incidents.iter().find(|s| s.from <= now && now < s.to).copied()
     }
 
     /// When the trouble next changes.
     pub fn changes(&self, now: Micros) -> Micros {
-        self.strikes.iter().flat_map(|s| [s.from, s.to]).filter(|t| *t > now).min().unwrap_or(Micros::MAX)
+        self.incidents.iter().flat_map(|s| [s.from, s.to]).filter(|t| *t > now).min().unwrap_or(Micros::MAX)
     }
 
     /// Times at which it fell over.
@@ -159,7 +159,7 @@
 
     /// Its capacity just now, as a share; and since when it has been returning.
     fn capacity(&mut self, now: Micros) -> f64 {
-        let back = self.strikes.iter().filter(|s| s.trouble.outage() && s.to <= now).map(|s| s.to).max();
+        let back = self.incidents.iter().filter(|s| s.trouble.outage() && s.to <= now).map(|s| s.to).max();
         self.warm_since = back.filter(|t| now - t < self.shape.warm_up);
         let Some(since) = self.warm_since else { return 1.0 };
         let share = (now - since) as f64 / self.shape.warm_up.max(1) as f64;
@@ -173,32 +173,32 @@
 
     /// Whether connections are accepted.
     pub fn listens(&self, now: Micros) -> bool {
-        !matches!(self.trouble(now), Some(Strike { trouble: Trouble::Refuse, .. }))
+        !matches!(self.trouble(now), Some(Incident { trouble: Trouble::Refuse, .. }))
     }
 
     /// Whether anything is read.
     pub fn reads(&self, now: Micros) -> bool {
-        !matches!(self.trouble(now), Some(Strike { trouble: Trouble::Vanish, .. }))
+        !matches!(self.trouble(now), Some(Incident { trouble: Trouble::Vanish, .. }))
     }
 
     /// A call arrives.
-    pub fn call(&mut self, now: Micros) -> Fate {
+    pub fn call(&mut self, now: Micros) -> CallOutcome {
         let capacity = self.capacity(now);
         self.push(now, capacity);
         let strike = self.trouble(now);
         let mut slow = 1.0;
-        if let Some(Strike { trouble, to, .. }) = strike {
+        if let Some(Incident { trouble, to, .. }) = strike {
             let chance = self.chance();
             match trouble {
-                Trouble::Hang => return Fate::Lost,
-                Trouble::Refuse | Trouble::Vanish => return Fate::Unseen,
+                Trouble::Hang => return CallOutcome::Lost,
+                Trouble::Refuse | Trouble::Vanish => return CallOutcome::Unseen,
                 Trouble::Shut => return self.busy(now, to - now),
                 Trouble::FastErrors(share) if chance < share => {
                     let ran = self.chance() < 0.5;
-                    return Fate::Error(now + AT_ONCE, ran);
+                    return CallOutcome::Error(now + AT_ONCE, ran);
                 }
-                Trouble::AnswerLost(share) if chance < share => return Fate::Lost,
-                Trouble::Reset(share) if chance < share => return Fate::Reset(now + AT_ONCE),
+                Trouble::AnswerLost(share) if chance < share => return CallOutcome::Lost,
+                Trouble::Reset(share) if chance < share => return CallOutcome::Reset(now + AT_ONCE),
                 Trouble::Slow(factor) => slow = factor,
                 _ => {}
             }
@@ -217,7 +217,7 @@
             self.serving.pop();
         }
         if self.serving.len() >= self.shape.width + self.shape.queue {
-            return Fate::Busy(now + AT_ONCE, 0);
+            return CallOutcome::Busy(now + AT_ONCE, 0);
         }
         // The place that is free first takes it; with `width` places, that is the end that lies `width` back.
         let mut ends: Vec<Micros> = self.serving.iter().map(|Reverse(t)| *t).collect();
@@ -228,13 +228,13 @@
         let pace = self.shape.pace as f64 * (0.3 * z).exp() * slow / capacity;
         let end = start + pace as Micros;
         self.serving.push(Reverse(end));
-        Fate::Done(end)
+        CallOutcome::Done(end)
     }
 
-    fn busy(&mut self, now: Micros, wait: Micros) -> Fate {
+    fn busy(&mut self, now: Micros, wait: Micros) -> CallOutcome {
         let tells = self.chance() < self.shape.tells_waits;
         // Waits are told in whole milliseconds, rounded up.
-        Fate::Busy(now + AT_ONCE, if tells { (wait + 999) / 1_000 * 1_000 } else { 0 })
+        CallOutcome::Busy(now + AT_ONCE, if tells { (wait + 999) / 1_000 * 1_000 } else { 0 })
     }
 
     /// Counts what pushes a cold destination; beyond its multiple it falls over and stays down for a while.
@@ -253,18 +253,18 @@
         if self.recent.len() as f64 > bears * 1.1 + 3.0 {
             self.fallen.push(now);
             self.recent.clear();
-            self.strikes.push(Strike { from: now, to: now + 5_000_000, trouble: Trouble::Hang });
+            self.incidents.push(Incident { from: now, to: now + 5_000_000, trouble: Trouble::Hang });
         }
     }
 
     /// A probe arrives: what is answered, if anything is.
-    pub fn probe(&mut self, now: Micros) -> Option<Fate> {
+    pub fn probe(&mut self, now: Micros) -> Option<CallOutcome> {
         let capacity = self.capacity(now);
         self.push(now, capacity);
         match self.trouble(now).map(|s| s.trouble) {
             Some(Trouble::Hang | Trouble::Vanish | Trouble::Refuse) => None,
-            Some(Trouble::FastErrors(share)) if self.chance() < share => Some(Fate::Error(now, false)),
-            _ => Some(Fate::Done(now)),
+            Some(Trouble::FastErrors(share)) if self.chance() < share => Some(CallOutcome::Error(now, false)),
+            _ => Some(CallOutcome::Done(now)),
         }
     }
 }
@@ -275,22 +275,22 @@
 
     #[test]
     fn limits_queues_and_strikes() {
-        let shape = Shape { limit: Some((5, 1_000_000)), ..Shape::default() };
+        let shape = ReceiverModel { limit: Some((5, 1_000_000)), ..ReceiverModel::default() };
         let mut m = Model::new(shape, vec![], 1);
-        let fates: Vec<Fate> = (0..8).map(|i| m.call(2_000_000 + i)).collect();
-        assert_eq!(fates.iter().filter(|f| matches!(f, Fate::Done(_))).count(), 5);
-        assert!(matches!(fates[7], Fate::Busy(_, wait) if wait == 1_000_000));
-        let strike = Strike { from: 0, to: 100, trouble: Trouble::Hang };
-        let mut m = Model::new(Shape::default(), vec![strike], 1);
-        assert_eq!((m.call(50), m.probe(50)), (Fate::Lost, None));
-        assert!(matches!(m.call(100), Fate::Done(_)));
+        let fates: Vec<CallOutcome> = (0..8).map(|i| m.call(2_000_000 + i)).collect();
+        assert_eq!(fates.iter().filter(|f| matches!(f, CallOutcome::Done(_))).count(), 5);
+        assert!(matches!(fates[7], CallOutcome::Busy(_, wait) if wait == 1_000_000));
+        let strike = Incident { from: 0, to: 100, trouble: Trouble::Hang };
+        let mut m = Model::new(ReceiverModel::default(), vec![strike], 1);
+        assert_eq!((m.call(50), m.probe(50)), (CallOutcome::Lost, None));
+        assert!(matches!(m.call(100), CallOutcome::Done(_)));
     }
 
     #[test]
     fn a_cold_one_falls_when_pushed_and_not_otherwise() {
-        let strike = Strike { from: 0, to: 1_000_000, trouble: Trouble::Shut };
+        let strike = Incident { from: 0, to: 1_000_000, trouble: Trouble::Shut };
         let run = |gap: Micros| {
-            let mut m = Model::new(Shape::default(), vec![strike], 1);
+            let mut m = Model::new(ReceiverModel::default(), vec![strike], 1);
             (0..2_000_000 / gap).for_each(|i| _ = m.call(1_000_000 + i * gap));
             m.fallen().len()
         };
--- a/crates/standins/src/mqtt.rs
+++ b/crates/standins/src/mqtt.rs
@@ -13,7 +13,7 @@
 
 /// Who connects, and how.
 #[derive(Clone, Debug)]
-pub struct Who {
+pub struct ClientOptions {
     /// Version 5.0, else 3.1.1.
     pub five: bool,
     /// The user name.
@@ -32,18 +32,18 @@
     pub will: Option<(String, u32)>,
 }
 
-impl Who {
+impl ClientOptions {
     /// A client of version 5.0 or 3.1.1 that keeps its session for an hour.
     pub fn new(five: bool, user: &str, id: &str) -> Self {
         let (user, id) = (user.to_string(), id.to_string());
         let password = "secret".to_string();
-        Who { five, user, password, id, clean: false, expiry: 3_600, window: 1_000, will: None }
+        ClientOptions { five, user, password, id, clean: false, expiry: 3_600, window: 1_000, will: None }
     }
 }
 
 /// A message to hand in.
 #[derive(Clone, Debug, Default)]
-pub struct Hand {
+pub struct Publication {
     /// The topic.
     pub topic: String,
     /// The payload.
@@ -60,30 +60,45 @@
     pub user: Vec<(String, String)>,
 }
 
-/// What a client hears.
+/// A publication that a client received.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Heard {
-    /// It is let in; an earlier session goes on.
-    In(bool),
-    /// It is turned away.
+pub struct ReceivedMessage {
+    /// The topic.
+    pub topic: String,
+    /// The payload as text.
+    pub text: String,
+    /// The correlation data; empty in version 3.1.1.
+    pub correlation: Vec<u8>,
+    /// The user properties; none in version 3.1.1.
+    pub user_properties: Vec<(String, String)>,
+    /// Whether it may be a repeat of an earlier one.
+    pub duplicate: bool,
+}
+
+/// An event on a client's connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientEvent {
+    /// The connection was accepted. Whether an earlier session continues.
+    Connected(bool),
+    /// The connection was refused with this code.
     Refused(u8),
-    /// A PUBACK or PUBREC, with its code and the message's identity.
-    Acked(u16, u8, Option<String>),
-    /// A PUBCOMP.
+    /// A PUBACK or PUBREC: packet identifier, reason code, and the message's identity if it has one.
+    Acknowledged(u16, u8, Option<String>),
+    /// A PUBCOMP, with its packet identifier.
     Completed(u16),
-    /// A SUBACK's codes.
+    /// A SUBACK, with its codes.
     Subscribed(Vec<u8>),
-    /// A publication: topic, text, correlation data, user properties, whether it may have come before.
-    Told(String, String, Vec<u8>, Vec<(String, String)>, bool),
+    /// A publication.
+    Received(ReceivedMessage),
     /// A DISCONNECT with its code.
-    Bye(u8),
-    /// What the library calls an error.
-    Wrong(String),
+    Disconnected(u8),
+    /// An error that the protocol library reports.
+    Failed(String),
 }
 
 /// The client; it outlives connections.
 pub struct MqttClient {
-    who: Who,
+    who: ClientOptions,
     core: Connection<role::Client>,
     /// The first packet of a connection, as far as it has come; see `first_packet`.
     first: Option<Vec<u8>>,
@@ -94,24 +109,24 @@
 
 impl MqttClient {
     /// A client that has not connected yet.
-    pub fn new(who: Who) -> Self {
+    pub fn new(who: ClientOptions) -> Self {
         let core = fresh(who.five);
         MqttClient { who, core, first: None, most: usize::MAX, out: BTreeSet::new() }
     }
 
     /// Who it is; to be changed between connections.
-    pub fn who(&mut self) -> &mut Who {
+    pub fn who(&mut self) -> &mut ClientOptions {
         &mut self.who
     }
 
-    fn work(events: Vec<Event>, out: &mut BytesMut, heard: &mut Vec<Heard>) {
+    fn work(events: Vec<Event>, out: &mut BytesMut, heard: &mut Vec<ClientEvent>) {
         for event in events {
             match event {
                 Event::RequestSendPacket { packet, .. } => {
                     out.extend_from_slice(&packet.to_continuous_buffer());
                 }
                 Event::NotifyPacketReceived(packet) => heard.extend(read(&packet)),
-                Event::NotifyError(e) => heard.push(Heard::Wrong(format!("{e:?}"))),
+                Event::NotifyError(e) => heard.push(ClientEvent::Failed(format!("{e:?}"))),
                 _ => {}
             }
         }
@@ -201,7 +216,7 @@
     }
 
     /// Publishes; gives the packet identifier, 0 with quality 0 and where there is none left.
-    pub fn publish(&mut self, hand: &Hand, out: &mut BytesMut) -> u16 {
+    pub fn publish(&mut self, hand: &Publication, out: &mut BytesMut) -> u16 {
         let id = if hand.qos > 0 { self.core.acquire_packet_id().unwrap_or(0) } else { 0 };
         if id > 0 {
             self.out.insert(id);
@@ -240,7 +255,7 @@
     }
 
     /// Octets came.
-    pub fn receive(&mut self, octets: &[u8], out: &mut BytesMut, heard: &mut Vec<Heard>) {
+    pub fn receive(&mut self, octets: &[u8], out: &mut BytesMut, heard: &mut Vec<ClientEvent>) {
         let changed = self.first_packet(octets);
         let octets = changed.as_deref().unwrap_or(octets);
         let mut cursor = Cursor::new(octets);
@@ -251,11 +266,11 @@
         }
         for h in &heard[from..] {
             match h {
-                Heard::In(false) => self.out.clear(),
-                Heard::Acked(packet, code, _) if self.qos1(*packet) || *code >= 0x80 => {
+                ClientEvent::Connected(false) => self.out.clear(),
+                ClientEvent::Acknowledged(packet, code, _) if self.qos1(*packet) || *code >= 0x80 => {
                     _ = self.out.remove(packet)
                 }
-                Heard::Completed(packet) => _ = self.out.remove(packet),
+                ClientEvent::Completed(packet) => _ = self.out.remove(packet),
                 _ => {}
             }
         }
@@ -293,7 +308,7 @@
     core
 }
 
-fn read(packet: &GenericPacket<u16>) -> Option<Heard> {
+fn read(packet: &GenericPacket<u16>) -> Option<ClientEvent> {
     let message = |props: Option<&Vec<Property>>| {
         props.into_iter().flatten().find_map(|p| match p {
             Property::UserProperty(u) if u.key() == "message" => Some(u.val().to_string()),
@@ -302,28 +317,32 @@
     };
     Some(match packet {
         GenericPacket::V5_0Connack(p) => match p.reason_code() as u8 {
-            0 => Heard::In(p.session_present()),
-            code => Heard::Refused(code),
+            0 => ClientEvent::Connected(p.session_present()),
+            code => ClientEvent::Refused(code),
         },
         GenericPacket::V3_1_1Connack(p) => match p.return_code() as u8 {
-            0 => Heard::In(p.session_present()),
-            code => Heard::Refused(code),
+            0 => ClientEvent::Connected(p.session_present()),
+            code => ClientEvent::Refused(code),
         },
-        GenericPacket::V5_0Puback(p) => {
-            Heard::Acked(p.packet_id(), p.reason_code().map_or(0, |c| c as u8), message(p.props().as_ref()))
-        }
-        GenericPacket::V5_0Pubrec(p) => {
-            Heard::Acked(p.packet_id(), p.reason_code().map_or(0, |c| c as u8), message(p.props().as_ref()))
-        }
-        GenericPacket::V3_1_1Puback(p) => Heard::Acked(p.packet_id(), 0, None),
-        GenericPacket::V3_1_1Pubrec(p) => Heard::Acked(p.packet_id(), 0, None),
-        GenericPacket::V5_0Pubcomp(p) => Heard::Completed(p.packet_id()),
-        GenericPacket::V3_1_1Pubcomp(p) => Heard::Completed(p.packet_id()),
+        GenericPacket::V5_0Puback(p) => ClientEvent::Acknowledged(
+            p.packet_id(),
+            p.reason_code().map_or(0, |c| c as u8),
+            message(p.props().as_ref()),
+        ),
+        GenericPacket::V5_0Pubrec(p) => ClientEvent::Acknowledged(
+            p.packet_id(),
+            p.reason_code().map_or(0, |c| c as u8),
+            message(p.props().as_ref()),
+        ),
+        GenericPacket::V3_1_1Puback(p) => ClientEvent::Acknowledged(p.packet_id(), 0, None),
+        GenericPacket::V3_1_1Pubrec(p) => ClientEvent::Acknowledged(p.packet_id(), 0, None),
+        GenericPacket::V5_0Pubcomp(p) => ClientEvent::Completed(p.packet_id()),
+        GenericPacket::V3_1_1Pubcomp(p) => ClientEvent::Completed(p.packet_id()),
         GenericPacket::V5_0Suback(p) => {
-            Heard::Subscribed(p.reason_codes().into_iter().map(|c| c as u8).collect())
+            ClientEvent::Subscribed(p.reason_codes().into_iter().map(|c| c as u8).collect())
         }
         GenericPacket::V3_1_1Suback(p) => {
-            Heard::Subscribed(p.return_codes().into_iter().map(|c| c as u8).collect())
+            ClientEvent::Subscribed(p.return_codes().into_iter().map(|c| c as u8).collect())
         }
         GenericPacket::V5_0Publish(p) => {
             let (mut correlation, mut user) = (Vec::new(), Vec::new());
@@ -335,13 +354,25 @@
                 }
             }
             let text = String::from_utf8_lossy(p.payload().as_slice()).into_owned();
-            Heard::Told(p.topic_name().to_string(), text, correlation, user, p.dup())
+            ClientEvent::Received(ReceivedMessage {
+                topic: p.topic_name().to_string(),
+                text,
+                correlation,
+                user_properties: user,
+                duplicate: p.dup(),
+            })
         }
         GenericPacket::V3_1_1Publish(p) => {
             let text = String::from_utf8_lossy(p.payload().as_slice()).into_owned();
-            Heard::Told(p.topic_name().to_string(), text, Vec::new(), Vec::new(), p.dup())
+            ClientEvent::Received(ReceivedMessage {
+                topic: p.topic_name().to_string(),
+                text,
+                correlation: Vec::new(),
+                user_properties: Vec::new(),
+                duplicate: p.dup(),
+            })
         }
-        GenericPacket::V5_0Disconnect(p) => Heard::Bye(p.reason_code().map_or(0, |c| c as u8)),
+        GenericPacket::V5_0Disconnect(p) => ClientEvent::Disconnected(p.reason_code().map_or(0, |c| c as u8)),
         _ => return None,
     })
 }
--- a/crates/standins/src/flock.rs
+++ b/crates/standins/src/mqtt_clients.rs
@@ -1,10 +1,10 @@
 //! Clients that speak MQTT: sessions with scripted steps, and a record of what they were told.
 
 use crate::Micros;
-use crate::actor::{Actor, Ask, Conn};
-use crate::agenda::Agenda;
-use crate::clients::Refused;
-use crate::mqtt::{Hand, Heard, MqttClient, Who, field};
+use crate::actor::{Action, Actor, Conn};
+use crate::mqtt::{ClientEvent, ClientOptions, MqttClient, Publication, ReceivedMessage, field};
+use crate::schedule::Schedule;
+use crate::smpp_clients::Refused;
 use bytes::BytesMut;
 use heronroute_audit::{Away, Submission, Told};
 use std::collections::{BTreeMap, VecDeque};
@@ -12,7 +12,7 @@
 
 /// A message of a client.
 #[derive(Clone, Debug)]
-pub struct Letter {
+pub struct PlannedMessage {
     /// The destination address.
     pub address: String,
     /// Name of its class, and its index.
@@ -31,7 +31,7 @@
     /// Connects, and subscribes where its session is new.
     Connect,
     /// Hands in a message.
-    Submit(Letter),
+    Submit(PlannedMessage),
     /// Takes its leave.
     Leave,
     /// Drops its connection.
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug)]
 pub struct MqttPlan {
     /// Who it is.
-    pub who: Who,
+    pub who: ClientOptions,
     /// Where its connection is lost it connects again, as often as need be.
     pub returns: bool,
     /// What it does when, in order of time.
@@ -64,11 +64,11 @@
     /// Publications without an acknowledgement: letter by packet identifier.
     asked: BTreeMap<u16, usize>,
     /// What waits for the connection, or for room in its window.
-    held: VecDeque<(Micros, Letter)>,
+    held: VecDeque<(Micros, PlannedMessage)>,
 }
 
 struct Sent {
-    letter: Letter,
+    letter: PlannedMessage,
     at: Micros,
     client: usize,
     /// Its place among the accepted.
@@ -76,12 +76,12 @@
 }
 
 /// All MQTT clients of a run.
-pub struct Flock {
+pub struct MqttClients {
     address: SocketAddr,
     runs: Vec<Run>,
     by_conn: BTreeMap<Conn, usize>,
-    agenda: Agenda<Step>,
-    asks: Vec<Ask>,
+    schedule: Schedule<Step>,
+    actions: Vec<Action>,
     deadlines: Vec<Micros>,
     until: Micros,
     sent: Vec<Sent>,
@@ -109,7 +109,7 @@
     started: usize,
 }
 
-impl Flock {
+impl MqttClients {
     /// Clients of a service; `deadlines`: of the classes, by index. They wait for answers until a time.
     pub fn new(address: SocketAddr, plans: Vec<MqttPlan>, deadlines: Vec<Micros>, until: Micros) -> Self {
         let make = |plan: MqttPlan| Run {
@@ -123,14 +123,14 @@
             held: VecDeque::new(),
         };
         let mut runs: Vec<Run> = plans.into_iter().map(make).collect();
-        let agenda = Agenda::new(runs.iter_mut().map(|r| std::mem::take(&mut r.plan.steps)));
+        let schedule = Schedule::new(runs.iter_mut().map(|r| std::mem::take(&mut r.plan.steps)));
         let gone = (0..runs.len()).map(|i| (i, 0)).collect();
-        Flock {
+        MqttClients {
             address,
             runs,
             by_conn: BTreeMap::new(),
-            agenda,
-            asks: Vec::new(),
+            schedule,
+            actions: Vec::new(),
             deadlines,
             until,
             sent: Vec::new(),
@@ -160,7 +160,7 @@
     /// Whether all that was planned is done and answered.
     fn answered(&self) -> bool {
         let asked = self.runs.iter().any(|r| !r.asked.is_empty() || !r.held.is_empty());
-        self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0
+        self.schedule.is_empty() && !asked && self.waiting == 0 && self.started > 0
     }
 
     /// What is not done or not answered yet, in words, for whoever waited in vain.
@@ -174,7 +174,7 @@
             runs(|r| !r.asked.is_empty()),
             runs(|r| !r.held.is_empty()),
             self.waiting,
-            !self.agenda.is_empty()
+            !self.schedule.is_empty()
         )
     }
 
@@ -201,11 +201,11 @@
         let mut out = BytesMut::new();
         while run.ready && run.core.room() > 0 {
             let Some(id) = list.pop_front() else { break };
-            let hand = Hand {
+            let hand = Publication {
                 topic: format!("held/show/{id}"),
                 qos: 1,
                 correlation: format!("t{id}").into_bytes(),
-                ..Hand::default()
+                ..Publication::default()
             };
             run.core.publish(&hand, &mut out);
         }
@@ -225,7 +225,7 @@
             Step::Connect if run.conn.is_some() => {}
             Step::Connect => {
                 self.started += 1;
-                self.asks.push(Ask::Connect { tag: i, address: self.address });
+                self.actions.push(Action::Connect { tag: i, address: self.address });
             }
             Step::Submit(letter) => {
                 run.held.push_back((now, letter));
@@ -236,19 +236,19 @@
                 run.core.disconnect(&mut out);
                 if let Some(conn) = run.conn {
                     self.write(conn, &out);
-                    self.asks.push(Ask::Close(conn));
+                    self.actions.push(Action::Close(conn));
                 }
                 self.lost(now, i);
             }
             Step::Cut => {
                 if let Some(conn) = run.conn {
-                    self.asks.push(Ask::Drop(conn));
+                    self.actions.push(Action::Drop(conn));
                 }
                 self.lost(now, i);
             }
             Step::Raw(octets) => {
                 if let Some(conn) = run.conn {
-                    self.asks.push(Ask::Write(conn, octets));
+                    self.actions.push(Action::Write(conn, octets));
                 }
             }
         }
@@ -265,12 +265,12 @@
             let key = letter.key.clone().unwrap_or_default();
             let name = if five { String::new() } else { format!("{}-{n}", run.plan.who.id) };
             let topic = format!("to/{}/{}/{key}/{name}", letter.address, letter.class.0);
-            let hand = Hand {
+            let hand = Publication {
                 topic: topic.trim_end_matches('/').to_string(),
                 payload: letter.body.clone(),
                 qos: letter.qos,
                 correlation: if five { n.to_string().into_bytes() } else { Vec::new() },
-                ..Hand::default()
+                ..Publication::default()
             };
             let packet = run.core.publish(&hand, &mut out);
             if packet == 0 {
@@ -287,7 +287,7 @@
 
     fn write(&mut self, conn: Conn, out: &BytesMut) {
         if !out.is_empty() {
-            self.asks.push(Ask::Write(conn, out.to_vec()));
+            self.actions.push(Action::Write(conn, out.to_vec()));
         }
     }
 
@@ -310,9 +310,9 @@
         self.hand_in(now, i);
     }
 
-    fn heard(&mut self, now: Micros, i: usize, heard: Heard) {
+    fn heard(&mut self, now: Micros, i: usize, heard: ClientEvent) {
         match heard {
-            Heard::In(present) => {
+            ClientEvent::Connected(present) => {
                 let run = &mut self.runs[i];
                 run.inside = true;
                 if present && run.subscribed {
@@ -329,11 +329,11 @@
                     self.write(conn, &out);
                 }
             }
-            Heard::Subscribed(_) => {
+            ClientEvent::Subscribed(_) => {
                 self.runs[i].subscribed = true;
                 self.ready(now, i);
             }
-            Heard::Acked(packet, code, id) => {
+            ClientEvent::Acknowledged(packet, code, id) => {
                 if let Some(n) = self.runs[i].asked.remove(&packet) {
                     if code < 0x80 {
                         self.accept(now, n, id);
@@ -342,16 +342,18 @@
                     }
                 }
             }
-            Heard::Completed(_) => {}
-            Heard::Told(_, text, correlation, ..) => self.told(now, i, &text, &correlation),
-            Heard::Refused(code) => {
+            ClientEvent::Completed(_) => {}
+            ClientEvent::Received(ReceivedMessage { text, correlation, .. }) => {
+                self.told(now, i, &text, &correlation)
+            }
+            ClientEvent::Refused(code) => {
                 self.wrong.push((now, format!("{} was turned away: {code}", self.name(i))))
             }
-            Heard::Bye(code) if code != 0x8B => {
+            ClientEvent::Disconnected(code) if code != 0x8B => {
                 self.wrong.push((now, format!("{} was sent away: {code}", self.name(i))))
             }
-            Heard::Bye(_) => {}
-            Heard::Wrong(what) => self.wrong.push((now, format!("{}: {what}", self.name(i)))),
+            ClientEvent::Disconnected(_) => {}
+            ClientEvent::Failed(what) => self.wrong.push((now, format!("{}: {what}", self.name(i)))),
         }
     }
 
@@ -423,11 +425,11 @@
     }
 
     fn again(&mut self, now: Micros, i: usize) {
-        self.agenda.add(i, now + 50_000, Step::Connect);
+        self.schedule.add(i, now + 50_000, Step::Connect);
     }
 }
 
-impl Actor for Flock {
+impl Actor for MqttClients {
     fn accepted(&mut self, _: Micros, _: usize, _: Conn) {}
 
     fn connected(&mut self, now: Micros, tag: usize, conn: Conn) {
@@ -450,7 +452,8 @@
         let (mut out, mut heard) = (BytesMut::new(), Vec::new());
         self.runs[i].core.receive(octets, &mut out, &mut heard);
         self.write(conn, &out);
-        let freed = heard.iter().any(|h| matches!(h, Heard::Acked(..) | Heard::Completed(_)));
+        let freed =
+            heard.iter().any(|h| matches!(h, ClientEvent::Acknowledged(..) | ClientEvent::Completed(_)));
         for h in heard {
             self.heard(now, i, h);
         }
@@ -474,18 +477,18 @@
 
     fn tick(&mut self, now: Micros) {
         self.now = now;
-        while let Some((i, _, step)) = self.agenda.take(now) {
+        while let Some((i, _, step)) = self.schedule.take(now) {
             self.step(now, i, step);
         }
         self.settle();
     }
 
     fn wake(&self) -> Micros {
-        self.agenda.next().map_or(self.until, |at| at.min(self.until))
+        self.schedule.next().map_or(self.until, |at| at.min(self.until))
     }
 
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
     fn finished(&self) -> bool {
@@ -498,9 +501,9 @@
     use super::*;
 
     /// What it writes on its connections.
-    fn written(flock: &mut Flock) -> Vec<u8> {
-        let writes = flock.asks().into_iter().filter_map(|ask| match ask {
-            Ask::Write(_, octets) => Some(octets),
+    fn written(mqtt_clients: &mut MqttClients) -> Vec<u8> {
+        let writes = mqtt_clients.actions().into_iter().filter_map(|ask| match ask {
+            Action::Write(_, octets) => Some(octets),
             _ => None,
         });
         writes.flatten().collect()
@@ -510,26 +513,31 @@
     #[test]
     fn a_session_that_was_kept_without_its_subscription_gets_it() {
         const SUBSCRIBE: u8 = 0x82;
-        let who = Who::new(false, "oduya", "m");
+        let who = ClientOptions::new(false, "oduya", "m");
         let plan = MqttPlan { who, returns: true, steps: vec![(0, Step::Connect)] };
-        let mut flock = Flock::new(SocketAddr::from(([127, 0, 0, 1], 1)), vec![plan], Vec::new(), 1_000);
-        flock.tick(0);
+        let mut mqtt_clients =
+            MqttClients::new(SocketAddr::from(([127, 0, 0, 1], 1)), vec![plan], Vec::new(), 1_000);
+        mqtt_clients.tick(0);
         // Each time it is let in: the first into a new session, then into the one that is there.
         for (conn, present) in [(1, 0), (2, 1), (3, 1)] {
-            flock.connected(0, 0, conn);
-            written(&mut flock);
-            flock.received(0, conn, &[0x20, 2, present, 0]);
-            let out = written(&mut flock);
+            mqtt_clients.connected(0, 0, conn);
+            written(&mut mqtt_clients);
+            mqtt_clients.received(0, conn, &[0x20, 2, present, 0]);
+            let out = written(&mut mqtt_clients);
             if conn == 3 {
-                assert_eq!((out.len(), flock.runs[0].ready), (0, true), "the session has it: {out:02X?}");
+                assert_eq!(
+                    (out.len(), mqtt_clients.runs[0].ready),
+                    (0, true),
+                    "the session has it: {out:02X?}"
+                );
                 return;
             }
             assert_eq!(out.first(), Some(&SUBSCRIBE), "on connection {conn}");
             if conn == 2 {
-                flock.received(0, conn, &[0x90, 3, out[2], out[3], 1]);
+                mqtt_clients.received(0, conn, &[0x90, 3, out[2], out[3], 1]);
             }
-            flock.closed(0, conn);
-            assert!(!flock.runs[0].ready);
+            mqtt_clients.closed(0, conn);
+            assert!(!mqtt_clients.runs[0].ready);
         }
     }
 }
--- a/crates/standins/src/asker.rs
+++ b/crates/standins/src/mqtt_request.rs
@@ -1,44 +1,44 @@
 //! One question over MQTT, and its answer.
 
 use crate::Micros;
-use crate::actor::{Actor, Ask, Conn};
-use crate::mqtt::{Hand, Heard, MqttClient, Who};
+use crate::actor::{Action, Actor, Conn};
+use crate::mqtt::{ClientEvent, ClientOptions, MqttClient, Publication, ReceivedMessage};
 use bytes::BytesMut;
 use std::net::SocketAddr;
 
 /// Asks, waits for the answer, and goes.
-pub struct Asker {
+pub struct MqttRequest {
     core: MqttClient,
     topic: String,
-    asks: Vec<Ask>,
+    actions: Vec<Action>,
     until: Micros,
     now: Micros,
     /// The answer, or why there is none.
     pub answer: Option<Result<String, String>>,
 }
 
-impl Asker {
+impl MqttRequest {
     /// A question to a topic; its answer is waited for until a time.
-    pub fn new(address: SocketAddr, who: Who, topic: String, until: Micros) -> Self {
-        let asks = vec![Ask::Connect { tag: 0, address }];
-        Asker { core: MqttClient::new(who), topic, asks, until, now: 0, answer: None }
+    pub fn new(address: SocketAddr, who: ClientOptions, topic: String, until: Micros) -> Self {
+        let actions = vec![Action::Connect { tag: 0, address }];
+        MqttRequest { core: MqttClient::new(who), topic, actions, until, now: 0, answer: None }
     }
 
     fn end(&mut self, conn: Conn, answer: Result<String, String>) {
         self.answer.get_or_insert(answer);
         let mut out = BytesMut::new();
         self.core.disconnect(&mut out);
-        self.asks.extend([Ask::Write(conn, out.to_vec()), Ask::Close(conn)]);
+        self.actions.extend([Action::Write(conn, out.to_vec()), Action::Close(conn)]);
     }
 }
 
-impl Actor for Asker {
+impl Actor for MqttRequest {
     fn accepted(&mut self, _: Micros, _: usize, _: Conn) {}
 
     fn connected(&mut self, _: Micros, _: usize, conn: Conn) {
         let mut out = BytesMut::new();
         self.core.connect(&mut out);
-        self.asks.push(Ask::Write(conn, out.to_vec()));
+        self.actions.push(Action::Write(conn, out.to_vec()));
     }
 
     fn refused(&mut self, _: Micros, _: usize) {
@@ -50,23 +50,28 @@
         self.core.receive(octets, &mut out, &mut heard);
         for h in heard {
             match h {
-                Heard::In(_) => self.core.subscribe("answers/#", 1, &mut out),
-                Heard::Subscribed(_) => {
+                ClientEvent::Connected(_) => self.core.subscribe("answers/#", 1, &mut out),
+                ClientEvent::Subscribed(_) => {
                     let topic = self.topic.clone();
-                    let hand = Hand { topic, qos: 1, correlation: b"?".to_vec(), ..Hand::default() };
+                    let hand =
+                        Publication { topic, qos: 1, correlation: b"?".to_vec(), ..Publication::default() };
                     self.core.publish(&hand, &mut out);
                 }
-                Heard::Told(_, text, correlation, ..) if correlation == b"?" => {
+                ClientEvent::Received(ReceivedMessage { text, correlation, .. }) if correlation == b"?" => {
                     self.end(conn, Ok(text));
                 }
-                Heard::Refused(0x86) => self.end(conn, Err("unknown system_id or wrong password".into())),
-                Heard::Refused(code) | Heard::Acked(_, code @ 0x80.., _) | Heard::Bye(code) => {
+                ClientEvent::Refused(0x86) => {
+                    self.end(conn, Err("unknown system_id or wrong password".into()))
+                }
+                ClientEvent::Refused(code)
+                | ClientEvent::Acknowledged(_, code @ 0x80.., _)
+                | ClientEvent::Disconnected(code) => {
                     self.end(conn, Err(format!("refused with code {code:#04x}")));
                 }
                 _ => {}
             }
         }
-        self.asks.insert(0, Ask::Write(conn, out.to_vec()));
+        self.actions.insert(0, Action::Write(conn, out.to_vec()));
     }
 
     fn closed(&mut self, _: Micros, _: Conn) {
@@ -84,11 +89,11 @@
         self.until
     }
 
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
     fn finished(&self) -> bool {
-        self.answer.is_some() && self.asks.is_empty()
+        self.answer.is_some() && self.actions.is_empty()
     }
 }
--- a/crates/standins/src/farm.rs
+++ b/crates/standins/src/receivers.rs
@@ -1,8 +1,8 @@
 //! Many receivers on one thread: SMPP message centres and HTTP servers round [`Model`]s.
 
 use crate::Micros;
-use crate::actor::{Actor, Ask, Conn};
-use crate::model::{Fate, Model, Shape, Strike, Trouble};
+use crate::actor::{Action, Actor, Conn};
+use crate::model::{CallOutcome, Incident, Model, ReceiverModel, Trouble};
 use bytes::BytesMut;
 use heronroute_audit::{Arrival, Fell, Verdict};
 use heronroute_http::prost::Message as _;
@@ -47,9 +47,9 @@
     /// Its number.
     pub destination: i64,
     /// How it is made.
-    pub shape: Shape,
+    pub shape: ReceiverModel,
     /// What strikes it.
-    pub strikes: Vec<Strike>,
+    pub incidents: Vec<Incident>,
 }
 
 enum Speech {
@@ -82,14 +82,14 @@
 }
 
 /// All receivers.
-pub struct Farm {
+pub struct Receivers {
     endpoints: Vec<Endpoint>,
     models: BTreeMap<i64, Model>,
     listening: Vec<bool>,
     peers: BTreeMap<Conn, Peer>,
     due: BTreeSet<(Micros, u64, Due)>,
     next: u64,
-    asks: Vec<Ask>,
+    actions: Vec<Action>,
     /// What arrived.
     pub arrivals: Vec<Arrival>,
     /// When the receivers' own troubles next change.
@@ -97,11 +97,11 @@
     limits: Limits,
 }
 
-impl Farm {
+impl Receivers {
     /// Receivers with a seed.
     pub fn new(endpoints: Vec<Endpoint>, destinations: Vec<Destination>, seed: u64) -> Self {
         let make = |d: Destination| {
-            (d.destination, Model::new(d.shape, d.strikes, seed ^ (d.destination as u64) << 8))
+            (d.destination, Model::new(d.shape, d.incidents, seed ^ (d.destination as u64) << 8))
         };
         let listening = vec![true; endpoints.len()];
         let limits = Limits {
@@ -112,14 +112,14 @@
             window: 1_000,
             max_pdu: 70_000,
         };
-        Farm {
+        Receivers {
             endpoints,
             models: destinations.into_iter().map(make).collect(),
             listening,
             peers: BTreeMap::new(),
             due: BTreeSet::new(),
             next: 0,
-            asks: Vec::new(),
+            actions: Vec::new(),
             arrivals: Vec::new(),
             changes: 0,
             limits,
@@ -149,21 +149,21 @@
         self.due.insert((at, self.next, due));
     }
 
-    fn fate(&mut self, now: Micros, endpoint: usize) -> Fate {
+    fn fate(&mut self, now: Micros, endpoint: usize) -> CallOutcome {
         let destination = self.endpoints[endpoint].destination;
-        self.models.get_mut(&destination).map_or(Fate::Done(now), |m| m.call(now))
+        self.models.get_mut(&destination).map_or(CallOutcome::Done(now), |m| m.call(now))
     }
 
-    fn arrive(&mut self, now: Micros, conn: Conn, sender: &str, message: &str, fate: Fate) -> usize {
+    fn arrive(&mut self, now: Micros, conn: Conn, sender: &str, message: &str, fate: CallOutcome) -> usize {
         let Some(peer) = self.peers.get_mut(&conn) else { return 0 };
         let (endpoint, earliest) = (peer.endpoint, peer.unread.unwrap_or(now));
         peer.open.insert(self.arrivals.len());
         let (verdict, ran) = match fate {
-            Fate::Done(_) => (Verdict::Done, true),
-            Fate::Error(_, ran) => (Verdict::Error, ran),
-            Fate::Busy(_, wait) => (Verdict::Busy(wait), false),
-            Fate::Lost | Fate::Reset(_) => (Verdict::Silent, true),
-            Fate::Unseen => (Verdict::Silent, false),
+            CallOutcome::Done(_) => (Verdict::Done, true),
+            CallOutcome::Error(_, ran) => (Verdict::Error, ran),
+            CallOutcome::Busy(_, wait) => (Verdict::Busy(wait), false),
+            CallOutcome::Lost | CallOutcome::Reset(_) => (Verdict::Silent, true),
+            CallOutcome::Unseen => (Verdict::Silent, false),
         };
         let e = &self.endpoints[endpoint];
         self.arrivals.push(Arrival {
@@ -185,7 +185,7 @@
         let Some(peer) = self.peers.get_mut(&conn) else { return };
         let destination = self.endpoints[peer.endpoint].destination;
         let trouble = self.models.get(&destination).and_then(|m| m.trouble(now));
-        if let Some(Strike { trouble: Trouble::Trickle(rate), .. }) = trouble {
+        if let Some(Incident { trouble: Trouble::Trickle(rate), .. }) = trouble {
             let idle = peer.drip.is_empty();
             peer.drip.extend(octets);
             if idle {
@@ -195,7 +195,7 @@
             // What trickles goes first.
             peer.drip.extend(octets);
         } else {
-            self.asks.push(Ask::Write(conn, octets));
+            self.actions.push(Action::Write(conn, octets));
         }
     }
 
@@ -204,14 +204,14 @@
         let destination = self.endpoints[peer.endpoint].destination;
         let trouble = self.models.get(&destination).and_then(|m| m.trouble(now));
         let rate = match trouble {
-            Some(Strike { trouble: Trouble::Trickle(rate), .. }) => rate,
+            Some(Incident { trouble: Trouble::Trickle(rate), .. }) => rate,
             _ => {
                 let rest = peer.drip.drain(..).collect();
-                return self.asks.push(Ask::Write(conn, rest));
+                return self.actions.push(Action::Write(conn, rest));
             }
         };
         if let Some(octet) = peer.drip.pop_front() {
-            self.asks.push(Ask::Write(conn, vec![octet]));
+            self.actions.push(Action::Write(conn, vec![octet]));
             self.later(now + (1e6 / rate) as Micros, Due::Drip(conn));
         }
     }
@@ -222,7 +222,7 @@
         let Speech::Smpp(session, _) = &mut peer.speech else { return };
         let (mut out, mut events) = (BytesMut::new(), Vec::new());
         session.receive(now, 0, octets, &mut out, &mut events);
-        let mut shared: Option<Fate> = None;
+        let mut shared: Option<CallOutcome> = None;
         for event in events {
             let Some(Peer { speech: Speech::Smpp(session, sender_name), .. }) = self.peers.get_mut(&conn)
             else {
@@ -243,11 +243,11 @@
                     shared = Some(fate);
                     let arrival = self.arrive(now, conn, &sender, &identity(&submission), fate);
                     match fate {
-                        Fate::Done(at) | Fate::Error(at, _) | Fate::Busy(at, _) => {
+                        CallOutcome::Done(at) | CallOutcome::Error(at, _) | CallOutcome::Busy(at, _) => {
                             self.later(at, Due::Smpp(conn, sequence, arrival));
                         }
-                        Fate::Reset(at) => self.later(at, Due::Break(conn)),
-                        Fate::Lost | Fate::Unseen => {}
+                        CallOutcome::Reset(at) => self.later(at, Due::Break(conn)),
+                        CallOutcome::Lost | CallOutcome::Unseen => {}
                     }
                 }
                 Event::Query { sequence, .. } | Event::Cancel { sequence, .. } => {
@@ -256,9 +256,9 @@
                 Event::Acknowledged { .. } => {}
                 Event::Unbound | Event::Ended(_) => {
                     if !out.is_empty() {
-                        self.asks.push(Ask::Write(conn, out.to_vec()));
+                        self.actions.push(Action::Write(conn, out.to_vec()));
                     }
-                    self.asks.push(Ask::Close(conn));
+                    self.actions.push(Action::Close(conn));
                     self.forget(now, conn);
                     return;
                 }
@@ -314,7 +314,7 @@
                 Ok(Some(m)) => self.request(now, conn, &m),
                 Ok(None) => return,
                 Err(_) => {
-                    self.asks.push(Ask::Drop(conn));
+                    self.actions.push(Action::Drop(conn));
                     self.forget(now, conn);
                     return;
                 }
@@ -333,7 +333,7 @@
             let destination = self.endpoints[endpoint].destination;
             let fate = self.models.get_mut(&destination).and_then(|m| m.probe(now));
             match fate {
-                Some(Fate::Error(..)) => self.http_answer(now, conn, place, 503, &[]),
+                Some(CallOutcome::Error(..)) => self.http_answer(now, conn, place, 503, &[]),
                 Some(_) => self.http_answer(now, conn, place, 200, &[]),
                 None => {}
             }
@@ -354,11 +354,11 @@
             self.arrive(now, conn, &sender, id, fate);
         }
         match fate {
-            Fate::Done(at) | Fate::Error(at, _) | Fate::Busy(at, _) => {
+            CallOutcome::Done(at) | CallOutcome::Error(at, _) | CallOutcome::Busy(at, _) => {
                 self.later(at, Due::Http(conn, place, from, ids.len()));
             }
-            Fate::Reset(at) => self.later(at, Due::Break(conn)),
-            Fate::Lost | Fate::Unseen => {}
+            CallOutcome::Reset(at) => self.later(at, Due::Break(conn)),
+            CallOutcome::Lost | CallOutcome::Unseen => {}
         }
     }
 
@@ -404,7 +404,7 @@
             }
             Due::Break(conn) => {
                 if self.forget(now, conn) {
-                    self.asks.push(Ask::Drop(conn));
+                    self.actions.push(Action::Drop(conn));
                 }
             }
             Due::Drip(conn) => self.drip(now, conn),
@@ -425,7 +425,7 @@
             let reads = model.is_none_or(|m| m.reads(now));
             if listens != self.listening[i] {
                 self.listening[i] = listens;
-                self.asks.push(Ask::Listen(i, listens));
+                self.actions.push(Action::Listen(i, listens));
             }
             let mine: Vec<Conn> =
                 self.peers.iter().filter(|(_, p)| p.endpoint == i).map(|(c, _)| *c).collect();
@@ -433,22 +433,22 @@
                 let Some(peer) = self.peers.get_mut(&conn) else { continue };
                 if !listens && !left {
                     self.forget(now, conn);
-                    self.asks.push(Ask::Drop(conn));
+                    self.actions.push(Action::Drop(conn));
                     continue;
                 }
                 if left && let Speech::Smpp(session, _) = &mut peer.speech {
                     let mut out = BytesMut::new();
                     session.unbind(now, &mut out);
-                    self.asks.push(Ask::Write(conn, out.to_vec()));
+                    self.actions.push(Action::Write(conn, out.to_vec()));
                 } else if left {
                     self.forget(now, conn);
-                    self.asks.push(Ask::Close(conn));
+                    self.actions.push(Action::Close(conn));
                     continue;
                 }
                 if peer.deaf == reads {
                     peer.deaf = !reads;
                     peer.unread = peer.unread.or(Some(now));
-                    self.asks.push(Ask::Deaf(conn, !reads));
+                    self.actions.push(Action::Deaf(conn, !reads));
                 }
             }
         }
@@ -459,7 +459,7 @@
     s.identity.clone().unwrap_or_default()
 }
 
-impl Actor for Farm {
+impl Actor for Receivers {
     fn accepted(&mut self, now: Micros, listener: usize, conn: Conn) {
         let speech = match self.endpoints[listener].speaks {
             Speaks::Smpp => Speech::Smpp(Box::new(Session::new(now, self.limits)), String::new()),
@@ -479,7 +479,7 @@
             },
         );
         if deaf {
-            self.asks.push(Ask::Deaf(conn, true));
+            self.actions.push(Action::Deaf(conn, true));
         }
     }
 
@@ -515,7 +515,7 @@
         self.due.first().map_or(Micros::MAX, |d| d.0).min(self.changes)
     }
 
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 }
--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -1,7 +1,7 @@
 //! Actors on real sockets: one thread, one poll.
 
 use crate::Micros;
-use crate::actor::{Actor, Ask, Conn};
+use crate::actor::{Action, Actor, Conn};
 use heronroute_net::{Clock, Progress, read_some, write_some};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
@@ -86,13 +86,13 @@
         }
         actor.tick(clock.now());
         loop {
-            let asks = actor.asks();
-            if asks.is_empty() {
+            let actions = actor.actions();
+            if actions.is_empty() {
                 break;
             }
-            for ask in asks {
+            for ask in actions {
                 match ask {
-                    Ask::Connect { tag, address } => match TcpStream::connect(address) {
+                    Action::Connect { tag, address } => match TcpStream::connect(address) {
                         Ok(mut stream) => {
                             let interest = Interest::READABLE | Interest::WRITABLE;
                             poll.registry().register(&mut stream, Token(next), interest)?;
@@ -103,33 +103,33 @@
                         }
                         Err(_) => actor.refused(clock.now(), tag),
                     },
-                    Ask::Write(conn, octets) => {
+                    Action::Write(conn, octets) => {
                         if let Some(p) = peers.get_mut(&conn) {
                             p.out.extend_from_slice(&octets);
                         }
                         write(&mut peers, conn, &mut actor, clock);
                     }
-                    Ask::Close(conn) => {
+                    Action::Close(conn) => {
                         if let Some(p) = peers.get_mut(&conn) {
                             p.closing = true;
                         }
                         write(&mut peers, conn, &mut actor, clock);
                     }
-                    Ask::Drop(conn) => _ = peers.remove(&conn),
-                    Ask::Deaf(conn, deaf) => {
+                    Action::Drop(conn) => _ = peers.remove(&conn),
+                    Action::Deaf(conn, deaf) => {
                         if let Some(p) = peers.get_mut(&conn) {
                             p.deaf = deaf;
                         }
                         read(&mut peers, conn, &mut actor, clock, &mut buffer);
                     }
-                    Ask::Listen(i, true) if listeners[i].is_none() => {
+                    Action::Listen(i, true) if listeners[i].is_none() => {
                         // The port is ours by number; another process could have it for a moment.
                         if let Ok(mut l) = listen(addresses[i]) {
                             poll.registry().register(&mut l, Token(i), Interest::READABLE)?;
                             listeners[i] = Some(l);
                         }
                     }
-                    Ask::Listen(i, on) => {
+                    Action::Listen(i, on) => {
                         if !on {
                             listeners[i] = None;
                         }
--- a/crates/standins/src/agenda.rs
+++ b/crates/standins/src/schedule.rs
@@ -7,20 +7,20 @@
 type Steps<S> = (Vec<(Micros, S)>, usize);
 
 /// Steps of clients, by number.
-pub struct Agenda<S> {
+pub struct Schedule<S> {
     runs: Vec<Steps<S>>,
     due: BTreeSet<(Micros, usize)>,
     /// The one whose steps are being taken, and when it fell due.
     current: Option<(Micros, usize)>,
 }
 
-impl<S: Clone> Agenda<S> {
+impl<S: Clone> Schedule<S> {
     /// Steps of each, in order of time.
     pub fn new(steps: impl IntoIterator<Item = Vec<(Micros, S)>>) -> Self {
         let runs: Vec<Steps<S>> = steps.into_iter().map(|s| (s, 0)).collect();
         let first = |(i, r): (usize, &Steps<S>)| r.0.first().map(|s| (s.0, i));
         let due = runs.iter().enumerate().filter_map(first).collect();
-        Agenda { runs, due, current: None }
+        Schedule { runs, due, current: None }
     }
 
     /// When the next step falls due.
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/smpp_clients.rs
@@ -1,8 +1,8 @@
 //! Clients that speak SMPP: sessions with scripted steps, and a record of what they were told.
 
 use crate::Micros;
-use crate::actor::{Actor, Ask, Conn};
-use crate::agenda::Agenda;
+use crate::actor::{Action, Actor, Conn};
+use crate::schedule::Schedule;
 use bytes::BytesMut;
 use heronroute_audit::{Away, Submission as Accepted, Told};
 use heronroute_smpp::client::{Event, Session};
@@ -64,12 +64,12 @@
 }
 
 /// All clients of a run.
-pub struct Herd {
+pub struct SmppClients {
     address: SocketAddr,
     runs: Vec<Run>,
     by_conn: BTreeMap<Conn, usize>,
-    agenda: Agenda<Step>,
-    asks: Vec<Ask>,
+    schedule: Schedule<Step>,
+    actions: Vec<Action>,
     deadlines: Vec<Micros>,
     /// Give up waiting at this time.
     until: Micros,
@@ -96,7 +96,7 @@
     started: usize,
 }
 
-impl Herd {
+impl SmppClients {
     /// Clients of a service; `deadlines`: of the classes, by index. They wait for answers until a time.
     pub fn new(address: SocketAddr, plans: Vec<Plan>, deadlines: Vec<Micros>, until: Micros) -> Self {
         let limits = Limits {
@@ -117,14 +117,14 @@
             held: Vec::new(),
         };
         let mut runs: Vec<Run> = plans.into_iter().map(make).collect();
-        let agenda = Agenda::new(runs.iter_mut().map(|r| std::mem::take(&mut r.plan.steps)));
+        let schedule = Schedule::new(runs.iter_mut().map(|r| std::mem::take(&mut r.plan.steps)));
         let gone = runs.iter().map(|r| (r.plan.system_id.clone(), 0)).collect();
-        Herd {
+        SmppClients {
             address,
             runs,
             by_conn: BTreeMap::new(),
-            agenda,
-            asks: Vec::new(),
+            schedule,
+            actions: Vec::new(),
             deadlines,
             until,
             by_message: BTreeMap::new(),
@@ -150,7 +150,7 @@
             Step::Bind(mode) => {
                 (run.mode, run.first_mode) = (mode, mode);
                 self.started += 1;
-                self.asks.push(Ask::Connect { tag: i, address: self.address });
+                self.actions.push(Action::Connect { tag: i, address: self.address });
             }
             // What is due before the bind is answered waits for it.
             other if run.conn.is_none() || run.session.as_ref().is_none_or(|s| !s.bound()) => {
@@ -165,7 +165,7 @@
                 self.bodies.push((*submission, class, now, i));
                 run.asked.insert(sequence, (self.bodies.len() - 1, now));
                 if let Some(conn) = run.conn {
-                    self.asks.push(Ask::Write(conn, out.to_vec()));
+                    self.actions.push(Action::Write(conn, out.to_vec()));
                 }
             }
             Step::Unbind => {
@@ -173,20 +173,20 @@
                 let mut out = BytesMut::new();
                 session.unbind(now, &mut out);
                 if let Some(conn) = run.conn {
-                    self.asks.push(Ask::Write(conn, out.to_vec()));
+                    self.actions.push(Action::Write(conn, out.to_vec()));
                 }
                 self.leaves(now, i);
             }
             Step::Cut => {
                 if let Some(conn) = run.conn {
-                    self.asks.push(Ask::Drop(conn));
+                    self.actions.push(Action::Drop(conn));
                 }
                 self.leaves(now, i);
                 self.lost(i);
             }
             Step::Raw(octets) => {
                 if let Some(conn) = run.conn {
-                    self.asks.push(Ask::Write(conn, octets));
+                    self.actions.push(Action::Write(conn, octets));
                 }
             }
         }
@@ -253,7 +253,7 @@
             Event::Unbound | Event::Ended(_) | Event::BindRefused(_) => {
                 self.leaves(now, i);
                 if let Some(conn) = self.runs[i].conn {
-                    self.asks.push(Ask::Close(conn));
+                    self.actions.push(Action::Close(conn));
                 }
                 self.lost(i);
             }
@@ -330,12 +330,12 @@
 
     /// Binds again a little later.
     fn again(&mut self, now: Micros, i: usize, mode: Mode) {
-        self.agenda.add(i, now + 50_000, Step::Bind(mode));
+        self.schedule.add(i, now + 50_000, Step::Bind(mode));
     }
 
     fn out(&mut self, conn: Conn, out: &BytesMut) {
         if !out.is_empty() {
-            self.asks.push(Ask::Write(conn, out.to_vec()));
+            self.actions.push(Action::Write(conn, out.to_vec()));
         }
     }
 }
@@ -348,7 +348,7 @@
     }
 }
 
-impl Actor for Herd {
+impl Actor for SmppClients {
     fn accepted(&mut self, _: Micros, _: usize, _: Conn) {}
 
     fn connected(&mut self, now: Micros, tag: usize, conn: Conn) {
@@ -393,22 +393,22 @@
 
     fn tick(&mut self, now: Micros) {
         self.now = now;
-        while let Some((i, planned, step)) = self.agenda.take(now) {
+        while let Some((i, planned, step)) = self.schedule.take(now) {
             self.step(now, i, planned, step);
         }
     }
 
     fn wake(&self) -> Micros {
-        self.agenda.next().map_or(self.until, |at| at.min(self.until))
+        self.schedule.next().map_or(self.until, |at| at.min(self.until))
     }
 
-    fn asks(&mut self) -> Vec<Ask> {
-        std::mem::take(&mut self.asks)
+    fn actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
     }
 
     fn finished(&self) -> bool {
         let asked = self.runs.iter().any(|r| !r.asked.is_empty() || !r.held.is_empty());
-        let done = self.agenda.is_empty() && !asked && self.waiting == 0 && self.started > 0;
+        let done = self.schedule.is_empty() && !asked && self.waiting == 0 && self.started > 0;
         done || self.now >= self.until
     }
 }
