--- a/crates/cli/tests/alone/mod.rs
+++ b/crates/cli/tests/alone/mod.rs
@@ -25,7 +25,7 @@
     pub folder: PathBuf,
     pub listen: SocketAddr,
     pub endpoint: TcpListener,
-    _discovery: TcpListener,
+    pub discovery: TcpListener,
 }
 
 impl Drop for Sender {
@@ -92,7 +92,7 @@
                 "ObjectiveUs": 1_500_000, "Worth": 1.0}]}});
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
     let child = Command::new("true").spawn().unwrap();
-    Sender { child, folder, listen: at, endpoint, _discovery: discovery }
+    Sender { child, folder, listen: at, endpoint, discovery }
 }
 
 pub fn spawn(folder: &std::path::Path, descriptors: usize) -> Child {
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -248,13 +248,17 @@
     }
 }
 
-/// Discovery: a watch of the list, and notices, which are taken.
-pub fn discovery(stream: TcpStream, world: &World) {
+/// Discovery: a watch of the list, and notices. At times the connection ends in place of taking them.
+pub fn discovery(stream: TcpStream, seed: u64, world: &World) {
+    let mut random = Random::new(seed);
     let connection = Connection::new(stream);
     while let Some((request, _)) = connection.next_request(world) {
         if request.starts_with("GET") {
             return world.listing.follow(&connection, &request, world);
         }
+        if random.one_in(6) {
+            return;
+        }
         for line in request.lines().filter(|l| l.starts_with('{')) {
             let id = line.split("\"id\":\"").nth(1).and_then(|t| t.split('"').next()).unwrap_or("?");
             world.with(id, |t| {
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -1,5 +1,6 @@
 //! Seeded runs of the real program beside faults: answers that come twice, calls that take longer than any timer, refusals,
-//! resets and spoilt answers of endpoints, endpoints that drain and return, a folder that fails for a while, signals in series, a crowd of idle clients, a wall clock that is
+//! resets and spoilt answers of endpoints, endpoints that drain and return, notices that are not taken, failing calls for the
+//! network, a folder that fails for a while, signals in series, a crowd of idle clients, a wall clock that is
 //! stepped between a kill and the next start. Judged from what crossed the sockets.
 //!
 //! In CI on a few fixed seeds. By hand: `SOAK_SEEDS=50 cargo test -p heronroute-cli --test soak -- --nocapture`, one seed
@@ -17,7 +18,7 @@
 use alone::{MS, Sender, command, set_up};
 use clients::{DESTINATIONS, Submitted, TIME, client, crowd};
 use endpoint::{Profile, discovery, endpoint};
-use heronroute_syscall_faults::{Call, Control};
+use heronroute_syscall_faults::{Call, Control, ONE_OCTET};
 use judge::{Downs, MACHINE, START_SLACK, judge_drains, judge_end, judge_runs};
 use std::fs::OpenOptions;
 use std::path::PathBuf;
@@ -40,6 +41,18 @@
 /// One run in so many has a crowd of idle clients.
 const CROWD_EVERY: u64 = 4;
 
+/// Calls for the network, and errors with which they fail: EMFILE, ENOBUFS and ECONNABORTED; EADDRNOTAVAIL, ENETUNREACH and
+/// ETIMEDOUT; ENFILE and ENOMEM; ECONNRESET, ETIMEDOUT, EINTR and one octet; the same; EINTR; ENOSPC.
+const NETWORK_FAULTS: [(Call, &[i32]); 7] = [
+    (Call::Accept, &[24, 105, 103]),
+    (Call::Connect, &[99, 101, 110]),
+    (Call::Socket, &[23, 12]),
+    (Call::Receive, &[104, 110, 4, ONE_OCTET]),
+    (Call::Send, &[104, 110, 4, ONE_OCTET]),
+    (Call::Wait, &[4]),
+    (Call::Watch, &[28]),
+];
+
 struct Run {
     sender: Sender,
     control: Control,
@@ -74,7 +87,7 @@
             .collect();
         world.listing.set_entries(&servers);
         let seen = world.clone();
-        let discovery = serve(address, &world, move |stream, _| discovery(stream, &seen));
+        let discovery = serve(address, &world, move |stream, count| discovery(stream, seed + count, &seen));
         let file = sender.folder.join("config.json");
         let text = std::fs::read_to_string(&file).unwrap();
         let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
@@ -117,7 +130,7 @@
 
     /// One fault, or a short series.
     fn fault(&mut self, random: &mut Random) {
-        match random.below(8) {
+        match random.below(10) {
             0 => self.fail_folder(random),
             1 => {
                 let began = Instant::now();
@@ -129,6 +142,7 @@
                 (0..=random.below(3)).for_each(|_| self.sender.signal("-HUP"));
             }
             4 => self.terminate(random),
+            7 | 8 => self.fail_network(random),
             5 | 6 => {
                 // One endpoint of each destination serves all the time.
                 let destination = random.below(DESTINATIONS);
@@ -161,6 +175,16 @@
         self.note("the folder is well");
     }
 
+    fn fail_network(&mut self, random: &mut Random) {
+        let (call, errors) = NETWORK_FAULTS[random.below(NETWORK_FAULTS.len() as u64) as usize];
+        let errno = errors[random.below(errors.len() as u64) as usize];
+        self.note(&format!("{call:?} fails with errno {errno}"));
+        self.control.fail(call, errno).unwrap();
+        sleep(random.millis(20, 200));
+        self.control.heal(call).unwrap();
+        self.note("the network is well");
+    }
+
     fn pause(&mut self, random: &mut Random) {
         self.note("SIGSTOP");
         self.sender.hold();
@@ -175,7 +199,7 @@
         self.note("SIGTERM");
         self.sender.signal("-TERM");
         while began.elapsed() < KILL_AFTER && self.sender.child.try_wait().unwrap().is_none() {
-            match random.below(8) {
+            match random.below(10) {
                 0 => self.sender.signal("-HUP"),
                 1 => self.sender.signal("-TERM"),
                 2 => self.pause(random),
--- a/crates/syscall_faults/src/control.rs
+++ b/crates/syscall_faults/src/control.rs
@@ -22,6 +22,20 @@
     Rename,
     /// `unlink`.
     Remove,
+    /// `accept4`.
+    Accept,
+    /// `connect`.
+    Connect,
+    /// `socket`.
+    Socket,
+    /// `recv`.
+    Receive,
+    /// `send`.
+    Send,
+    /// `epoll_wait`.
+    Wait,
+    /// `epoll_ctl`.
+    Watch,
 }
 
 impl Call {
@@ -35,10 +49,27 @@
             Call::Create => "create",
             Call::Rename => "rename",
             Call::Remove => "remove",
+            Call::Accept => "accept",
+            Call::Connect => "connect",
+            Call::Socket => "socket",
+            Call::Receive => "receive",
+            Call::Send => "send",
+            Call::Wait => "wait",
+            Call::Watch => "watch",
         }
     }
 }
 
+impl Call {
+    /// The name of the file that shows that the call was made while it failed.
+    pub(crate) fn met_name(self) -> String {
+        format!("{}-met", self.name())
+    }
+}
+
+/// In place of an error number: one octet is read or written.
+pub const ONE_OCTET: i32 = 0;
+
 /// The control file with the microseconds by which the wall clock is ahead.
 pub(crate) const WALL_CLOCK: &str = "wall-clock";
 
@@ -63,7 +94,8 @@
         command.env("LD_PRELOAD", library()).env(CONTROL, &self.folder).env(AFFECTED, affected);
     }
 
-    /// From now on a call fails with this error number.
+    /// From now on a call fails with this error number. With EINTR every other one does, as a signal would do it; with
+    /// [`ONE_OCTET`] a `recv` or `send` moves one octet.
     ///
     /// # Errors
     /// Where the control file can't be written.
@@ -71,6 +103,11 @@
         self.put(call.name(), &errno.to_string())
     }
 
+    /// Whether a call for sockets was made while it failed, since this was last asked.
+    pub fn was_met(&self, call: Call) -> bool {
+        std::fs::remove_file(self.folder.join(call.met_name())).is_ok()
+    }
+
     /// From now on a call works again, if it failed.
     ///
     /// # Errors
--- a/crates/syscall_faults/src/preload.rs
+++ b/crates/syscall_faults/src/preload.rs
@@ -28,12 +28,30 @@
     FOLDERS.get_or_init(read).as_ref()
 }
 
+/// The path of a file in the control folder, for the system.
+fn control_path(name: &str) -> Option<Vec<u8>> {
+    Some([folders()?.control.as_slice(), b"/", name.as_bytes(), b"\0"].concat())
+}
+
+/// Makes an empty file in the control folder.
+pub(crate) fn mark(name: &str) {
+    let Some(path) = control_path(name) else { return };
+    // SAFETY: the path ends with a zero octet.
+    unsafe {
+        let file = libc::syscall(
+            libc::SYS_openat,
+            libc::AT_FDCWD,
+            path.as_ptr(),
+            libc::O_CREAT | libc::O_WRONLY | libc::O_CLOEXEC,
+            0o600,
+        );
+        libc::syscall(libc::SYS_close, file);
+    }
+}
+
 /// The number in a control file, if there is one.
-fn control(name: &str) -> Option<i64> {
-    let mut path = folders()?.control.clone();
-    path.push(b'/');
-    path.extend_from_slice(name.as_bytes());
-    path.push(0);
+pub(crate) fn control(name: &str) -> Option<i64> {
+    let path = control_path(name)?;
     let mut text = [0_u8; 32];
     // SAFETY: the path ends with a zero octet, and the buffer is as long as is said.
     let length = unsafe {
@@ -80,7 +98,7 @@
 }
 
 /// Fails a call with an error number.
-fn failed(errno: i64) -> c_long {
+pub(crate) fn failed(errno: i64) -> c_long {
     set_errno(errno);
     -1
 }
