--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -22,6 +22,8 @@
     copied_behind: u64,
     /// Of ten answers, those that are written a second time after a while.
     copied_later: u64,
+    /// Whether every other one of those is written a third time.
+    copied_twice: bool,
     /// Of sixteen calls, those that take long.
     long_calls: u64,
 }
@@ -30,9 +32,9 @@
     /// One run in three has copies of most answers, and more long calls.
     pub fn of_run(seed: u64) -> Self {
         if seed.is_multiple_of(3) {
-            return Profile { copied_behind: 3, copied_later: 5, long_calls: 5 };
+            return Profile { copied_behind: 3, copied_later: 5, copied_twice: true, long_calls: 5 };
         }
-        Profile { copied_behind: 2, copied_later: 1, long_calls: 3 }
+        Profile { copied_behind: 2, copied_later: 1, copied_twice: false, long_calls: 3 }
     }
 }
 
@@ -177,6 +179,9 @@
         if number < profile.copied_behind {
             copy = Some(answer);
         } else if number < profile.copied_behind + profile.copied_later {
+            if profile.copied_twice && random.one_in(2) {
+                write_later(connection.clone(), answer.clone(), random.millis(1, 80));
+            }
             write_later(connection.clone(), answer, random.millis(1, 80));
         }
     }
