--- a/crates/contracts/src/lib.rs
+++ b/crates/contracts/src/lib.rs
@@ -1,14 +1,13 @@
-//! Suites written against the traits between the parts.
+//! Contract tests of the traits between the crates. Used by tests alone.
 //!
-//! Does: for each trait a table of clauses, each one thing that users of the trait rely on ([`storage`], [`names`],
-//! [`held`], [`front`], [`link`], [`directory`], [`transport`], [`ledger`], [`member`], [`ship`]); runs them against an implementation and names those that it breaks
-//! ([`suite`]). Planted implementations (`wrong` in each suite) break one clause each and show that the suite can fail.
-//! Decides: nothing.
-//! Never: is part of the program; it is used by tests alone.
+//! For each trait there is a table of clauses, each of which states one property that users of the trait rely on:
+//! [`storage`], [`names`], [`held`], [`front`], [`link`], [`directory`], [`transport`], [`ledger`], [`member`],
+//! [`ship`]. [`suite`] runs them against an implementation and names those that it breaks. Implementations with a
+//! planted fault (`faulty` or `wrong` in each module) break one clause each, which shows that the clause can fail.
 //!
-//! A further suite is a module with a subject (how a fresh implementation is had, and how its other side speaks), a table
-//! of [`Clause`]s over it, and a `wrong` wrapper with a fault for each; its tests call [`suite::kept`] for each
-//! implementation and [`suite::planted`] for each fault.
+//! To add a suite, write a module with a subject (how to create an implementation, and how to play its peer), a table
+//! of [`Clause`]s, and a wrapper with a fault for each clause. Its tests call [`suite::kept`] for each implementation
+//! and [`suite::planted`] for each fault.
 
 #![forbid(unsafe_code)]
 
--- a/crates/contracts/src/names/wrong.rs
+++ b/crates/contracts/src/names/faulty.rs
@@ -1,9 +1,9 @@
-//! A right memory of names with one fault.
+//! A correct memory of names with one planted fault.
 
 use super::Names;
 use heronroute_seen::{Name, SeenNames, Verdict};
 
-/// What is wrong.
+/// The planted fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     /// The first name is forgotten two seconds before its time.
@@ -12,30 +12,30 @@
     Clings,
     /// The third name, if it is known, stays with its earlier message.
     KeepsFirst,
-    /// What is unsure is called new.
+    /// An unsure name is reported as new.
     CallsNew,
-    /// What it was told to have forgotten is nothing to it.
+    /// Reports of forgotten names are ignored.
     Deaf,
-    /// All names are unsure once many are held.
+    /// All names are unsure once many are stored.
     GivesUp,
-    /// Each name takes octets of its own.
+    /// Each name adds to the size.
     Grows,
-    /// Names are told apart without their client.
+    /// The names of two clients are confused.
     Mixes,
 }
 
-/// The memory with its fault.
+/// A memory with a planted fault.
 #[derive(Clone, Debug)]
-pub struct Wrong {
+pub struct FaultyNames {
     inner: SeenNames,
     fault: Fault,
     added: usize,
 }
 
-impl Wrong {
-    /// For about so many names.
+impl FaultyNames {
+    /// Creates a memory for about this number of names.
     pub fn new(names: usize, seed: u64, fault: Fault) -> Self {
-        Wrong { inner: SeenNames::new(names, 0, seed), fault, added: 0 }
+        FaultyNames { inner: SeenNames::new(names, 0, seed), fault, added: 0 }
     }
 
     fn name(&self, name: Name) -> Name {
@@ -44,7 +44,7 @@
     }
 }
 
-impl Names for Wrong {
+impl Names for FaultyNames {
     fn find(&self, now: i64, name: Name) -> Verdict {
         let found = self.inner.find(now, self.name(name));
         match (self.fault, found) {
--- a/crates/contracts/src/names/mod.rs
+++ b/crates/contracts/src/names/mod.rs
@@ -1,9 +1,9 @@
-//! Names that clients gave their messages, within bounded memory. Whatever is held: what may have been forgotten is never
-//! called new, as a second hand-in of it could take effect again.
+//! The contract of memories of message names, which have bounded size. A name that may have been forgotten must never
+//! count as new, because a second submission of its message could take effect again.
 
-mod wrong;
+mod faulty;
 
-pub use wrong::{Fault, Wrong};
+pub use faulty::{Fault, FaultyNames};
 
 use crate::ensure;
 use crate::random::SeededRandom;
@@ -13,15 +13,15 @@
 
 const SECOND: i64 = 1_000_000;
 
-/// A memory of names. Times are on the caller's clock, in microseconds.
+/// A memory of message names. Times are in microseconds on the caller's clock.
 pub trait Names {
-    /// Whether a name was seen within its span.
+    /// Looks a name up.
     fn find(&self, now: i64, name: Name) -> Verdict;
-    /// A name was taken on as this message and counts until a time.
+    /// Records that a name was accepted as this message, and counts until a time.
     fn add(&mut self, now: i64, name: Name, id: u64, until: i64);
-    /// Names that count until a time at most are not known any more.
+    /// Records that names which count until this time at most may have been forgotten.
     fn forgot(&mut self, until: i64);
-    /// Octets that it takes.
+    /// Returns its size in bytes.
     fn size(&self) -> usize;
 }
 
@@ -40,11 +40,11 @@
     }
 }
 
-/// Gives a memory for about so many names, from a seed; its clock begins at 0.
-pub type Fresh = dyn Fn(usize, u64) -> Box<dyn Names>;
+/// Creates a memory for about this number of names, from a seed. Its clock begins at 0.
+pub type NamesFactory = dyn Fn(usize, u64) -> Box<dyn Names>;
 
-/// What holds of each.
-pub const CLAUSES: &[Clause<Fresh>] = &[
+/// The clauses.
+pub const CLAUSES: &[Clause<NamesFactory>] = &[
     Clause { name: "a name counts until its time", run: until },
     Clause { name: "a name that is over is new", run: over },
     Clause { name: "a name taken on again is the later message", run: later },
@@ -64,7 +64,7 @@
     Ok(())
 }
 
-fn until(fresh: &Fresh) -> Result<(), String> {
+fn until(fresh: &NamesFactory) -> Result<(), String> {
     let mut m = fresh(100, 7);
     m.add(0, name(1), 5, 10 * SECOND);
     for now in [0, SECOND, 9 * SECOND, 10 * SECOND] {
@@ -73,7 +73,7 @@
     Ok(())
 }
 
-fn over(fresh: &Fresh) -> Result<(), String> {
+fn over(fresh: &NamesFactory) -> Result<(), String> {
     let mut m = fresh(100, 7);
     is(m.find(0, name(1)), Verdict::New, "never seen")?;
     m.add(0, name(1), 5, 10 * SECOND);
@@ -81,7 +81,7 @@
     is(m.find(12 * SECOND, name(1)), Verdict::New, "two seconds after its time")
 }
 
-fn later(fresh: &Fresh) -> Result<(), String> {
+fn later(fresh: &NamesFactory) -> Result<(), String> {
     let mut m = fresh(100, 7);
     m.add(0, name(1), 5, 10 * SECOND);
     m.add(12 * SECOND, name(1), 6, 30 * SECOND);
@@ -90,7 +90,7 @@
     is(m.find(35 * SECOND, name(1)), Verdict::Same(7), "within it")
 }
 
-fn apart(fresh: &Fresh) -> Result<(), String> {
+fn apart(fresh: &NamesFactory) -> Result<(), String> {
     let mut m = fresh(100, 7);
     m.add(0, Name::new("client", "a"), 5, 10 * SECOND);
     for (client, name) in [("other", "a"), ("clien", "ta"), ("client", "b"), ("", "clienta")] {
@@ -99,8 +99,8 @@
     Ok(())
 }
 
-/// Beside a plain map, in a memory that is far too small.
-fn crowded(fresh: &Fresh) -> Result<(), String> {
+/// Compares a memory that is far too small with a map.
+fn crowded(fresh: &NamesFactory) -> Result<(), String> {
     for seed in 0..12 {
         let (mut m, mut random) = (fresh(24, seed), SeededRandom::new(seed));
         let mut plain: BTreeMap<u64, (u64, i64)> = BTreeMap::new();
@@ -125,7 +125,7 @@
     Ok(())
 }
 
-fn forgotten(fresh: &Fresh) -> Result<(), String> {
+fn forgotten(fresh: &NamesFactory) -> Result<(), String> {
     let mut m = fresh(100, 7);
     m.add(0, name(1), 5, 60 * SECOND);
     m.forgot(20 * SECOND);
@@ -135,7 +135,7 @@
     is(m.find(22 * SECOND, name(2)), Verdict::New, "behind it")
 }
 
-fn enough(fresh: &Fresh) -> Result<(), String> {
+fn enough(fresh: &NamesFactory) -> Result<(), String> {
     let mut m = fresh(1_000, 3);
     for n in 0..700 {
         m.add(0, name(n), n, 10 * SECOND);
@@ -146,7 +146,7 @@
     is(m.find(SECOND, name(701)), Verdict::New, "one never seen")
 }
 
-fn bounded(fresh: &Fresh) -> Result<(), String> {
+fn bounded(fresh: &NamesFactory) -> Result<(), String> {
     let mut m = fresh(100, 3);
     let size = m.size();
     for n in 0..5_000 {
--- a/crates/contracts/src/storage/wrong.rs
+++ b/crates/contracts/src/storage/faulty.rs
@@ -1,63 +1,63 @@
-//! A right storage with one fault.
+//! A correct storage with one planted fault.
 
-use super::Lossy;
+use super::LossyStorage;
 use heronroute_journal::Storage;
 use heronroute_journal::disk::Disk;
 use std::io;
 
-/// What is wrong.
+/// The planted fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// An append of many octets stops half-way.
+    /// An append of many bytes stops half-way.
     ShortWrites,
-    /// A file made again keeps its octets.
+    /// A file that is created again keeps its content.
     KeepsOld,
-    /// Appending makes a file that is not there.
+    /// Appending creates a missing file.
     Makes,
-    /// Renaming leaves the first name.
+    /// Renaming keeps the old name.
     Copies,
-    /// Removing empties the file only.
+    /// Removing only empties the file.
     Empties,
-    /// A cut takes one octet more.
+    /// Truncating removes one byte too many.
     CutsMore,
-    /// A cut behind the end fills up with noughts.
+    /// Truncating beyond the end appends zeros.
     Fills,
     /// Files whose names begin with `d` are not listed.
     Hides,
-    /// A sync takes the last octet away.
+    /// A sync removes the last byte.
     SyncTears,
-    /// Names are told apart by their first sign only.
+    /// Only the first character of a name counts.
     Mixes,
-    /// Syncs of files of more than ten octets are left out.
+    /// Syncs of files of more than ten bytes are skipped.
     NoSync,
-    /// Syncs of names are left out after a rename.
+    /// Syncs of names are skipped after a rename.
     NoNames,
-    /// Names are synced at once.
+    /// Changes of names are durable at once.
     NamesAtOnce,
-    /// Contents are synced at once.
+    /// Contents are durable at once.
     DataAtOnce,
-    /// A rename is a removal and a name given, each durable by itself.
+    /// A rename is two changes, each durable by itself.
     TwoSteps,
-    /// What was cut off comes back with a loss.
+    /// A loss restores what was truncated.
     Uncuts,
-    /// A loss leaves octets behind a long file that nobody wrote.
+    /// A loss appends bytes to a long file that nobody wrote.
     Noise,
 }
 
-/// The storage with its fault.
+/// A storage with a planted fault.
 #[derive(Clone, Debug)]
-pub struct Wrong {
+pub struct FaultyStorage {
     inner: Disk,
     fault: Fault,
-    /// What a file was before it was cut last.
+    /// The content of a file before it was truncated last.
     uncut: Option<(String, Vec<u8>)>,
     renamed: bool,
 }
 
-impl Wrong {
-    /// A memory disk with a fault.
+impl FaultyStorage {
+    /// Creates a disk in memory with a fault.
     pub fn new(fault: Fault) -> Self {
-        Wrong { inner: Disk::default(), fault, uncut: None, renamed: false }
+        FaultyStorage { inner: Disk::default(), fault, uncut: None, renamed: false }
     }
 
     fn name<'a>(&self, name: &'a str) -> &'a str {
@@ -73,7 +73,7 @@
     }
 }
 
-impl Storage for Wrong {
+impl Storage for FaultyStorage {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = self.inner.list()?;
         names.retain(|n| !(self.is(Fault::Hides) && n.starts_with('d')));
@@ -143,8 +143,8 @@
     }
 }
 
-impl Lossy for Wrong {
-    fn after_loss(&self, seed: u64) -> Box<dyn Lossy> {
+impl LossyStorage for FaultyStorage {
+    fn after_loss(&self, seed: u64) -> Box<dyn LossyStorage> {
         let mut inner = self.inner.after_loss(seed);
         if let Some((name, octets)) = self.uncut.as_ref().filter(|_| self.is(Fault::Uncuts)) {
             _ = inner.create(name).and_then(|()| inner.append(name, octets));
@@ -152,6 +152,6 @@
         if self.is(Fault::Noise) && inner.read("a").is_ok_and(|o| o.len() > 16) {
             _ = inner.append("a", b"nobody wrote this");
         }
-        Box::new(Wrong { inner, fault: self.fault, uncut: None, renamed: false })
+        Box::new(FaultyStorage { inner, fault: self.fault, uncut: None, renamed: false })
     }
 }
--- a/crates/contracts/src/storage/lossy.rs
+++ b/crates/contracts/src/storage/lossy.rs
@@ -1,31 +1,31 @@
-//! Storage that can lose what was not synced: what survives, and that the rest may be gone. A double that is kinder than a
-//! disk would hide a sync that is left out.
+//! The contract of storage that can lose what was not synced: what was synced survives, and the rest may be lost. A test
+//! double that keeps more than a disk would hide a missing sync.
 
 use super::file;
 use crate::ensure;
 use crate::suite::{Clause, done};
 use heronroute_journal::Storage;
 
-/// Storage that can be looked at as it is found after a loss of power.
-pub trait Lossy: Storage {
-    /// One of the ways in which it may be found.
-    fn after_loss(&self, seed: u64) -> Box<dyn Lossy>;
+/// Storage that can be opened as it is found after a power loss.
+pub trait LossyStorage: Storage {
+    /// Returns one of the states in which it may be found.
+    fn after_loss(&self, seed: u64) -> Box<dyn LossyStorage>;
 }
 
-impl Lossy for heronroute_journal::disk::Disk {
-    fn after_loss(&self, seed: u64) -> Box<dyn Lossy> {
+impl LossyStorage for heronroute_journal::disk::Disk {
+    fn after_loss(&self, seed: u64) -> Box<dyn LossyStorage> {
         Box::new(heronroute_journal::disk::Disk::after_loss(self, seed))
     }
 }
 
-/// Gives one without files.
-pub type FreshLossy = dyn Fn() -> Box<dyn Lossy>;
+/// Creates a storage without files.
+pub type LossyStorageFactory = dyn Fn() -> Box<dyn LossyStorage>;
 
-/// Seeds of losses: by far enough for each way.
+/// The number of seeds, far more than there are states.
 const SEEDS: u64 = 64;
 
-/// What holds of storage that loses what was not synced.
-pub const LOSSY: &[Clause<FreshLossy>] = &[
+/// The clauses on storage that loses what was not synced.
+pub const LOSSY_STORAGE_CLAUSES: &[Clause<LossyStorageFactory>] = &[
     Clause { name: "what was synced survives a loss", run: synced },
     Clause { name: "what was not synced may be lost", run: unsynced },
     Clause { name: "a loss brings nothing that was not written", run: nothing_new },
@@ -36,12 +36,12 @@
     Clause { name: "a cut that was not synced may be undone", run: cut_unsynced },
 ];
 
-fn each(s: &dyn Lossy) -> impl Iterator<Item = (u64, Box<dyn Lossy>)> + '_ {
+fn each(s: &dyn LossyStorage) -> impl Iterator<Item = (u64, Box<dyn LossyStorage>)> + '_ {
     (1..=SEEDS).map(|seed| (seed, s.after_loss(seed)))
 }
 
 /// A file `a` that is durable, name and all.
-fn durable(fresh: &FreshLossy, octets: &[u8]) -> Result<Box<dyn Lossy>, String> {
+fn durable(fresh: &LossyStorageFactory, octets: &[u8]) -> Result<Box<dyn LossyStorage>, String> {
     let mut s = fresh();
     file(&mut *s, "a", octets)?;
     done("sync", s.sync("a"))?;
@@ -49,7 +49,7 @@
     Ok(s)
 }
 
-fn synced(fresh: &FreshLossy) -> Result<(), String> {
+fn synced(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = durable(fresh, b"first")?;
     done("append", s.append("a", b"second"))?;
     done("sync", s.sync("a"))?;
@@ -61,7 +61,7 @@
     Ok(())
 }
 
-fn unsynced(fresh: &FreshLossy) -> Result<(), String> {
+fn unsynced(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = durable(fresh, b"first")?;
     done("append", s.append("a", b"second"))?;
     let lost = each(&*s).filter(|(_, s)| s.read("a").is_ok_and(|o| o == b"first")).count();
@@ -71,7 +71,7 @@
     Ok(())
 }
 
-fn nothing_new(fresh: &FreshLossy) -> Result<(), String> {
+fn nothing_new(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = durable(fresh, b"first")?;
     for octets in [&b"second"[..], b"third", b"fourth"] {
         done("append", s.append("a", octets))?;
@@ -88,7 +88,7 @@
     Ok(())
 }
 
-fn names(fresh: &FreshLossy) -> Result<(), String> {
+fn names(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = durable(fresh, b"first")?;
     file(&mut *s, "b", b"second")?;
     done("sync", s.sync("b"))?;
@@ -105,7 +105,7 @@
     Ok(())
 }
 
-fn names_unsynced(fresh: &FreshLossy) -> Result<(), String> {
+fn names_unsynced(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "a", b"first")?;
     done("sync", s.sync("a"))?;
@@ -115,7 +115,7 @@
     Ok(())
 }
 
-fn rename(fresh: &FreshLossy) -> Result<(), String> {
+fn rename(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = durable(fresh, b"old")?;
     file(&mut *s, "new", b"new")?;
     done("sync", s.sync("new"))?;
@@ -130,7 +130,7 @@
     Ok(())
 }
 
-fn cut(fresh: &FreshLossy) -> Result<(), String> {
+fn cut(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = durable(fresh, b"0123456789")?;
     done("truncate", s.truncate("a", 4))?;
     done("sync", s.sync("a"))?;
@@ -138,7 +138,7 @@
     Ok(())
 }
 
-fn cut_unsynced(fresh: &FreshLossy) -> Result<(), String> {
+fn cut_unsynced(fresh: &LossyStorageFactory) -> Result<(), String> {
     let mut s = durable(fresh, b"0123456789")?;
     done("truncate", s.truncate("a", 4))?;
     let back = each(&*s).filter(|(_, s)| s.read("a").is_ok_and(|o| o.len() == 10)).count();
--- a/crates/contracts/src/storage/mod.rs
+++ b/crates/contracts/src/storage/mod.rs
@@ -1,27 +1,27 @@
-//! Storage: files by name, which whoever keeps a log relies on.
+//! The contract of storage: files by name, on which logs rely.
 
+mod faulty;
 mod lossy;
-mod wrong;
 
-pub use lossy::{LOSSY, Lossy};
-pub use wrong::{Fault, Wrong};
+pub use faulty::{Fault, FaultyStorage};
+pub use lossy::{LOSSY_STORAGE_CLAUSES, LossyStorage};
 
 use crate::suite::{Clause, done};
 use crate::{ensure, random::SeededRandom};
 use heronroute_journal::Storage;
 use std::io::ErrorKind;
 
-/// Gives a storage without files of the suite's names.
-pub type Fresh = dyn Fn() -> Box<dyn Storage>;
+/// Creates a storage without files of the names used here.
+pub type StorageFactory = dyn Fn() -> Box<dyn Storage>;
 
-/// A place that outlives whoever uses it.
-pub trait Place {
-    /// Opens it; what lay there is there again.
+/// Storage that outlives its user.
+pub trait PersistentStorage {
+    /// Opens the storage with the files of its earlier users.
     fn open(&self) -> Box<dyn Storage>;
 }
 
-/// What holds of each storage.
-pub const CLAUSES: &[Clause<Fresh>] = &[
+/// The clauses on each storage.
+pub const CLAUSES: &[Clause<StorageFactory>] = &[
     Clause { name: "what is appended is read back in order", run: in_order },
     Clause { name: "files are apart", run: apart },
     Clause { name: "a file made again is empty", run: made_again },
@@ -34,8 +34,8 @@
     Clause { name: "syncs change nothing that can be read", run: synced },
 ];
 
-/// What holds of a place, whoever opens it next.
-pub const PLACES: &[Clause<dyn Place>] = &[Clause {
+/// The clauses on storage that outlives its user.
+pub const PERSISTENT_STORAGE_CLAUSES: &[Clause<dyn PersistentStorage>] = &[Clause {
     name: "what was written outlives its user",
     run: |place| {
         let mut s = place.open();
@@ -53,7 +53,7 @@
     },
 }];
 
-/// A file with contents.
+/// Creates a file with this content.
 pub(crate) fn file(s: &mut (impl Storage + ?Sized), name: &str, octets: &[u8]) -> Result<(), String> {
     done("create", s.create(name))?;
     done("append", s.append(name, octets))
@@ -73,7 +73,7 @@
     Ok(())
 }
 
-fn in_order(fresh: &Fresh) -> Result<(), String> {
+fn in_order(fresh: &StorageFactory) -> Result<(), String> {
     let (mut s, mut random, mut all) = (fresh(), SeededRandom::new(1), Vec::new());
     done("create", s.create("a"))?;
     for round in 0..20 {
@@ -91,7 +91,7 @@
     holds(&*s, "a", &all)
 }
 
-fn apart(fresh: &Fresh) -> Result<(), String> {
+fn apart(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "a", b"")?;
     file(&mut *s, "a1", b"")?;
@@ -104,7 +104,7 @@
     holds(&*s, "a1", b"yzyzy")
 }
 
-fn made_again(fresh: &Fresh) -> Result<(), String> {
+fn made_again(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "a", b"old octets")?;
     done("sync", s.sync("a"))?;
@@ -114,7 +114,7 @@
     holds(&*s, "a", b"new")
 }
 
-fn missing(fresh: &Fresh) -> Result<(), String> {
+fn missing(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "there", b"x")?;
     let results = [
@@ -136,7 +136,7 @@
     Ok(())
 }
 
-fn renamed(fresh: &Fresh) -> Result<(), String> {
+fn renamed(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "new", b"fresh")?;
     file(&mut *s, "old", b"stale octets")?;
@@ -150,7 +150,7 @@
     holds(&*s, "old", b"fresh!")
 }
 
-fn removed(fresh: &Fresh) -> Result<(), String> {
+fn removed(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "a", b"x")?;
     file(&mut *s, "b", b"y")?;
@@ -162,7 +162,7 @@
     holds(&*s, "a", b"")
 }
 
-fn cut_within(fresh: &Fresh) -> Result<(), String> {
+fn cut_within(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "a", b"0123456789")?;
     done("sync", s.sync("a"))?;
@@ -175,7 +175,7 @@
     holds(&*s, "a", b"end")
 }
 
-fn cut_behind(fresh: &Fresh) -> Result<(), String> {
+fn cut_behind(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "a", b"0123")?;
     for length in [4, 5, 100] {
@@ -185,7 +185,7 @@
     Ok(())
 }
 
-fn listed(fresh: &Fresh) -> Result<(), String> {
+fn listed(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     let before = done("list", s.list())?;
     for name in ["b", "a", "c-0001"] {
@@ -199,7 +199,7 @@
     Ok(())
 }
 
-fn synced(fresh: &Fresh) -> Result<(), String> {
+fn synced(fresh: &StorageFactory) -> Result<(), String> {
     let mut s = fresh();
     file(&mut *s, "a", b"x")?;
     for _ in 0..2 {
--- a/crates/contracts/src/suite.rs
+++ b/crates/contracts/src/suite.rs
@@ -1,21 +1,21 @@
-//! Tables of clauses, and what becomes of an implementation that is run against them.
+//! Runs implementations against tables of clauses.
 
 use std::fmt;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
-/// One thing that users of a subject rely on. `S` is how an implementation is had, such as
+/// One property that users of a trait rely on. `S` is what a clause is run against, such as a factory
 /// `dyn Fn() -> Box<dyn Storage>`.
 pub struct Clause<S: ?Sized> {
-    /// What holds, in words; unique within its table.
+    /// The property in words, unique in its table.
     pub name: &'static str,
-    /// Tries it. An error says what was seen instead.
+    /// Checks the property. An error describes what was seen instead.
     pub run: fn(&S) -> Result<(), String>,
 }
 
-/// A clause that an implementation does not keep.
+/// A clause that an implementation breaks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Broken {
-    /// Its name.
+    /// The name of the clause.
     pub clause: &'static str,
     /// What was seen.
     pub why: String,
@@ -27,7 +27,7 @@
     }
 }
 
-/// Runs an implementation against each clause and gives those that it breaks. A panic breaks the clause that met it.
+/// Runs an implementation against each clause, and returns those that it breaks. A panic breaks its clause.
 pub fn run_all<S: ?Sized>(clauses: &[Clause<S>], subject: &S) -> Vec<Broken> {
     let try_one = |c: &Clause<S>| {
         let result = catch_unwind(AssertUnwindSafe(|| (c.run)(subject)));
@@ -47,16 +47,16 @@
 /// Asserts that an implementation keeps every clause.
 ///
 /// # Panics
-/// Where it breaks one; names all that it breaks.
+/// If it breaks a clause. The message names all broken clauses.
 pub fn kept<S: ?Sized>(clauses: &[Clause<S>], subject: &S) {
     kept_but(clauses, subject, &[]);
 }
 
-/// Asserts that an implementation breaks the clauses named and no other: faults that are known and not mended yet. Once one
-/// is mended its name has to go, so that it can't come back unseen.
+/// Asserts that an implementation breaks exactly the `known` clauses: known faults that are not fixed yet. Once one is
+/// fixed its name must be removed, so that the fault can't return unnoticed.
 ///
 /// # Panics
-/// Where it breaks other clauses, or keeps one of those named.
+/// If it breaks another clause, or keeps a known one.
 pub fn kept_but<S: ?Sized>(clauses: &[Clause<S>], subject: &S, known: &[&str]) {
     assert_known(clauses, known);
     let broken = run_all(clauses, subject);
@@ -67,15 +67,15 @@
     assert!(mended.is_none(), "{:?} holds now: it is no known fault any more", mended.unwrap_or(&""));
 }
 
-/// Asserts that a planted implementation breaks this clause, and no other.
+/// Asserts that an implementation with a planted fault breaks this clause and no other.
 ///
 /// # Panics
-/// Where the clause holds for it, or another one doesn't.
+/// If it keeps the clause, or breaks another one.
 pub fn planted<S: ?Sized>(clauses: &[Clause<S>], subject: &S, clause: &str) {
     planted_in(clauses, subject, clause, &[]);
 }
 
-/// The same round an implementation that has faults of its own, as in [`kept_but`].
+/// Like [`planted`], for a fault that is planted in an implementation with `known` faults.
 ///
 /// # Panics
 /// As [`planted`].
@@ -94,7 +94,7 @@
     assert!(unknown.is_none(), "{:?} is no clause, or two", unknown.unwrap_or(&""));
 }
 
-/// Ends a clause with an error where something does not hold.
+/// Returns an error from a clause if a condition does not hold.
 #[macro_export]
 macro_rules! ensure {
     ($holds:expr, $($what:tt)+) => {
@@ -104,10 +104,10 @@
     };
 }
 
-/// A step of a clause that must succeed; says which it was.
+/// Returns the value of a step that must succeed.
 ///
 /// # Errors
-/// Where it failed.
+/// If the step failed. The error names it.
 pub fn done<T, E: fmt::Display>(step: &str, result: Result<T, E>) -> Result<T, String> {
     result.map_err(|e| format!("{step}: {e}"))
 }
--- a/crates/contracts/tests/names.rs
+++ b/crates/contracts/tests/names.rs
@@ -1,12 +1,15 @@
 //! The memory of names, and planted wrong ones.
 
-use heronroute_contracts::names::{CLAUSES, Fault, Fresh, Names, Wrong};
+use heronroute_contracts::names::{CLAUSES, Fault, FaultyNames, Names, NamesFactory};
 use heronroute_contracts::suite::{kept, planted};
 use heronroute_seen::SeenNames;
 
 #[test]
 fn seen() {
-    kept(CLAUSES, &(|names, seed| Box::new(SeenNames::new(names, 0, seed)) as Box<dyn Names>) as &Fresh);
+    kept(
+        CLAUSES,
+        &(|names, seed| Box::new(SeenNames::new(names, 0, seed)) as Box<dyn Names>) as &NamesFactory,
+    );
 }
 
 #[test]
@@ -21,7 +24,7 @@
         (Fault::GivesUp, "a memory that is large enough forgets nothing"),
         (Fault::Grows, "it does not grow"),
     ] {
-        let fresh = move |names, seed| Box::new(Wrong::new(names, seed, fault)) as Box<dyn Names>;
-        planted(CLAUSES, &fresh as &Fresh, clause);
+        let fresh = move |names, seed| Box::new(FaultyNames::new(names, seed, fault)) as Box<dyn Names>;
+        planted(CLAUSES, &fresh as &NamesFactory, clause);
     }
 }
--- a/crates/contracts/tests/storage.rs
+++ b/crates/contracts/tests/storage.rs
@@ -1,6 +1,9 @@
 //! Each storage, and planted wrong ones.
 
-use heronroute_contracts::storage::{CLAUSES, Fault, Fresh, LOSSY, Lossy, PLACES, Place, Wrong};
+use heronroute_contracts::storage::{
+    CLAUSES, Fault, FaultyStorage, LOSSY_STORAGE_CLAUSES, LossyStorage, PERSISTENT_STORAGE_CLAUSES,
+    PersistentStorage, StorageFactory,
+};
 use heronroute_contracts::suite::{kept, kept_but, planted, planted_in};
 use heronroute_journal::Storage;
 use heronroute_journal::dir::Dir;
@@ -29,7 +32,7 @@
 
 struct Folder(Temporary, Open);
 
-impl Place for Folder {
+impl PersistentStorage for Folder {
     fn open(&self) -> Box<dyn Storage> {
         Box::new((self.1)(&self.0.0).unwrap())
     }
@@ -47,9 +50,9 @@
         let folder = root.join(next.fetch_add(1, Ordering::Relaxed).to_string());
         Box::new(open(&folder).unwrap())
     };
-    kept_but(CLAUSES, &fresh as &Fresh, DIR_KNOWN);
+    kept_but(CLAUSES, &fresh as &StorageFactory, DIR_KNOWN);
     let place = Folder(Temporary::new(&format!("{name}-place")), open);
-    kept(PLACES, &place as &dyn Place);
+    kept(PERSISTENT_STORAGE_CLAUSES, &place as &dyn PersistentStorage);
 }
 
 #[test]
@@ -68,10 +71,10 @@
 
 #[test]
 fn the_memory_disk() {
-    kept(CLAUSES, &disk as &Fresh);
+    kept(CLAUSES, &disk as &StorageFactory);
     kept_but(
-        LOSSY,
-        &(|| Box::new(Disk::default()) as Box<dyn Lossy>) as &dyn Fn() -> Box<dyn Lossy>,
+        LOSSY_STORAGE_CLAUSES,
+        &(|| Box::new(Disk::default()) as Box<dyn LossyStorage>) as &dyn Fn() -> Box<dyn LossyStorage>,
         DISK_KNOWN,
     );
 }
@@ -90,7 +93,11 @@
         (Fault::Hides, "the list names what is there"),
         (Fault::SyncTears, "syncs change nothing that can be read"),
     ] {
-        planted(CLAUSES, &(move || Box::new(Wrong::new(fault)) as Box<dyn Storage>) as &Fresh, clause);
+        planted(
+            CLAUSES,
+            &(move || Box::new(FaultyStorage::new(fault)) as Box<dyn Storage>) as &StorageFactory,
+            clause,
+        );
     }
 }
 
@@ -105,15 +112,15 @@
         (Fault::Uncuts, "a synced cut stays"),
         (Fault::Noise, "a loss brings nothing that was not written"),
     ] {
-        let fresh = move || Box::new(Wrong::new(fault)) as Box<dyn Lossy>;
-        planted_in(LOSSY, &fresh as &dyn Fn() -> Box<dyn Lossy>, clause, DISK_KNOWN);
+        let fresh = move || Box::new(FaultyStorage::new(fault)) as Box<dyn LossyStorage>;
+        planted_in(LOSSY_STORAGE_CLAUSES, &fresh as &dyn Fn() -> Box<dyn LossyStorage>, clause, DISK_KNOWN);
     }
 }
 
 /// Each opening is another place.
 struct Forgetful;
 
-impl Place for Forgetful {
+impl PersistentStorage for Forgetful {
     fn open(&self) -> Box<dyn Storage> {
         disk()
     }
@@ -121,5 +128,9 @@
 
 #[test]
 fn a_place_that_forgets_is_caught() {
-    planted(PLACES, &Forgetful as &dyn Place, "what was written outlives its user");
+    planted(
+        PERSISTENT_STORAGE_CLAUSES,
+        &Forgetful as &dyn PersistentStorage,
+        "what was written outlives its user",
+    );
 }
