An error of the network at accept closes no other client's connection

While accept failed with ECONNABORTED or another error of the network, the client that had been idle longest lost its connection every 20 ms, and could not come back meanwhile; closing it helps only where descriptors or memory are short. The new test (ECONNABORTED, EPROTO, EPERM, ENETDOWN, EHOSTUNREACH, ETIMEDOUT) fails on the code before: the client's connection ends.

--- a/crates/cli/tests/network_calls.rs
+++ b/crates/cli/tests/network_calls.rs
@@ -145,3 +145,26 @@
         }
     }
 }
+
+/// Guards against clients that lose their connections because another one could not be accepted: that frees nothing where
+/// the error is the network's.
+#[test]
+fn an_error_of_the_network_at_accept_closes_no_other_client() {
+    let mut sender = set_up("accept-errors", 128, 1_000);
+    let control = Control::new(&sender.folder.join("faults")).unwrap();
+    let mut command = command(&sender.folder, 256);
+    control.preload(&mut command, &sender.folder.join("state"));
+    sender.child = command.spawn().unwrap();
+    sender.ready();
+    for errno in [ECONNABORTED, EPROTO, EPERM, ENETDOWN, EHOSTUNREACH, ETIMEDOUT] {
+        let mut client = sender.client();
+        assert_eq!(client.asks(PING), "+PONG");
+        control.fail(Call::Accept, errno).unwrap();
+        let waiting = TcpStream::connect(sender.listen);
+        until("accept fails", || control.was_met(Call::Accept));
+        sleep(100 * MS);
+        assert_eq!(client.asks(PING), "+PONG", "error {errno}");
+        control.heal(Call::Accept).unwrap();
+        drop(waiting);
+    }
+}
--- a/crates/net/src/reactor/accepting.rs
+++ b/crates/net/src/reactor/accepting.rs
@@ -9,19 +9,28 @@
 
 /// The maximum number of clients accepted in a turn.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
-/// The delay before accepting is retried after descriptors ran out, in microseconds. Guards against a busy
-/// loop.
+/// The delay before accepting is retried after an error, in microseconds. Guards against a busy loop.
 const ACCEPT_RETRY_DELAY: i64 = 20_000;
 /// The error codes for no descriptor left in the system (ENFILE) or for the process (EMFILE).
 const OUT_OF_DESCRIPTORS: [i32; 2] = [23, 24];
 
+/// The error codes of accept(2) that concern the network or the connection that was to be accepted, and not this
+/// process: EPERM, ENONET, EPROTO, ENOPROTOOPT, EOPNOTSUPP, ENETDOWN, ENETUNREACH, ECONNABORTED, ETIMEDOUT,
+/// EHOSTDOWN and EHOSTUNREACH.
+const NETWORK_ERRORS: [i32; 11] = [1, 64, 71, 92, 95, 100, 101, 103, 110, 112, 113];
+
 fn out_of_descriptors(error: &io::Error) -> bool {
     error.raw_os_error().is_some_and(|e| OUT_OF_DESCRIPTORS.contains(&e))
 }
 
+/// Returns whether a client's connection that is closed may help against an error of accept(2).
+fn lacks_resources(error: &io::Error) -> bool {
+    error.raw_os_error().is_none_or(|e| !NETWORK_ERRORS.contains(&e))
+}
+
 impl Reactor {
-    /// Accepts clients, a bounded number in a turn. If descriptors run out, closes a lingering connection or
-    /// else the connection that has been idle longest, and retries a little later.
+    /// Accepts clients, a bounded number in a turn. If descriptors or memory run out, closes a lingering
+    /// connection or else the connection that has been idle longest, and retries a little later.
     pub(super) fn accept(&mut self) {
         if self.accept_retry_at.is_some_and(|at| self.clock.now() < at) {
             return;
@@ -45,7 +54,9 @@
                 Err(e) => {
                     tracing::warn!(error = %e, "a client could not be accepted");
                     self.accept_retry_at = Some(self.clock.now() + ACCEPT_RETRY_DELAY);
-                    self.node.close_idlest_client();
+                    if lacks_resources(&e) {
+                        self.node.close_idlest_client();
+                    }
                     break;
                 }
             }
