--- a/crates/cli/tests/alone/mod.rs
+++ b/crates/cli/tests/alone/mod.rs
@@ -43,7 +43,8 @@
     Ipv4Addr::new(127, high | 1, low, COUNT.fetch_add(1, Ordering::Relaxed))
 }
 
-fn listen(address: Ipv4Addr) -> (TcpListener, SocketAddr) {
+/// Listens at a free port.
+pub fn listen(address: Ipv4Addr) -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind((address, 0)).unwrap();
     let at = listener.local_addr().unwrap();
     (listener, at)
@@ -134,6 +135,7 @@
     pub fn ready(&self) {
         until("ready in time", || {
             let Ok(stream) = TcpStream::connect(self.listen) else { return false };
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
             let mut client = Client { stream, read: String::new() };
             client.stream.write_all(PING.as_bytes()).is_ok() && client.line() == "+PONG"
         });
