Tests and stand-ins keep the ports that they choose: another socket could be given them

Seen: the last check failed in net/tests/fleet, `AddrInUse` at a port that had just been chosen, and a check before it in drill/tests/hard_cases, 19 of 20 once-only messages answered as never run.

Cause of both: a port was bound, closed and bound again later, and any other socket that asked for one could be given it in between. In hard_cases the stand-in closes its listener while it refuses, so that a call reached another process.

That a connection meets itself was not seen.

Change: the relay's reserved port becomes a package of its own, and all tests and stand-ins that let go of a port hold a reservation.

--- a/crates/cli/tests/alone/mod.rs
+++ b/crates/cli/tests/alone/mod.rs
@@ -1,6 +1,7 @@
 //! The real program as a sender of the platform, with connections and signals that a test holds in its hands.
 #![allow(dead_code)] // not every test file uses all of it
 
+use heronroute_reserved_port::ReservedPort;
 use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -24,6 +25,8 @@
     pub child: Child,
     pub folder: PathBuf,
     pub listen: SocketAddr,
+    /// Held so that no other socket is given it.
+    _port: ReservedPort,
     pub endpoint: TcpListener,
     pub discovery: TcpListener,
 }
@@ -74,8 +77,8 @@
     let address = own_address();
     let (endpoint, endpoint_at) = listen(address);
     let (discovery, discovery_at) = listen(address);
-    let (free, at) = listen(address);
-    drop(free);
+    let port = ReservedPort::on(address.into()).unwrap();
+    let at = port.address();
     let config = json!({"name": "n", "listen": at, "discovery": discovery_at, "seed": "7",
         "limits": {"memory_mb": 64, "sockets": sockets, "disk_mb": 1},
         "known": {"version": 1, "full": true, "servers": [{"id": "e1", "addr": endpoint_at, "zone": "a",
@@ -93,7 +96,7 @@
                 "ObjectiveUs": 1_500_000, "Worth": 1.0}]}});
     std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
     let child = Command::new("true").spawn().unwrap();
-    Sender { child, folder, listen: at, endpoint, discovery }
+    Sender { child, folder, listen: at, _port: port, endpoint, discovery }
 }
 
 pub fn spawn(folder: &std::path::Path, descriptors: usize) -> Child {
--- a/crates/cli/tests/descriptors.rs
+++ b/crates/cli/tests/descriptors.rs
@@ -1,6 +1,7 @@
 //! The real program with fewer descriptors than it has clients, as a process under a limit of its own: it takes no time
 //! while it waits for one, serves the clients that it has, takes on others once descriptors are free, and lives on.
 
+use heronroute_reserved_port::ReservedPort;
 use serde_json::json;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -23,6 +24,8 @@
     child: Child,
     folder: PathBuf,
     listen: SocketAddr,
+    /// Held so that no other socket is given it.
+    _port: ReservedPort,
     /// Takes connections and says nothing.
     _silent: TcpListener,
 }
@@ -39,7 +42,8 @@
     fn start(name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("heronroute-{name}-{}", std::process::id()));
         std::fs::create_dir_all(folder.join("state")).unwrap();
-        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let port = ReservedPort::on_localhost().unwrap();
+        let free = port.address();
         let silent = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = silent.local_addr().unwrap();
         // Far more sockets than the system gives it: its own bound is no help.
@@ -65,7 +69,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let sender = Sender { child, folder, listen: free, _silent: silent };
+        let sender = Sender { child, folder, listen: free, _port: port, _silent: silent };
         let until = Instant::now() + 20_000 * MS;
         while !TcpStream::connect(free).is_ok_and(|mut c| says(&mut c, PING) == PONG) {
             assert!(Instant::now() < until, "ready in time");
--- a/crates/cli/tests/discovery.rs
+++ b/crates/cli/tests/discovery.rs
@@ -4,6 +4,7 @@
 mod process;
 
 use heronroute_http::{Message, Reader, Side, Start};
+use heronroute_reserved_port::ReservedPort;
 use process::Process;
 use serde_json::{Value, json};
 use std::io::{ErrorKind, Read, Write};
@@ -137,6 +138,8 @@
     child: Process,
     folder: PathBuf,
     listen: SocketAddr,
+    /// Held so that no other socket is given it.
+    _port: ReservedPort,
     endpoints: [SocketAddr; 2],
     calls: Receiver<(usize, String)>,
     sent: usize,
@@ -155,11 +158,11 @@
         std::fs::create_dir_all(folder.join("state")).unwrap();
         let (sender, calls) = channel();
         let endpoints = [0, 1].map(|number| endpoint(number, sender.clone()));
-        let (free, listen) = listen();
-        drop(free);
+        let port = ReservedPort::on_localhost().unwrap();
+        let listen = port.address();
         configure(&folder, listen, discovery, &list(1, true, &[(endpoints[0], 0, "SERVING")]));
         let child = Process::start(&folder, listen, LONG);
-        Rig { child, folder, listen, endpoints, calls, sent: 0 }
+        Rig { child, folder, listen, _port: port, endpoints, calls, sent: 0 }
     }
 
     fn moves(&self, discovery: SocketAddr) {
@@ -304,12 +307,11 @@
     let mut watch = discovery.watch(LONG);
     watch.tell(&rig.unchanged());
     // Nobody listens where it moves to, for a second.
-    let (free, elsewhere) = listen();
-    drop(free);
-    rig.moves(elsewhere);
+    let elsewhere = ReservedPort::on_localhost().unwrap();
+    rig.moves(elsewhere.address());
     assert!(watch.is_closed(LONG), "it has moved");
     sleep(1_000 * MS);
-    let listener = TcpListener::bind(elsewhere).unwrap();
+    let listener = elsewhere.listen().unwrap();
     let reachable = Instant::now();
     // Reachable, it ends each connection as it comes, five times.
     for _ in 0..5 {
--- a/crates/cli/tests/kill.rs
+++ b/crates/cli/tests/kill.rs
@@ -9,6 +9,7 @@
 use heronroute_audit::{Class, Effect, Record, Slack, Told, check};
 use heronroute_net::Clock;
 use heronroute_relay::lag::Lag;
+use heronroute_reserved_port::ReservedPort;
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::{ReceiptRequest, Submission};
 use heronroute_standins::model::{Incident, ReceiverModel, Trouble};
@@ -18,7 +19,7 @@
 use heronroute_standins::run::Running;
 use heronroute_standins::smpp_clients::{Plan, SmppClients, Step};
 use std::fmt::Write as _;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -66,18 +67,6 @@
         .unwrap()
 }
 
-/// A port that stays free between two lives of the service: below those that the system gives to outgoing
-/// connections, one of which had it in a long run when the service came back.
-fn free_port(dice: &mut Dice) -> SocketAddr {
-    for _ in 0..100 {
-        let at = SocketAddr::from(([127, 0, 0, 1], 20_000 + dice.below(10_000) as u16));
-        if TcpListener::bind(at).is_ok() {
-            return at;
-        }
-    }
-    panic!("no port is free");
-}
-
 /// Numbers that are the same in each run.
 struct Dice(u64);
 
@@ -169,7 +158,8 @@
         Receivers::new((0..8).map(endpoint).collect(), (1..=4).map(destination).collect(), seed)
     })
     .unwrap();
-    let (listen, mqtt) = (free_port(&mut dice), free_port(&mut dice));
+    let ports = [(); 2].map(|()| ReservedPort::on_localhost().unwrap());
+    let [listen, mqtt] = ports.each_ref().map(ReservedPort::address);
     let folder =
         PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("kill-{}-{seed}", std::process::id()));
     _ = std::fs::remove_dir_all(&folder);
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -5,6 +5,7 @@
 mod process;
 
 use heronroute_http::{Message, Reader, Side, Start};
+use heronroute_reserved_port::ReservedPort;
 use process::Process;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -149,8 +150,8 @@
     };
     let list = json!({"version": 1, "full": true, "servers": [line(0), line(1)]});
     let places = [discovery(0, &list, &world), discovery(1, &list, &world)];
-    let (free, at) = listen();
-    drop(free);
+    let port = ReservedPort::on_localhost().unwrap();
+    let at = port.address();
     configure(&folder, at, places[0], &list);
     let mut sender = Sender::start(folder.clone(), at);
     // One thread, and no Unix socket anywhere (both measured on the users' bench, see docs/platform.md).
--- a/crates/cli/tests/platform_alone.rs
+++ b/crates/cli/tests/platform_alone.rs
@@ -1,9 +1,10 @@
 //! `heronroute platform` has what one sender needs and nothing of an installation: no second listener, no thread that works,
 //! no timer, no file but its journal.
 
+use heronroute_reserved_port::ReservedPort;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -18,10 +19,6 @@
     }
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn pings(at: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect(at) else { return false };
     let mut answer = [0; 7];
@@ -34,7 +31,8 @@
 fn nothing_of_an_installation_is_there() {
     let folder = std::env::temp_dir().join(format!("heronroute-alone-{}", std::process::id()));
     std::fs::create_dir_all(folder.join("state")).unwrap();
-    let (listen, discovery) = (free(), free());
+    let ports = [(); 2].map(|()| ReservedPort::on_localhost().unwrap());
+    let [listen, discovery] = ports.each_ref().map(ReservedPort::address);
     let config = json!({"name": "n", "listen": listen, "discovery": discovery, "seed": "7",
         "limits": {"memory_mb": 32, "sockets": 128, "disk_mb": 1},
         "known": {"version": 1, "full": true, "servers": []},
--- a/crates/cli/tests/settings_apart.rs
+++ b/crates/cli/tests/settings_apart.rs
@@ -5,14 +5,14 @@
 mod process;
 
 use heronroute_http::{Reader, Side, Start};
+use heronroute_reserved_port::ReservedPort;
 use process::Process;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::spawn;
 use std::time::{Duration, Instant, SystemTime};
@@ -111,15 +111,6 @@
     (listener, at)
 }
 
-/// Where the program may listen: an address of its own. Guards against another's connection that leaves from the very port
-/// that was found free, before the program listens there.
-fn free() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(2);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(127, NEXT.fetch_add(1, Ordering::Relaxed), high, low | 1);
-    TcpListener::bind((own, 0)).unwrap().local_addr().unwrap()
-}
-
 /// Reads one head, octet by octet: what follows it stays unread.
 fn head(stream: &mut TcpStream) -> Option<String> {
     let (mut head, mut octet) = (Vec::new(), [0]);
@@ -216,6 +207,8 @@
     child: Process,
     folder: PathBuf,
     listen: SocketAddr,
+    /// Held so that no other socket is given it.
+    _port: ReservedPort,
 }
 
 impl Drop for Sender {
@@ -241,7 +234,8 @@
         let line = |(n, (dest, at)): (usize, (usize, SocketAddr))| json!({"id": format!("e{n}"), "addr": at, "zone": "a", "kind": "m", "cell": dest, "state": "SERVING", "weight": 400.0});
         let servers: Vec<Value> = flat.enumerate().map(line).collect();
         let list = json!({"version": 1, "full": true, "servers": servers});
-        let listen = free();
+        let port = ReservedPort::on_localhost().unwrap();
+        let listen = port.address();
         let config = json!({"name": "n", "listen": listen, "discovery": discovery(&list, world), "seed": "7",
             "limits": {"memory_mb": 32, "sockets": 512, "disk_mb": 1}, "known": list,
             "settings": {"Azs": ["a"], "Shapes": ["m"], "Customers": tenants, "Weights": "nominal", "QuantumUs": 1000,
@@ -251,7 +245,7 @@
                 "Profiles": classes}});
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
         let child = Process::start(&folder, listen, PATIENCE);
-        Sender { child, folder, listen }
+        Sender { child, folder, listen, _port: port }
     }
 
     /// One request on a connection of its own, and its answer.
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -15,7 +15,7 @@
 mod listing;
 mod world;
 
-use alone::{MS, Sender, command, listen, set_up};
+use alone::{MS, Sender, command, set_up};
 use clients::{DESTINATIONS, Submitted, TIME, client, crowd};
 use endpoint::{Profile, discovery, endpoint};
 use heronroute_syscall_faults::{Call, Control, ONE_OCTET};
@@ -66,7 +66,7 @@
 impl Run {
     fn begin(seed: u64) -> Self {
         let quantum = [1_000, 5_000, 20_000][(seed % 3) as usize];
-        let mut sender = set_up(&format!("soak-{seed}"), 128, quantum);
+        let sender = set_up(&format!("soak-{seed}"), 128, quantum);
         let world = Arc::new(World::default());
         let address = match sender.listen.ip() {
             std::net::IpAddr::V4(address) => address,
@@ -88,16 +88,11 @@
         world.listing.set_entries(&servers);
         let seen = world.clone();
         let discovery = serve(address, &world, move |stream, count| discovery(stream, seed + count, &seen));
-        // Guards against an endpoint that was given the sender's port: it is chosen once all of them listen.
-        let (free, at) = listen(address);
-        drop(free);
-        sender.listen = at;
         let file = sender.folder.join("config.json");
         let text = std::fs::read_to_string(&file).unwrap();
         let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
         config["known"]["servers"] = servers.into();
         config["discovery"] = serde_json::json!(discovery);
-        config["listen"] = serde_json::json!(at);
         config["settings"]["Shapes"] = serde_json::json!(["m", "bulk"]);
         config["settings"]["FamilyInfo"]["Workers"] = 24.into();
         config["settings"]["FamilyInfo"]["BatchByKind"] = serde_json::json!([1, 8]);
--- a/crates/net/tests/fleet.rs
+++ b/crates/net/tests/fleet.rs
@@ -7,10 +7,11 @@
 use heronroute_installation::seam::{Health, Input, Member, Output};
 use heronroute_net::Clock;
 use heronroute_net::fleet::{BoundMember, MemberAnswer, MemberSetup, RunningMember, SenderMemberHandle};
+use heronroute_reserved_port::ReservedPort;
 use heronroute_rules::seam::{ClientRequest, DryRun, DryRunResult, Live, Token, Told};
 use heronroute_rules::{RuleSet, Turn};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
@@ -82,22 +83,25 @@
     answers: Receiver<MemberAnswer>,
 }
 
-fn addresses(n: usize) -> Vec<SocketAddr> {
-    let all: Vec<TcpListener> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    all.iter().map(|l| l.local_addr().unwrap()).collect()
+fn reserve_ports(n: usize) -> Vec<ReservedPort> {
+    (0..n).map(|_| ReservedPort::on_localhost().unwrap()).collect()
 }
 
 fn name(n: usize) -> Name {
     Name::new(&format!("m{n}")).unwrap()
 }
 
-fn start(n: usize, at: &[SocketAddr], start: u64, burst: u32) -> TestMember {
-    let peer =
-        |(i, a): (usize, &SocketAddr)| Peer { name: name(i), zone: "z".into(), address: *a, keeper: true };
+fn start(n: usize, ports: &[ReservedPort], start: u64, burst: u32) -> TestMember {
+    let peer = |(i, port): (usize, &ReservedPort)| Peer {
+        name: name(i),
+        zone: "z".into(),
+        address: port.address(),
+        keeper: true,
+    };
     let links = Settings {
         installation: "oduya".into(),
         me: Life { name: name(n), start: Start(start) },
-        peers: at.iter().enumerate().map(peer).collect(),
+        peers: ports.iter().enumerate().map(peer).collect(),
         key: Key::read(KEY).unwrap(),
         seed: start * 10 + n as u64,
     };
@@ -105,9 +109,11 @@
     let member =
         Box::new(RecordingMember { received: received.clone(), burst, stall_lock: stall_lock.clone() });
     let (to, answers): (Sender<MemberAnswer>, _) = channel();
-    let mut bound =
-        BoundMember::new(MemberSetup { links, listen: at[n], member, member_factory: None }, Clock::start())
-            .unwrap();
+    let mut bound = BoundMember::new(
+        MemberSetup { links, listen: ports[n].address(), member, member_factory: None },
+        Clock::start(),
+    )
+    .unwrap();
     let sender = |room| Stats { refused_room: room, answers: [9, 0, 1, 0, 0, 0], ..Stats::default() };
     bound.set_health_source([3, 4].map(|room| Arc::new(Mutex::new(sender(room)))).to_vec());
     let thread = bound.run(Box::new(move |answer| _ = to.send(answer))).unwrap();
@@ -128,8 +134,8 @@
 
 #[test]
 fn members_link_and_messages_arrive_in_order() {
-    let at = addresses(3);
-    let all: Vec<TestMember> = (0..3).map(|n| start(n, &at, 1, 2_000)).collect();
+    let ports = reserve_ports(3);
+    let all: Vec<TestMember> = (0..3).map(|n| start(n, &ports, 1, 2_000)).collect();
     until("all messages are received", || {
         all.iter().all(|p| p.received.lock().unwrap().messages.len() == 4_000)
     });
@@ -148,8 +154,8 @@
 
 #[test]
 fn the_health_of_a_process_is_reported_to_its_member() {
-    let at = addresses(1);
-    let member = start(0, &at, 1, 0);
+    let ports = reserve_ports(1);
+    let member = start(0, &ports, 1, 0);
     until("the health is reported", || !member.received.lock().unwrap().health.is_empty());
     let health = member.received.lock().unwrap().health[0];
     assert_eq!((health.refused, health.failed), (7, 2), "the sum of both senders");
@@ -159,19 +165,19 @@
 
 #[test]
 fn a_stopped_member_is_unlinked_and_returns_as_another_life() {
-    let at = addresses(3);
-    let mut all: Vec<TestMember> = (0..3).map(|n| start(n, &at, 5, 1)).collect();
+    let ports = reserve_ports(3);
+    let mut all: Vec<TestMember> = (0..3).map(|n| start(n, &ports, 5, 1)).collect();
     let linked =
         |p: &TestMember, n| p.received.lock().unwrap().linked.iter().any(|(at, l)| (*at, l.start.0) == n);
     until("linked", || linked(&all[0], (1, 5)) && linked(&all[2], (1, 5)));
     all.remove(1).thread.stop().unwrap();
     until("unlinked", || all.iter().all(|p| p.received.lock().unwrap().unlinked == [1]));
-    let returned = start(1, &at, 6, 1);
+    let returned = start(1, &ports, 6, 1);
     until("linked to its new life", || all.iter().all(|p| linked(p, (1, 6))));
     returned.thread.stop().unwrap();
     // A member that starts from an old folder, with a lower start number: nobody links to it, and it is
     // notified.
-    let outlived = start(1, &at, 3, 1);
+    let outlived = start(1, &ports, 3, 1);
     until("outlived", || outlived.received.lock().unwrap().outlived_by.contains(&Start(6)));
     assert!(all.iter().all(|p| !linked(p, (1, 3))));
     outlived.thread.stop().unwrap();
@@ -180,10 +186,11 @@
 
 #[test]
 fn connections_of_non_members_are_closed_and_counted_and_do_no_harm() {
-    let at = addresses(2);
-    let all: Vec<TestMember> = (0..2).map(|n| start(n, &at, 1, 10)).collect();
-    let mut silent: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(at[1]).unwrap()).collect();
-    let mut loud = TcpStream::connect(at[1]).unwrap();
+    let ports = reserve_ports(2);
+    let all: Vec<TestMember> = (0..2).map(|n| start(n, &ports, 1, 10)).collect();
+    let mut silent: Vec<TcpStream> =
+        (0..60).map(|_| TcpStream::connect(ports[1].address()).unwrap()).collect();
+    let mut loud = TcpStream::connect(ports[1].address()).unwrap();
     loud.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
     assert!(matches!(loud.read(&mut [0; 9]), Ok(0) | Err(_)), "the connection is closed");
     until("the oldest connections are closed", || {
@@ -199,8 +206,8 @@
 
 #[test]
 fn requests_are_answered_and_those_without_room_are_answered_as_busy_at_once() {
-    let at = addresses(2);
-    let member = start(0, &at, 1, 0);
+    let ports = reserve_ports(2);
+    let member = start(0, &ports, 1, 0);
     let mut port = SenderMemberHandle::new(member.thread.handle());
     let request = |n| ClientRequest {
         token: Token { sender: 3, conn: 4, token: n },
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -5,10 +5,10 @@
 pub use settings::FleetSpec;
 
 use crate::fault::{Cut, Shape, Way};
-use crate::ports::Port;
 use crate::process::{Home, Process, ProcessError, Ready, Spec};
 use crate::relay::{Link, LinkSpec, Relay, RelayError};
 use crate::schedule::{Act, Folder};
+use heronroute_reserved_port::ReservedPort;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
     links: Vec<Vec<Option<Link>>>,
     fronts: Vec<BTreeMap<String, SocketAddr>>,
     /// Held so that nobody else is given a member's ports while it is down.
-    _ports: Vec<Port>,
+    _ports: Vec<ReservedPort>,
     _relay: Relay,
     home: Home,
 }
@@ -62,7 +62,7 @@
         std::fs::write(&key_file, settings::key(spec.seed))?;
         let mut ports = Vec::new();
         let mut reserve = || -> io::Result<SocketAddr> {
-            let port = Port::reserve()?;
+            let port = ReservedPort::on_localhost()?;
             let at = port.address();
             ports.push(port);
             Ok(at)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod fleet;
 pub mod lag;
 pub mod lane;
-pub mod ports;
 pub mod process;
 mod reactor;
 pub mod relay;
--- a/crates/relay/src/reactor/link.rs
+++ b/crates/relay/src/reactor/link.rs
@@ -3,8 +3,8 @@
 use super::handshake;
 use crate::fault::{Door, Shape};
 use crate::lane::Counts;
-use crate::ports::Port;
 use crate::relay::{LinkCounts, LinkSpec};
+use heronroute_reserved_port::ReservedPort;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use std::collections::BTreeMap;
@@ -17,7 +17,7 @@
     pub shapes: [Shape; 2],
     /// Of connections that are over; those that stand are added when asked for.
     pub counts: LinkCounts,
-    port: Port,
+    port: ReservedPort,
     listener: Option<TcpListener>,
     /// By the order in which they came.
     pairs: BTreeMap<u64, usize>,
@@ -30,7 +30,7 @@
             door: Door::Open,
             shapes: [Shape::default(); 2],
             counts: LinkCounts::default(),
-            port: Port::reserve()?,
+            port: ReservedPort::on_localhost()?,
             listener: None,
             pairs: BTreeMap::new(),
         })
--- a/crates/relay/tests/client.rs
+++ b/crates/relay/tests/client.rs
@@ -3,8 +3,8 @@
 
 use heronroute_relay::client::{Client, ClientError, Login};
 use heronroute_relay::fleet::{Fleet, FleetSpec};
-use heronroute_relay::ports::Port;
 use heronroute_relay::schedule::Folder;
+use heronroute_reserved_port::ReservedPort;
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +18,7 @@
 
 #[test]
 fn asks_hands_in_and_hears_what_became_of_it() {
-    let nobody = Port::reserve().unwrap();
+    let nobody = ReservedPort::on_localhost().unwrap();
     let home = heronroute_relay::process::Home::new("client").unwrap();
     let text = BASE
         .replace("@nobody@", &nobody.address().to_string())
@@ -69,7 +69,7 @@
 #[ignore = "needs HERONROUTE_BIN, the path of the program"]
 fn processes_of_the_program_are_driven() {
     let Ok(program) = std::env::var("HERONROUTE_BIN") else { return };
-    let nobody = Port::reserve().unwrap();
+    let nobody = ReservedPort::on_localhost().unwrap();
     let base = BASE.replace("@nobody@", &nobody.address().to_string());
     // The program has no `fleet { }` yet.
     let spec = FleetSpec { section: false, ..FleetSpec::new(program, 3, 1).base(&base) };
--- a/crates/standins/src/run.rs
+++ b/crates/standins/src/run.rs
@@ -3,6 +3,7 @@
 use crate::Micros;
 use crate::actor::{Action, Actor, Conn};
 use heronroute_net::{Clock, Progress, read_some, write_some};
+use heronroute_reserved_port::ReservedPort;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use std::collections::BTreeMap;
@@ -31,7 +32,7 @@
 /// Runs an actor until it has finished or is told to stop; gives it back.
 pub fn run<A: Actor>(
     mut actor: A,
-    addresses: &[SocketAddr],
+    ports: &[ReservedPort],
     mut listeners: Vec<Option<TcpListener>>,
     clock: Clock,
     stop: &AtomicBool,
@@ -123,8 +124,7 @@
                         read(&mut peers, conn, &mut actor, clock, &mut buffer);
                     }
                     Action::Listen(i, true) if listeners[i].is_none() => {
-                        // The port is ours by number; another process could have it for a moment.
-                        if let Ok(mut l) = listen(addresses[i]) {
+                        if let Ok(mut l) = listen(&ports[i]) {
                             poll.registry().register(&mut l, Token(i), Interest::READABLE)?;
                             listeners[i] = Some(l);
                         }
@@ -141,8 +141,10 @@
     Ok(actor)
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address)
+fn listen(port: &ReservedPort) -> io::Result<TcpListener> {
+    let listener = port.listen()?;
+    listener.set_nonblocking(true)?;
+    Ok(TcpListener::from_std(listener))
 }
 
 fn write<A: Actor>(peers: &mut BTreeMap<Conn, Peer>, conn: Conn, actor: &mut A, clock: Clock) {
@@ -210,20 +212,17 @@
         clock: Clock,
         make: impl FnOnce(&[SocketAddr]) -> A,
     ) -> io::Result<Self> {
-        let mut listeners = Vec::new();
-        let mut bound = Vec::new();
-        for address in addresses {
-            let l = listen(*address)?;
-            bound.push(l.local_addr()?);
-            listeners.push(Some(l));
-        }
-        let actor = make(&bound);
+        let reserve = |address: &SocketAddr| ReservedPort::at(*address);
+        let ports = addresses.iter().map(reserve).collect::<io::Result<Vec<_>>>()?;
+        let listeners = ports.iter().map(|port| listen(port).map(Some)).collect::<io::Result<Vec<_>>>()?;
+        let addresses: Vec<SocketAddr> = ports.iter().map(ReservedPort::address).collect();
+        let actor = make(&addresses);
         let stop = Arc::new(AtomicBool::new(false));
-        let (flag, addresses) = (stop.clone(), bound.clone());
+        let flag = stop.clone();
         let thread = std::thread::Builder::new()
             .name("standin".into())
-            .spawn(move || run(actor, &addresses, listeners, clock, &flag))?;
-        Ok(Running { addresses: bound, stop, thread })
+            .spawn(move || run(actor, &ports, listeners, clock, &flag))?;
+        Ok(Running { addresses, stop, thread })
     }
 
     /// Whether it has finished by itself.
