Soak: several processes, endpoints that hang, resets, more answers, lists that come twice

Now two runs of five have two or three processes that share the endpoints, each with faults of its own; endpoints hang for up to 2.5 s; connections are reset, before an answer and behind one; calls are answered 410 and 504, behind an interim answer, with two forms of a 200, and octet by octet; the second copy may be of an answer two calls earlier; a line of the list breaks off with its connection, or an earlier one is written once more. A drain counts as told by the list's version of the line itself. The file is split: run.rs sets a run up and plays it, member.rs has one process and its faults.

--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -24,6 +24,8 @@
 /// A submitted message.
 #[derive(Clone, Debug)]
 pub struct Submitted {
+    /// The number of the process that it was submitted to.
+    pub process: usize,
     pub id: String,
     pub class: &'static str,
     pub at: Instant,
@@ -67,8 +69,14 @@
     }
 }
 
-/// One client: submits messages until the end of the run.
-pub fn client(listen: SocketAddr, name: u64, seed: u64, stop: &AtomicBool, all: &Mutex<Vec<Submitted>>) {
+/// One client of a process: submits messages until the end of the run.
+pub fn client(
+    (process, listen): (usize, SocketAddr),
+    name: u64,
+    seed: u64,
+    stop: &AtomicBool,
+    all: &Mutex<Vec<Submitted>>,
+) {
     let mut random = Random::new(seed);
     let mut link = Link { listen, stream: None };
     let mut submitted = 0;
@@ -84,7 +92,7 @@
             let id = format!("c{name}-{submitted}");
             let pairs = format!("c={class},t=t,d={},k=key-{id},dest={dest}", TIME.as_millis());
             requests += &out_add_as(&id, &pairs);
-            messages.push(Submitted { id, class, at: Instant::now(), accepted: false });
+            messages.push(Submitted { process, id, class, at: Instant::now(), accepted: false });
         }
         let accepted = link.submit(&requests, messages.len());
         messages.iter_mut().zip(accepted).for_each(|(message, accepted)| message.accepted = accepted);
--- a/crates/cli/tests/soak/connection.rs
+++ b/crates/cli/tests/soak/connection.rs
@@ -1,6 +1,7 @@
 //! The endpoints' side of a connection, which several threads look at.
 
 use crate::world::World;
+use socket2::SockRef;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::sync::Mutex;
@@ -10,7 +11,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 struct State {
-    stream: TcpStream,
+    /// None once the endpoint has reset the connection.
+    stream: Option<TcpStream>,
     unread: Vec<u8>,
     /// When the first of the unread octets came.
     unread_since: Option<Instant>,
@@ -21,8 +23,9 @@
     /// Reads all that has come, and sees whether the connection has ended.
     fn read(&mut self) {
         let mut buffer = [0; 8_192];
+        let Some(stream) = &mut self.stream else { return };
         while !self.ended {
-            match self.stream.read(&mut buffer) {
+            match stream.read(&mut buffer) {
                 Ok(length @ 1..) => {
                     self.unread_since.get_or_insert_with(Instant::now);
                     self.unread.extend_from_slice(&buffer[..length]);
@@ -45,7 +48,8 @@
     pub fn new(stream: TcpStream) -> Self {
         stream.set_nonblocking(true).unwrap();
         stream.set_nodelay(true).unwrap();
-        let state = Mutex::new(State { stream, unread: Vec::new(), unread_since: None, ended: false });
+        let state =
+            Mutex::new(State { stream: Some(stream), unread: Vec::new(), unread_since: None, ended: false });
         Connection { state, accepted: Instant::now() }
     }
 
@@ -88,7 +92,17 @@
     pub fn write(&self, text: &str) -> bool {
         let mut state = self.state.lock().unwrap();
         state.read();
-        !state.ended && state.stream.write_all(text.as_bytes()).is_ok()
+        let open = !state.ended;
+        open && state.stream.as_mut().is_some_and(|stream| stream.write_all(text.as_bytes()).is_ok())
+    }
+
+    /// Resets the connection: what has not been read is dropped.
+    pub fn reset(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.ended = true;
+        if let Some(stream) = state.stream.take() {
+            _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
     }
 
     /// Waits for a span. False as soon as the connection has ended.
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -9,11 +9,19 @@
 use std::time::{Duration, Instant};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const OK_WITH_BODY: &str = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+const INTERIM: &str = "HTTP/1.1 102 Processing\r\n\r\n";
 const CLOSING: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 const SPOILT: &str = "HTTP/1.1 5O3 No\r\ncontent-length: x\r\n\r\n";
 const FAILED: &str = "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n";
 const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
+const GONE: &str = "HTTP/1.1 410 No\r\ncontent-length: 0\r\n\r\n";
+const EXHAUSTED: &str = "HTTP/1.1 504 No\r\ncontent-length: 0\r\n\r\n";
 const LIMITED: &str = "HTTP/1.1 429 No\r\nretry-after: 0.2\r\ncontent-length: 0\r\n\r\n";
+/// So many of the last answers on a connection may be written once more.
+const ANSWERS_KEPT: usize = 3;
+/// How often a hanging endpoint looks whether it may go on.
+const HANG_POLL: Duration = Duration::from_millis(2);
 
 /// How often the endpoints of a run do what is hard to bear.
 #[derive(Clone, Copy, Debug)]
@@ -47,8 +55,13 @@
     Full,
     Limited,
     Failed,
+    /// The message is over for the endpoint, or has had all its attempts.
+    Gone,
+    Exhausted,
     /// The connection ends without an answer.
     Broken,
+    /// The connection is reset without an answer.
+    Reset,
     /// Delivered, and the connection is closed behind the answer.
     Closing,
     /// The answer can't be read.
@@ -57,13 +70,15 @@
 
 impl Fate {
     fn draw(random: &mut Random, in_bulk: bool) -> Self {
-        match random.below(20) {
-            0..9 => Fate::Delivered,
-            9..12 if in_bulk => Fate::Mixed,
-            12..16 => Fate::Full,
-            16 => Fate::Limited,
-            17 => Fate::Failed,
-            18 => Fate::Broken,
+        match random.below(24) {
+            0..10 => Fate::Delivered,
+            10..13 if in_bulk => Fate::Mixed,
+            13..17 => Fate::Full,
+            17 => Fate::Limited,
+            18 => Fate::Failed,
+            19 => Fate::Broken,
+            20 => Fate::Reset,
+            21 => [Fate::Gone, Fate::Exhausted][random.below(2) as usize],
             _ => [Fate::Delivered, Fate::Closing, Fate::Spoilt][random.below(3) as usize],
         }
     }
@@ -100,24 +115,28 @@
         .iter()
         .map(|_| match fate {
             Fate::Delivered | Fate::Closing => "ok",
-            Fate::Mixed => ["ok", "later", "error"][random.below(3) as usize],
+            Fate::Mixed => ["ok", "later", "error", "gone", "exhausted"][random.below(5) as usize],
             Fate::Full | Fate::Limited => "later",
-            Fate::Failed | Fate::Broken | Fate::Spoilt => "error",
+            Fate::Gone => "gone",
+            Fate::Exhausted => "exhausted",
+            Fate::Failed | Fate::Broken | Fate::Reset | Fate::Spoilt => "error",
         })
         .collect();
     let answer = match fate {
-        Fate::Delivered | Fate::Mixed | Fate::Closing if call.in_bulk => {
+        Fate::Delivered | Fate::Mixed | Fate::Closing | Fate::Gone | Fate::Exhausted if call.in_bulk => {
             let entries = call.ids.iter().zip(&states);
             let body =
                 Value::from_iter(entries.map(|(id, state)| json!({"id": id, "state": state}))).to_string();
             let close = if fate == Fate::Closing { "connection: close\r\n" } else { "" };
             format!("HTTP/1.1 200 OK\r\n{close}content-length: {}\r\n\r\n{body}", body.len())
         }
-        Fate::Delivered | Fate::Mixed => OK.to_string(),
+        Fate::Delivered | Fate::Mixed => [OK, OK, OK_WITH_BODY][random.below(3) as usize].to_string(),
+        Fate::Gone => GONE.to_string(),
+        Fate::Exhausted => EXHAUSTED.to_string(),
         Fate::Full => FULL.to_string(),
         Fate::Limited => LIMITED.to_string(),
         Fate::Failed => FAILED.to_string(),
-        Fate::Broken => String::new(),
+        Fate::Broken | Fate::Reset => String::new(),
         Fate::Closing => CLOSING.to_string(),
         Fate::Spoilt => SPOILT.to_string(),
     };
@@ -137,48 +156,71 @@
     random.millis(5, 150)
 }
 
-/// Splits an answer where it is to be written in pieces.
-fn pieces<'a>(answer: &'a str, random: &mut Random) -> (&'a str, &'a str) {
-    let first = if random.one_in(6) { random.below(answer.len() as u64) as usize } else { 0 };
-    answer.split_at(first)
+/// The pieces in which an answer is written: mostly one, at times two, or each octet by itself.
+fn pieces<'a>(answer: &'a str, random: &mut Random) -> Vec<&'a str> {
+    match random.below(24) {
+        0 => answer.split_inclusive(|_| true).collect(),
+        1..4 => {
+            let (first, rest) = answer.split_at(1 + random.below(answer.len() as u64 - 1) as usize);
+            vec![first, rest]
+        }
+        _ => vec![answer],
+    }
+}
+
+/// Waits between two pieces of an answer.
+fn wait_between_pieces(pieces: usize, random: &mut Random) {
+    sleep(if pieces == 2 { random.millis(1, 20) } else { random.micros(50, 500) });
 }
 
-/// Writes an answer, at times in pieces.
-fn write_answer(connection: &Connection, answer: &str, random: &mut Random) {
-    let (first, rest) = pieces(answer, random);
-    if !first.is_empty() {
-        _ = connection.write(first);
-        sleep(random.millis(1, 20));
+/// Writes a copy of an answer, at times in pieces.
+fn write_copy(connection: &Connection, answer: &str, random: &mut Random) {
+    let pieces = pieces(answer, random);
+    for piece in &pieces {
+        _ = connection.write(piece);
+        if pieces.len() > 1 {
+            wait_between_pieces(pieces.len(), random);
+        }
     }
-    _ = connection.write(rest);
 }
 
 /// An endpoint, by its number: answers calls as its seed says, often twice.
 pub fn endpoint(number: usize, stream: TcpStream, profile: Profile, seed: u64, world: &World) {
     let mut random = Random::new(seed);
     let connection = Arc::new(Connection::new(stream));
-    // A second copy of the last answer, which is written behind the next call.
+    let mut answers: Vec<String> = Vec::new();
+    // A second copy of an answer, which is written behind the next call.
     let mut copy: Option<String> = None;
     while let Some((request, began)) = connection.next_request(world) {
         let mut call = IncomingCall::read(&request);
         call.ids.iter().for_each(|id| world.with(id, |trail| trail.calls.push((number, began))));
         call.is_open = world.call_began(&call.ids, &connection);
+        wait_while_hung(number, &connection, world);
+        call.is_open = call.is_open && connection.is_open();
         if let Some(copy) = copy.take() {
             world.step(&call.ids, &format!("a copy of {:?} behind its call", &copy[9..12]));
             // The call was read whole all the same.
             sleep(random.millis(0, 20));
-            write_answer(&connection, &copy, &mut random);
+            write_copy(&connection, &copy, &mut random);
         }
-        let answer = take_call(&connection, &call, profile, &mut random, world);
+        let answer = take_call(number, &connection, &call, profile, &mut random, world);
         world.call_ended(&call.ids, &connection);
         let Some(answer) = answer else { return };
         if answer.contains("connection: close") || answer == SPOILT {
             return;
         }
-        let number = random.below(10);
-        if number < profile.copied_behind {
+        if random.one_in(20) {
+            return connection.reset();
+        }
+        answers.push(answer);
+        answers.drain(..answers.len().saturating_sub(ANSWERS_KEPT));
+        let which =
+            if random.one_in(4) { random.below(answers.len() as u64) as usize } else { answers.len() - 1 };
+        let answer = answers[which].clone();
+        let kind = random.below(10);
+        if kind < profile.copied_behind {
             copy = Some(answer);
-        } else if number < profile.copied_behind + profile.copied_later {
+        } else if kind < profile.copied_behind + profile.copied_later {
             if profile.copied_twice && random.one_in(2) {
                 write_later(connection.clone(), answer.clone(), random.millis(1, 80));
             }
@@ -195,8 +237,16 @@
     });
 }
 
+/// Waits until an endpoint hangs no more, or the connection has ended.
+fn wait_while_hung(number: usize, connection: &Connection, world: &World) {
+    while world.is_hung(number) && connection.is_open() && !world.is_over() {
+        sleep(HANG_POLL);
+    }
+}
+
 /// Runs or refuses a call, and gives its answer. None where the connection is of no more use.
 fn take_call(
+    number: usize,
     connection: &Arc<Connection>,
     call: &IncomingCall,
     profile: Profile,
@@ -209,43 +259,70 @@
     let on = connection.description();
     for (id, state) in call.ids.iter().zip(&states) {
         world.with(id, |trail| {
-            if *state != "later" {
+            if ["ok", "error"].contains(state) {
                 trail.runs.push(began);
                 trail.last_open_run = Some(began).filter(|_| call.is_open).or(trail.last_open_run);
             }
             trail.steps.push(format!("{began:?} called with {}, {fate:?} {state}, on {on}", call.ids.len()));
         });
     }
-    if !connection.stays_open_for(run_time(profile, random), world) {
+    let interim = random.one_in(12) && connection.write(INTERIM);
+    let open = connection.stays_open_for(run_time(profile, random), world);
+    wait_while_hung(number, connection, world);
+    if !open || !connection.is_open() {
         world.step(&call.ids, "given up");
         return None;
     }
     if answer.is_empty() {
         world.step(&call.ids, "ended without an answer");
+        if fate == Fate::Reset {
+            world.call_ended(&call.ids, connection);
+            connection.reset();
+        }
         return None;
     }
     let delivered: Vec<&String> =
         call.ids.iter().zip(&states).filter(|(_, state)| **state == "ok").map(|(id, _)| id).collect();
-    let (first, rest) = pieces(&answer, random);
-    if !first.is_empty() {
-        let written = connection.write(first);
-        // A first line with 200 delivers a single message.
-        if written && !call.in_bulk && first.contains("\r\n") {
-            record_delivered(world, &delivered);
-        }
-        sleep(random.millis(1, 20));
-    }
-    // The process may act on the answer before the write returns.
-    world.call_ended(&call.ids, connection);
-    if !connection.write(rest) {
+    if !write_answer(connection, call, &answer, &delivered, random, world) {
         world.step(&call.ids, "ended before its whole answer");
         return None;
     }
-    record_delivered(world, &delivered);
-    world.step(&call.ids, "answered");
+    world.step(&call.ids, if interim { "answered behind an interim answer" } else { "answered" });
     Some(answer)
 }
 
+/// Writes the answer to a call, at times in pieces, and records what it delivers. False where the connection has ended.
+fn write_answer(
+    connection: &Arc<Connection>,
+    call: &IncomingCall,
+    answer: &str,
+    delivered: &[&String],
+    random: &mut Random,
+    world: &World,
+) -> bool {
+    let pieces = pieces(answer, random);
+    let mut written = 0;
+    for (index, piece) in pieces.iter().enumerate() {
+        let is_last = index + 1 == pieces.len();
+        if is_last {
+            // The process may act on the answer before the write returns.
+            world.call_ended(&call.ids, connection);
+        }
+        if !connection.write(piece) {
+            return false;
+        }
+        written += piece.len();
+        // A first line with 200 delivers a single message.
+        if is_last || (!call.in_bulk && answer[..written].contains("\r\n")) {
+            record_delivered(world, delivered);
+        }
+        if !is_last {
+            wait_between_pieces(pieces.len(), random);
+        }
+    }
+    true
+}
+
 fn record_delivered(world: &World, ids: &[&String]) {
     let now = Instant::now();
     for id in ids {
@@ -253,13 +330,13 @@
     }
 }
 
-/// Discovery: a watch of the list, and notices. At times the connection ends in place of taking them.
-pub fn discovery(stream: TcpStream, seed: u64, world: &World) {
+/// A process's discovery: a watch of the list, and notices. At times the connection ends in place of taking them.
+pub fn discovery(process: usize, stream: TcpStream, seed: u64, world: &World) {
     let mut random = Random::new(seed);
     let connection = Connection::new(stream);
     while let Some((request, _)) = connection.next_request(world) {
         if request.starts_with("GET") {
-            return world.listing.follow(&connection, &request, world);
+            return world.listing.follow(process, &connection, &request, &mut random, world);
         }
         if random.one_in(6) {
             return;
--- a/crates/cli/tests/soak/judge.rs
+++ b/crates/cli/tests/soak/judge.rs
@@ -15,7 +15,7 @@
 /// What a loaded machine may add to what the test sees late.
 pub const MACHINE: Duration = Duration::from_millis(400);
 
-/// Spans in which the process was down, or ending, or starting.
+/// Spans in which a process was down, or ending, or starting.
 pub type Downs = Vec<(Instant, Instant)>;
 
 /// A message that breaks a rule, with its whole trail.
@@ -50,6 +50,6 @@
 
 /// Whether a message was sent to an endpoint that had long been told as draining.
 pub fn judge_drains(message: &Submitted, trail: &Trail, drains: &[Drain], downs: &Downs) -> Option<String> {
-    let (endpoint, at) = called_while_draining(trail, drains, DRAIN_GRACE + MACHINE, downs)?;
+    let (endpoint, at) = called_while_draining(message.process, trail, drains, DRAIN_GRACE + MACHINE, downs)?;
     Some(broken(&format!("sent to {endpoint}, which drains, at {at:?}"), message, trail))
 }
--- a/crates/cli/tests/soak/listing.rs
+++ b/crates/cli/tests/soak/listing.rs
@@ -1,7 +1,7 @@
 //! The list of endpoints that discovery tells of, as it changes: endpoints drain, and serve again.
 
 use crate::connection::Connection;
-use crate::world::{Trail, World};
+use crate::world::{Random, Trail, World};
 use serde_json::{Value, json};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -15,14 +15,15 @@
 #[derive(Clone, Debug)]
 pub struct Drain {
     pub endpoint: usize,
-    /// When discovery had written it to the process, if it has.
-    pub told: Option<Instant>,
+    /// When discovery had written it to each process, if it has.
+    pub told: Vec<Option<Instant>>,
     pub over: Option<Instant>,
     version: u64,
 }
 
 #[derive(Default)]
 struct State {
+    processes: usize,
     version: u64,
     entries: Vec<Value>,
     /// The changes since the first version, oldest first.
@@ -35,9 +36,10 @@
 pub struct Listing(Mutex<State>);
 
 impl Listing {
-    /// Sets the endpoints that the process knows at its start.
-    pub fn set_entries(&self, entries: &[Value]) {
+    /// Sets the endpoints that the processes know at their start, and the number of processes.
+    pub fn set_entries(&self, entries: &[Value], processes: usize) {
         let mut state = self.0.lock().unwrap();
+        state.processes = processes;
         state.version = 1;
         state.entries = entries.to_vec();
     }
@@ -54,7 +56,8 @@
                 "SERVING"
             }
             None => {
-                state.drains.push(Drain { endpoint, told: None, over: None, version });
+                let told = vec![None; state.processes];
+                state.drains.push(Drain { endpoint, told, over: None, version });
                 "DRAINING"
             }
         };
@@ -68,18 +71,36 @@
         self.0.lock().unwrap().drains.clone()
     }
 
-    /// Answers a watch until it ends.
-    pub fn follow(&self, connection: &Connection, request: &str, world: &World) {
+    /// Answers a process's watch until it ends. At times a line breaks off with its connection, or an earlier line
+    /// is written once more.
+    pub fn follow(
+        &self,
+        process: usize,
+        connection: &Connection,
+        request: &str,
+        random: &mut Random,
+        world: &World,
+    ) {
         let since =
             request.split("since=").nth(1).and_then(|text| text.split([' ', '&']).next()?.parse().ok());
         let mut version = since.unwrap_or(1);
         let mut open = connection.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
         let mut last_write = Instant::now();
+        let mut earlier: Option<String> = None;
         while open {
-            if let Some(line) = self.line_after(version) {
-                open = connection.write(&chunk(&line));
+            if let Some((new_version, line)) = self.line_after(version) {
+                let chunk = chunk(&line);
+                if random.one_in(8) {
+                    _ = connection.write(&chunk[..chunk.len() / 2]);
+                    return;
+                }
+                open = connection.write(&chunk);
                 last_write = Instant::now();
-                version = self.mark_told(last_write);
+                version = new_version;
+                self.mark_told(process, version, last_write);
+                if let Some(copy) = earlier.replace(chunk).filter(|_| random.one_in(2)) {
+                    open = open && connection.write(&copy);
+                }
             } else if last_write.elapsed() >= IDLE_INTERVAL {
                 open = connection.write(&chunk("\n"));
                 last_write = Instant::now();
@@ -88,8 +109,8 @@
         }
     }
 
-    /// The changes after a version as a line, if there are any.
-    fn line_after(&self, version: u64) -> Option<String> {
+    /// The changes after a version as a line, if there are any, and the version that it leads to.
+    fn line_after(&self, version: u64) -> Option<(u64, String)> {
         let state = self.0.lock().unwrap();
         let entries: Vec<&Value> =
             state.changes.iter().filter(|(of, _)| *of > version).map(|(_, entry)| entry).collect();
@@ -100,17 +121,16 @@
             newest.retain(|other| other["id"] != entry["id"]);
             newest.push(entry);
         }
-        Some(format!("{}\n", json!({"version": state.version, "full": false, "servers": newest})))
+        let line = json!({"version": state.version, "full": false, "servers": newest});
+        Some((state.version, format!("{line}\n")))
     }
 
-    /// Records that all drains so far have been told, and gives the version.
-    fn mark_told(&self, now: Instant) -> u64 {
+    /// Records that all drains up to a version have been told to a process.
+    fn mark_told(&self, process: usize, version: u64, now: Instant) {
         let mut state = self.0.lock().unwrap();
-        let version = state.version;
         for drain in state.drains.iter_mut().filter(|drain| drain.version <= version) {
-            drain.told = drain.told.or(Some(now));
+            drain.told[process].get_or_insert(now);
         }
-        version
     }
 }
 
@@ -118,8 +138,9 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-/// The first call of a message that came while its endpoint was draining and this had long been told.
+/// The first call of a process's message that came while its endpoint was draining and this had long been told.
 pub fn called_while_draining(
+    process: usize,
     trail: &Trail,
     drains: &[Drain],
     grace: Duration,
@@ -128,7 +149,7 @@
     trail.calls.iter().copied().find(|(endpoint, at)| {
         let after_start = starts.iter().any(|(began, ready)| *began <= *at && *at <= *ready + grace);
         let in_drain = |drain: &Drain| {
-            let told = drain.told.is_some_and(|told| told + grace < *at);
+            let told = drain.told[process].is_some_and(|told| told + grace < *at);
             drain.endpoint == *endpoint && told && drain.over.is_none_or(|over| *at < over)
         };
         !after_start && drains.iter().any(in_drain)
--- /dev/null
+++ b/crates/cli/tests/soak/member.rs
@@ -0,0 +1,174 @@
+//! One process of a run, and the faults that it meets: signals, system calls that fail, another wall clock.
+
+use crate::alone::{Sender, command};
+use crate::judge::Downs;
+use crate::world::Random;
+use heronroute_syscall_faults::{Call, Control, ONE_OCTET};
+use std::fs::OpenOptions;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// The earliest that SIGKILL follows SIGTERM.
+const KILL_AFTER: Duration = Duration::from_millis(3_700);
+/// The descriptors of a process.
+const DESCRIPTORS: usize = 256;
+
+/// Calls for the network, and errors with which they fail: EMFILE, ENOBUFS and ECONNABORTED; EADDRNOTAVAIL, ENETUNREACH and
+/// ETIMEDOUT; ENFILE and ENOMEM; ECONNRESET, ETIMEDOUT, EINTR and one octet; the same; EINTR; ENOSPC.
+const NETWORK_FAULTS: [(Call, &[i32]); 7] = [
+    (Call::Accept, &[24, 105, 103]),
+    (Call::Connect, &[99, 101, 110]),
+    (Call::Socket, &[23, 12]),
+    (Call::Receive, &[104, 110, 4, ONE_OCTET]),
+    (Call::Send, &[104, 110, 4, ONE_OCTET]),
+    (Call::Wait, &[4]),
+    (Call::Watch, &[28]),
+];
+
+/// A process under test.
+pub struct Member {
+    sender: Sender,
+    control: Control,
+    pub downs: Downs,
+    /// The faults so far, in words.
+    pub faults: Vec<String>,
+    pub broken: Vec<String>,
+}
+
+impl Member {
+    /// Starts the process of a sender that is set up.
+    pub fn start(sender: Sender) -> Self {
+        let control = Control::new(&sender.folder.join("faults")).unwrap();
+        let (downs, faults, broken) = (Vec::new(), Vec::new(), Vec::new());
+        let mut member = Member { sender, control, downs, faults, broken };
+        member.start_process();
+        member
+    }
+
+    /// Where clients reach it.
+    pub fn listen(&self) -> SocketAddr {
+        self.sender.listen
+    }
+
+    /// Keeps the program's log beyond the run, and returns where it is.
+    pub fn keep_log(&self, run: &str) -> PathBuf {
+        let kept = std::env::temp_dir().join(format!("heronroute-soak-{run}.log"));
+        _ = std::fs::copy(self.log_file(), &kept);
+        kept
+    }
+
+    /// One fault, or a short series.
+    pub fn fault(&mut self, random: &mut Random) {
+        match random.below(8) {
+            0 => self.fail_folder(random),
+            1 => {
+                let began = Instant::now();
+                self.kill(began, random);
+            }
+            2 => self.pause(random),
+            3 => {
+                self.note("SIGHUP");
+                (0..=random.below(3)).for_each(|_| self.sender.signal("-HUP"));
+            }
+            4 => self.terminate(random),
+            5 | 6 => self.fail_network(random),
+            _ => {}
+        }
+        if let Some(status) = self.sender.child.try_wait().unwrap() {
+            self.broken.push(format!("the process ended: {status}"));
+            self.start_process();
+        }
+    }
+
+    fn log_file(&self) -> PathBuf {
+        self.sender.folder.join("log")
+    }
+
+    fn note(&mut self, fault: &str) {
+        self.faults.push(format!("{:?} {fault}", Instant::now()));
+    }
+
+    fn start_process(&mut self) {
+        let mut command = command(&self.sender.folder, DESCRIPTORS);
+        self.control.preload(&mut command, &self.sender.folder.join("state"));
+        let log = OpenOptions::new().create(true).append(true).open(self.log_file()).unwrap();
+        command.stderr(log);
+        self.sender.child = command.spawn().unwrap();
+        self.sender.ready();
+    }
+
+    fn fail_folder(&mut self, random: &mut Random) {
+        let call = if random.one_in(2) { Call::Write } else { Call::HalfWrite };
+        let errno = if random.one_in(2) { 5 } else { 28 };
+        self.note(&format!("{call:?} fails with errno {errno}"));
+        self.control.fail(call, errno).unwrap();
+        if random.one_in(2) {
+            self.control.fail(Call::Truncate, errno).unwrap();
+        }
+        sleep(random.millis(50, 400));
+        if random.one_in(4) {
+            let began = Instant::now();
+            self.kill(began, random);
+        }
+        self.control.heal(call).unwrap();
+        self.control.heal(Call::Truncate).unwrap();
+        self.note("the folder is well");
+    }
+
+    fn fail_network(&mut self, random: &mut Random) {
+        let (call, errors) = NETWORK_FAULTS[random.below(NETWORK_FAULTS.len() as u64) as usize];
+        let errno = errors[random.below(errors.len() as u64) as usize];
+        self.note(&format!("{call:?} fails with errno {errno}"));
+        self.control.fail(call, errno).unwrap();
+        sleep(random.millis(20, 200));
+        self.control.heal(call).unwrap();
+        self.note("the network is well");
+    }
+
+    fn pause(&mut self, random: &mut Random) {
+        self.note("SIGSTOP");
+        self.sender.hold();
+        sleep(random.millis(20, 150));
+        self.sender.go_on();
+        self.note("SIGCONT");
+    }
+
+    /// SIGTERM, with further signals behind it, and SIGKILL as early as the page allows.
+    fn terminate(&mut self, random: &mut Random) {
+        let began = Instant::now();
+        self.note("SIGTERM");
+        self.sender.signal("-TERM");
+        while began.elapsed() < KILL_AFTER && self.sender.child.try_wait().unwrap().is_none() {
+            match random.below(10) {
+                0 => self.sender.signal("-HUP"),
+                1 => self.sender.signal("-TERM"),
+                2 => self.pause(random),
+                _ => {}
+            }
+            let left = KILL_AFTER.saturating_sub(began.elapsed());
+            sleep(random.millis(50, 400).min(left));
+        }
+        self.kill(began, random);
+    }
+
+    /// SIGKILL, and a start after a while, with another wall clock. The process was ending since `began`.
+    fn kill(&mut self, began: Instant, random: &mut Random) {
+        self.note("SIGKILL");
+        _ = self.sender.child.kill();
+        self.sender.child.wait().unwrap();
+        let step = [0, 2, -2, 60, -60, 3_600, -3_600][random.below(7) as usize];
+        self.note(&format!("the wall clock is {step} s off"));
+        self.control.step_wall_clock(step * 1_000_000).unwrap();
+        sleep(random.millis(10, 600));
+        // What fails at a start delays it, which is another test's matter.
+        [Call::Write, Call::HalfWrite, Call::Truncate]
+            .iter()
+            .for_each(|call| self.control.heal(*call).unwrap());
+        self.note("start");
+        self.start_process();
+        self.note("ready");
+        self.downs.push((began, Instant::now()));
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/soak/run.rs
@@ -0,0 +1,163 @@
+//! One run: processes, clients, endpoints and discovery, whose faults are drawn from the run's seed.
+
+use crate::alone::{MS, Sender, set_up};
+use crate::clients::{DESTINATIONS, Submitted, TIME, client, crowd};
+use crate::endpoint::{Profile, discovery, endpoint};
+use crate::judge::{MACHINE, START_SLACK, judge_drains, judge_end, judge_runs};
+use crate::member::Member;
+use crate::world::{Random, World, serve};
+use serde_json::{Value, json};
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{scope, sleep};
+use std::time::{Duration, Instant};
+
+/// How long messages are submitted in a run.
+const SPAN: Duration = Duration::from_secs(8);
+const CLIENTS: u64 = 6;
+const ENDPOINTS_PER_DESTINATION: u64 = 2;
+/// One run in so many has a crowd of idle clients.
+const CROWD_EVERY: u64 = 4;
+/// The processes of a run: one, or in some runs several that share the endpoints.
+const PROCESSES: [usize; 5] = [1, 1, 3, 1, 2];
+
+/// What came of a run.
+pub struct Outcome {
+    pub broken: Vec<String>,
+    /// The number of messages that were accepted.
+    pub accepted: usize,
+}
+
+/// Starts a run's endpoints, and returns the list of them.
+fn start_endpoints(seed: u64, address: Ipv4Addr, world: &Arc<World>) -> Vec<Value> {
+    let start = |number: u64| {
+        let seen = world.clone();
+        let at = serve(address, world, move |stream, count| {
+            let own_seed = seed * 1_000_003 + number * 1_009 + count;
+            endpoint(number as usize, stream, Profile::of_run(seed), own_seed, &seen);
+        });
+        let cell = 1 + number / ENDPOINTS_PER_DESTINATION;
+        let kind = if cell == DESTINATIONS { "bulk" } else { "m" };
+        json!({"id": format!("e{number}"), "addr": at, "zone": "a", "kind": kind, "cell": cell,
+            "state": "SERVING", "weight": 400.0})
+    };
+    (0..DESTINATIONS * ENDPOINTS_PER_DESTINATION).map(start).collect()
+}
+
+/// Writes a process's settings: the endpoints that it knows, and a discovery of its own.
+fn configure(sender: &Sender, process: usize, seed: u64, servers: &[Value], world: &Arc<World>) {
+    let seen = world.clone();
+    let discovery_at = serve(ipv4(sender), world, move |stream, count| {
+        discovery(process, stream, seed + count, &seen);
+    });
+    let file = sender.folder.join("config.json");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let mut config: Value = serde_json::from_str(&text).unwrap();
+    config["known"]["servers"] = servers.to_vec().into();
+    config["discovery"] = json!(discovery_at);
+    config["settings"]["Shapes"] = json!(["m", "bulk"]);
+    config["settings"]["FamilyInfo"]["Workers"] = 24.into();
+    config["settings"]["FamilyInfo"]["BatchByKind"] = json!([1, 8]);
+    std::fs::write(file, config.to_string()).unwrap();
+}
+
+fn ipv4(sender: &Sender) -> Ipv4Addr {
+    match sender.listen.ip() {
+        IpAddr::V4(address) => address,
+        IpAddr::V6(_) => unreachable!("loopback of IPv4"),
+    }
+}
+
+/// Starts the processes of a run, with all that is around them.
+fn start(seed: u64, world: &Arc<World>) -> Vec<Member> {
+    let quantum = [1_000, 5_000, 20_000][(seed % 3) as usize];
+    let processes = PROCESSES[(seed % PROCESSES.len() as u64) as usize];
+    let senders: Vec<Sender> =
+        (0..processes).map(|process| set_up(&format!("soak-{seed}-{process}"), 128, quantum)).collect();
+    let servers = start_endpoints(seed, ipv4(&senders[0]), world);
+    world.listing.set_entries(&servers, processes);
+    for (process, sender) in senders.iter().enumerate() {
+        configure(sender, process, seed, &servers, world);
+    }
+    senders.into_iter().map(Member::start).collect()
+}
+
+/// Lets one endpoint of a destination drain, return or hang; the other one serves all the time.
+fn fault_endpoint(world: &World, random: &mut Random) -> String {
+    let endpoint = (random.below(DESTINATIONS) * ENDPOINTS_PER_DESTINATION) as usize;
+    if random.one_in(3) {
+        let span = random.millis(200, 2_500);
+        world.hang(endpoint, span);
+        return format!("{:?} endpoint {endpoint} hangs for {span:?}", Instant::now());
+    }
+    format!("{:?} {}", Instant::now(), world.listing.toggle(endpoint))
+}
+
+/// Plays clients and faults until the end of the run's span. Returns all messages and the faults of endpoints.
+fn play_faults(seed: u64, members: &mut [Member], world: &World) -> (Vec<Submitted>, Vec<String>) {
+    let (stop, all) = (AtomicBool::new(false), Mutex::new(Vec::<Submitted>::new()));
+    let listens: Vec<_> = members.iter().map(Member::listen).enumerate().collect();
+    let end = Instant::now() + SPAN;
+    let mut faults = Vec::new();
+    scope(|threads| {
+        for name in 0..CLIENTS {
+            let (process, stop, all) = (listens[name as usize % listens.len()], &stop, &all);
+            threads.spawn(move || client(process, name, seed * 31 + name, stop, all));
+        }
+        if seed.is_multiple_of(CROWD_EVERY) {
+            let ((_, listen), stop) = (listens[0], &stop);
+            threads.spawn(move || crowd(listen, stop));
+        }
+        let played: Vec<_> = members
+            .iter_mut()
+            .enumerate()
+            .map(|(process, member)| {
+                let mut random = Random::new(seed ^ (0x5EED + process as u64));
+                threads.spawn(move || {
+                    while Instant::now() < end {
+                        sleep(random.millis(100, 700));
+                        member.fault(&mut random);
+                    }
+                })
+            })
+            .collect();
+        let mut random = Random::new(seed ^ 0xE4D5);
+        while Instant::now() < end {
+            sleep(random.millis(300, 1_500));
+            faults.push(fault_endpoint(world, &mut random));
+        }
+        let results: Vec<_> = played.into_iter().map(|thread| thread.join()).collect();
+        stop.store(true, Ordering::Relaxed);
+        results.into_iter().for_each(|result| result.unwrap());
+    });
+    (all.into_inner().unwrap(), faults)
+}
+
+/// Plays one seed.
+pub fn play(seed: u64) -> Outcome {
+    let world = Arc::new(World::default());
+    let mut members = start(seed, &world);
+    let (all, faults) = play_faults(seed, &mut members, &world);
+    sleep(TIME + START_SLACK + MACHINE + 200 * MS);
+    let trails = world.trails.lock().unwrap().clone();
+    let drains = world.listing.drains();
+    let mut broken: Vec<String> =
+        members.iter_mut().flat_map(|member| std::mem::take(&mut member.broken)).collect();
+    for message in &all {
+        let trail = trails.get(&message.id).cloned().unwrap_or_default();
+        let downs = &members[message.process].downs;
+        broken.extend(judge_runs(message, &trail));
+        broken.extend(judge_end(message, &trail, downs));
+        broken.extend(judge_drains(message, &trail, &drains, downs));
+    }
+    world.over.store(true, Ordering::Relaxed);
+    if !broken.is_empty() {
+        println!("seed {seed}: faults of endpoints: {faults:#?}");
+        for (process, member) in members.iter().enumerate() {
+            let log = member.keep_log(&format!("{seed}-{process}"));
+            println!("process {process}: faults, and the program's log in {log:?}: {:#?}", member.faults);
+        }
+    }
+    Outcome { broken, accepted: all.iter().filter(|message| message.accepted).count() }
+}
--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -29,6 +29,10 @@
         Duration::from_millis(from + self.below(to - from))
     }
 
+    pub fn micros(&mut self, from: u64, to: u64) -> Duration {
+        Duration::from_micros(from + self.below(to - from))
+    }
+
     pub fn one_in(&mut self, n: u64) -> bool {
         self.below(n) == 0
     }
@@ -60,6 +64,8 @@
     pub listing: Listing,
     /// The connections with a call that is out, by the ids of the call's messages.
     calls_out: Mutex<HashMap<String, Vec<Arc<Connection>>>>,
+    /// The ends of the spans in which endpoints hang, by the endpoint's number.
+    hung_until: Mutex<HashMap<usize, Instant>>,
     pub over: AtomicBool,
 }
 
@@ -79,6 +85,15 @@
         self.over.load(Ordering::Relaxed)
     }
 
+    /// Lets an endpoint hang for a span: it neither runs nor answers calls.
+    pub fn hang(&self, endpoint: usize, span: Duration) {
+        self.hung_until.lock().unwrap().insert(endpoint, Instant::now() + span);
+    }
+
+    pub fn is_hung(&self, endpoint: usize) -> bool {
+        self.hung_until.lock().unwrap().get(&endpoint).is_some_and(|until| Instant::now() < *until)
+    }
+
     /// Records that a call was read whole, and whether another one with the same message is out. One that was given up
     /// before it was read is not. Returns whether the connection is open.
     pub fn call_began(&self, ids: &[String], connection: &Arc<Connection>) -> bool {
