--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -41,7 +41,7 @@
 /// What was seen of a message outside the process.
 #[derive(Clone, Debug, Default)]
 pub struct Trail {
-    /// When it ran, or may have run.
+    /// When each call with which it ran, or may have run, was sent.
     pub runs: Vec<Instant>,
     /// When it last ran, or may have run, by a call whose connection the process had not closed before it was read.
     pub last_open_run: Option<Instant>,
@@ -53,6 +53,8 @@
     pub delivered: Option<Instant>,
     /// When its first notice came.
     pub noticed: Option<Instant>,
+    /// Whether a notice said that it surely did not run.
+    pub returned: bool,
     /// All that was seen of it, in words.
     pub steps: Vec<String>,
 }
