--- a/crates/standins/src/actor.rs
+++ b/crates/standins/src/actor.rs
@@ -1,47 +1,47 @@
-//! What a stand-in is to whoever holds its sockets: a state machine with connections by number.
+//! The interface of a stand-in: a state machine without sockets, whose connections have numbers.
 
 use crate::Micros;
 use std::net::SocketAddr;
 
-/// A connection, by the runner's number.
+/// The number of a connection.
 pub type Conn = usize;
 
-/// What an actor asks for.
+/// An action that an actor requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Connect; the tag comes back with [`Actor::connected`] or [`Actor::closed`].
+    /// Connect. The tag is reported with [`Actor::connected`] or [`Actor::refused`].
     Connect { tag: usize, address: SocketAddr },
-    /// Write.
+    /// Write bytes.
     Write(Conn, Vec<u8>),
-    /// Close once all is written.
+    /// Close once all bytes are written.
     Close(Conn),
-    /// Close at once, with a reset where something is unread.
+    /// Close at once. Unread bytes cause a reset.
     Drop(Conn),
-    /// Read nothing more from this connection, or read again.
-    Deaf(Conn, bool),
+    /// Stop reading, or read again.
+    PauseReading(Conn, bool),
     /// Listen, or stop listening, at the listener of this number.
     Listen(usize, bool),
 }
 
 /// A stand-in without sockets.
 pub trait Actor {
-    /// A peer connected at a listener.
+    /// Handles a peer that connected at a listener.
     fn accepted(&mut self, now: Micros, listener: usize, conn: Conn);
-    /// A connection asked for stands.
+    /// Handles a requested connection that is established.
     fn connected(&mut self, _now: Micros, _tag: usize, _conn: Conn) {}
-    /// A connection asked for could not be made.
+    /// Handles a requested connection that could not be established.
     fn refused(&mut self, _now: Micros, _tag: usize) {}
-    /// Octets came.
-    fn received(&mut self, now: Micros, conn: Conn, octets: &[u8]);
-    /// The peer closed, or the connection broke.
+    /// Handles received bytes.
+    fn received(&mut self, now: Micros, conn: Conn, bytes: &[u8]);
+    /// Handles a connection that the peer closed, or that broke.
     fn closed(&mut self, now: Micros, conn: Conn);
-    /// Time has passed.
+    /// Handles the passing of time.
     fn tick(&mut self, now: Micros);
-    /// When [`Actor::tick`] is next needed.
+    /// Returns the time at which [`Actor::tick`] is needed next.
     fn wake(&self) -> Micros;
-    /// What is asked for since the last call, in order.
+    /// Takes the actions requested since the last call, in order.
     fn actions(&mut self) -> Vec<Action>;
-    /// Whether there is nothing more to do.
+    /// Returns whether there is nothing more to do.
     fn finished(&self) -> bool {
         false
     }
--- a/crates/standins/src/receivers.rs
+++ b/crates/standins/src/receivers.rs
@@ -1,4 +1,4 @@
-//! Many receivers on one thread: SMPP message centres and HTTP servers round [`Model`]s.
+//! Receivers on one thread: SMPP message centres and HTTP servers, whose behaviour [`Model`]s decide.
 
 use crate::Micros;
 use crate::actor::{Action, Actor, Conn};
@@ -15,7 +15,7 @@
 use rusmpp_core::types::owned::AnyOctetString;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// What an endpoint speaks.
+/// The protocol of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Speaks {
     /// SMPP.
@@ -24,61 +24,61 @@
     Http,
 }
 
-/// One endpoint; its place in the list is its listener.
+/// An endpoint. Its index in the list is its listener's number.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
-    /// Its name in the directory.
+    /// The name in the directory.
     pub name: String,
-    /// Its destination.
+    /// The number of its destination.
     pub destination: i64,
-    /// What it speaks.
+    /// The protocol.
     pub speaks: Speaks,
-    /// Messages that come together are one call.
+    /// Whether messages that arrive together are one call.
     pub batches: bool,
-    /// It unbinds everyone and closes at this time.
+    /// The time at which it unbinds all peers and closes.
     pub leaves: Option<Micros>,
-    /// Before each response it answers something that nobody asked.
+    /// Whether it sends a response to no request before each response.
     pub strays: bool,
 }
 
-/// One destination.
+/// A destination.
 #[derive(Clone, Debug)]
 pub struct Destination {
-    /// Its number.
+    /// The number.
     pub destination: i64,
-    /// How it is made.
+    /// The parameters of its model.
     pub shape: ReceiverModel,
-    /// What strikes it.
+    /// Its incidents.
     pub incidents: Vec<Incident>,
 }
 
-enum Speech {
+enum PeerProtocol {
     Smpp(Box<Session>, String),
     Http(Reader, VecDeque<Option<Vec<u8>>>, u64),
 }
 
 struct Peer {
     endpoint: usize,
-    speech: Speech,
-    deaf: bool,
-    /// Since when something may lie unread.
+    protocol: PeerProtocol,
+    read_paused: bool,
+    /// The time since which something may be unread.
     unread: Option<Micros>,
-    /// Arrivals on it that have no answer.
+    /// The indices of its arrivals that have no answer.
     open: BTreeSet<usize>,
-    /// Octets that trickle out, and when the next goes.
-    drip: VecDeque<u8>,
+    /// Bytes that are sent one by one.
+    trickle: VecDeque<u8>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    /// An SMPP response: connection, sequence, arrival.
+    /// An SMPP response: connection, sequence number, index of the arrival.
     Smpp(Conn, u32, usize),
-    /// An HTTP response: connection, place in its queue, first arrival and count.
+    /// An HTTP response: connection, position in its queue, index of the first arrival, number of arrivals.
     Http(Conn, u64, usize, usize),
     /// The connection breaks.
     Break(Conn),
-    /// The next octet of a trickle.
-    Drip(Conn),
+    /// The next byte of a slow response.
+    Trickle(Conn),
 }
 
 /// All receivers.
@@ -90,15 +90,15 @@
     due: BTreeSet<(Micros, u64, Due)>,
     next: u64,
     actions: Vec<Action>,
-    /// What arrived.
+    /// The messages that arrived.
     pub arrivals: Vec<Arrival>,
-    /// When the receivers' own troubles next change.
-    changes: Micros,
+    /// The time at which an incident begins or ends next.
+    next_change: Micros,
     limits: Limits,
 }
 
 impl Receivers {
-    /// Receivers with a seed.
+    /// Creates the receivers. The seed determines the models' random choices.
     pub fn new(endpoints: Vec<Endpoint>, destinations: Vec<Destination>, seed: u64) -> Self {
         let make = |d: Destination| {
             (d.destination, Model::new(d.shape, d.incidents, seed ^ (d.destination as u64) << 8))
@@ -121,12 +121,12 @@
             next: 0,
             actions: Vec::new(),
             arrivals: Vec::new(),
-            changes: 0,
+            next_change: 0,
             limits,
         }
     }
 
-    /// Destinations that were pushed over.
+    /// Returns the destinations that fell over under load, with the times.
     pub fn fallen(&self) -> Vec<Fell> {
         let each = |(d, m): (&i64, &Model)| {
             let destination = *d;
@@ -135,8 +135,8 @@
         self.models.iter().flat_map(each).collect()
     }
 
-    /// A connection is over; whether it was known.
-    fn forget(&mut self, now: Micros, conn: Conn) -> bool {
+    /// Handles the end of a connection. Returns whether it was known.
+    fn remove_peer(&mut self, now: Micros, conn: Conn) -> bool {
         let Some(peer) = self.peers.remove(&conn) else { return false };
         for a in peer.open {
             self.arrivals[a].broken = Some(now);
@@ -144,21 +144,28 @@
         true
     }
 
-    fn later(&mut self, at: Micros, due: Due) {
+    fn schedule(&mut self, at: Micros, due: Due) {
         self.next += 1;
         self.due.insert((at, self.next, due));
     }
 
-    fn fate(&mut self, now: Micros, endpoint: usize) -> CallOutcome {
+    fn next_outcome(&mut self, now: Micros, endpoint: usize) -> CallOutcome {
         let destination = self.endpoints[endpoint].destination;
         self.models.get_mut(&destination).map_or(CallOutcome::Done(now), |m| m.call(now))
     }
 
-    fn arrive(&mut self, now: Micros, conn: Conn, sender: &str, message: &str, fate: CallOutcome) -> usize {
+    fn record_arrival(
+        &mut self,
+        now: Micros,
+        conn: Conn,
+        sender: &str,
+        message: &str,
+        outcome: CallOutcome,
+    ) -> usize {
         let Some(peer) = self.peers.get_mut(&conn) else { return 0 };
         let (endpoint, earliest) = (peer.endpoint, peer.unread.unwrap_or(now));
         peer.open.insert(self.arrivals.len());
-        let (verdict, ran) = match fate {
+        let (verdict, ran) = match outcome {
             CallOutcome::Done(_) => (Verdict::Done, true),
             CallOutcome::Error(_, ran) => (Verdict::Error, ran),
             CallOutcome::Busy(_, wait) => (Verdict::Busy(wait), false),
@@ -181,50 +188,51 @@
         self.arrivals.len() - 1
     }
 
-    fn say(&mut self, now: Micros, conn: Conn, octets: Vec<u8>) {
+    fn send(&mut self, now: Micros, conn: Conn, bytes: Vec<u8>) {
         let Some(peer) = self.peers.get_mut(&conn) else { return };
         let destination = self.endpoints[peer.endpoint].destination;
         let trouble = self.models.get(&destination).and_then(|m| m.trouble(now));
         if let Some(Incident { trouble: Trouble::Trickle(rate), .. }) = trouble {
-            let idle = peer.drip.is_empty();
-            peer.drip.extend(octets);
+            let idle = peer.trickle.is_empty();
+            peer.trickle.extend(bytes);
             if idle {
-                self.later(now + (1e6 / rate) as Micros, Due::Drip(conn));
+                self.schedule(now + (1e6 / rate) as Micros, Due::Trickle(conn));
             }
-        } else if !peer.drip.is_empty() {
-            // What trickles goes first.
-            peer.drip.extend(octets);
+        } else if !peer.trickle.is_empty() {
+            // Responses keep their order.
+            peer.trickle.extend(bytes);
         } else {
-            self.actions.push(Action::Write(conn, octets));
+            self.actions.push(Action::Write(conn, bytes));
         }
     }
 
-    fn drip(&mut self, now: Micros, conn: Conn) {
+    fn trickle(&mut self, now: Micros, conn: Conn) {
         let Some(peer) = self.peers.get_mut(&conn) else { return };
         let destination = self.endpoints[peer.endpoint].destination;
         let trouble = self.models.get(&destination).and_then(|m| m.trouble(now));
         let rate = match trouble {
             Some(Incident { trouble: Trouble::Trickle(rate), .. }) => rate,
             _ => {
-                let rest = peer.drip.drain(..).collect();
+                let rest = peer.trickle.drain(..).collect();
                 return self.actions.push(Action::Write(conn, rest));
             }
         };
-        if let Some(octet) = peer.drip.pop_front() {
-            self.actions.push(Action::Write(conn, vec![octet]));
-            self.later(now + (1e6 / rate) as Micros, Due::Drip(conn));
+        if let Some(byte) = peer.trickle.pop_front() {
+            self.actions.push(Action::Write(conn, vec![byte]));
+            self.schedule(now + (1e6 / rate) as Micros, Due::Trickle(conn));
         }
     }
 
-    fn smpp(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
+    fn receive_smpp(&mut self, now: Micros, conn: Conn, bytes: &[u8]) {
         let Some(peer) = self.peers.get_mut(&conn) else { return };
         let endpoint = peer.endpoint;
-        let Speech::Smpp(session, _) = &mut peer.speech else { return };
+        let PeerProtocol::Smpp(session, _) = &mut peer.protocol else { return };
         let (mut out, mut events) = (BytesMut::new(), Vec::new());
-        session.receive(now, 0, octets, &mut out, &mut events);
+        session.receive(now, 0, bytes, &mut out, &mut events);
         let mut shared: Option<CallOutcome> = None;
         for event in events {
-            let Some(Peer { speech: Speech::Smpp(session, sender_name), .. }) = self.peers.get_mut(&conn)
+            let Some(Peer { protocol: PeerProtocol::Smpp(session, sender_name), .. }) =
+                self.peers.get_mut(&conn)
             else {
                 return;
             };
@@ -236,17 +244,17 @@
                 Event::Submit { sequence, submission, .. } => {
                     let sender = sender_name.clone();
                     let batches = self.endpoints[endpoint].batches;
-                    let fate = match shared.filter(|_| batches) {
-                        Some(fate) => fate,
-                        None => self.fate(now, endpoint),
+                    let outcome = match shared.filter(|_| batches) {
+                        Some(outcome) => outcome,
+                        None => self.next_outcome(now, endpoint),
                     };
-                    shared = Some(fate);
-                    let arrival = self.arrive(now, conn, &sender, &identity(&submission), fate);
-                    match fate {
+                    shared = Some(outcome);
+                    let arrival = self.record_arrival(now, conn, &sender, &identity(&submission), outcome);
+                    match outcome {
                         CallOutcome::Done(at) | CallOutcome::Error(at, _) | CallOutcome::Busy(at, _) => {
-                            self.later(at, Due::Smpp(conn, sequence, arrival));
+                            self.schedule(at, Due::Smpp(conn, sequence, arrival));
                         }
-                        CallOutcome::Reset(at) => self.later(at, Due::Break(conn)),
+                        CallOutcome::Reset(at) => self.schedule(at, Due::Break(conn)),
                         CallOutcome::Lost | CallOutcome::Unseen => {}
                     }
                 }
@@ -259,25 +267,25 @@
                         self.actions.push(Action::Write(conn, out.to_vec()));
                     }
                     self.actions.push(Action::Close(conn));
-                    self.forget(now, conn);
+                    self.remove_peer(now, conn);
                     return;
                 }
             }
         }
         // A hung or silent receiver does not answer enquiries either.
         let destination = self.endpoints[endpoint].destination;
-        let answers = octets.len() < 16
-            || u32::from_be_bytes([octets[4], octets[5], octets[6], octets[7]]) != 0x15
+        let answers = bytes.len() < 16
+            || u32::from_be_bytes([bytes[4], bytes[5], bytes[6], bytes[7]]) != 0x15
             || self.models.get_mut(&destination).is_none_or(|m| m.probe(now).is_some());
         if !out.is_empty() && answers {
-            self.say(now, conn, out.to_vec());
+            self.send(now, conn, out.to_vec());
         }
     }
 
-    fn smpp_answer(&mut self, now: Micros, conn: Conn, sequence: u32, arrival: usize) {
+    fn answer_smpp(&mut self, now: Micros, conn: Conn, sequence: u32, arrival: usize) {
         let Some(peer) = self.peers.get_mut(&conn) else { return };
         let strays = self.endpoints[peer.endpoint].strays;
-        let Speech::Smpp(session, _) = &mut peer.speech else { return };
+        let PeerProtocol::Smpp(session, _) = &mut peer.protocol else { return };
         let mut out = BytesMut::new();
         if strays {
             codec::encode_error(4, CommandStatus::EsmeRok, sequence ^ 0x4000_0000, &mut out);
@@ -300,14 +308,17 @@
         }
         peer.open.remove(&arrival);
         self.arrivals[arrival].answered = Some(now);
-        self.say(now, conn, out.to_vec());
+        self.send(now, conn, out.to_vec());
     }
 
-    fn http(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
-        let Some(Peer { speech: Speech::Http(reader, ..), .. }) = self.peers.get_mut(&conn) else { return };
-        reader.push(octets);
+    fn receive_http(&mut self, now: Micros, conn: Conn, bytes: &[u8]) {
+        let Some(Peer { protocol: PeerProtocol::Http(reader, ..), .. }) = self.peers.get_mut(&conn) else {
+            return;
+        };
+        reader.push(bytes);
         loop {
-            let Some(Peer { speech: Speech::Http(reader, ..), .. }) = self.peers.get_mut(&conn) else {
+            let Some(Peer { protocol: PeerProtocol::Http(reader, ..), .. }) = self.peers.get_mut(&conn)
+            else {
                 return;
             };
             match reader.next_message() {
@@ -315,7 +326,7 @@
                 Ok(None) => return,
                 Err(_) => {
                     self.actions.push(Action::Drop(conn));
-                    self.forget(now, conn);
+                    self.remove_peer(now, conn);
                     return;
                 }
             }
@@ -325,16 +336,16 @@
     fn request(&mut self, now: Micros, conn: Conn, m: &Message) {
         let Some(peer) = self.peers.get_mut(&conn) else { return };
         let endpoint = peer.endpoint;
-        let Speech::Http(_, queue, first) = &mut peer.speech else { return };
+        let PeerProtocol::Http(_, queue, first) = &mut peer.protocol else { return };
         let place = *first + queue.len() as u64;
         queue.push_back(None);
         let Start::Request { method, .. } = &m.start else { return };
         if method == "GET" {
             let destination = self.endpoints[endpoint].destination;
-            let fate = self.models.get_mut(&destination).and_then(|m| m.probe(now));
-            match fate {
-                Some(CallOutcome::Error(..)) => self.http_answer(now, conn, place, 503, &[]),
-                Some(_) => self.http_answer(now, conn, place, 200, &[]),
+            let outcome = self.models.get_mut(&destination).and_then(|m| m.probe(now));
+            match outcome {
+                Some(CallOutcome::Error(..)) => self.answer_http(now, conn, place, 503, &[]),
+                Some(_) => self.answer_http(now, conn, place, 200, &[]),
                 None => {}
             }
             return;
@@ -348,22 +359,23 @@
         } else {
             vec![m.field("message-id").unwrap_or_default().to_string()]
         };
-        let fate = self.fate(now, endpoint);
+        let outcome = self.next_outcome(now, endpoint);
         let from = self.arrivals.len();
         for id in &ids {
-            self.arrive(now, conn, &sender, id, fate);
+            self.record_arrival(now, conn, &sender, id, outcome);
         }
-        match fate {
+        match outcome {
             CallOutcome::Done(at) | CallOutcome::Error(at, _) | CallOutcome::Busy(at, _) => {
-                self.later(at, Due::Http(conn, place, from, ids.len()));
+                self.schedule(at, Due::Http(conn, place, from, ids.len()));
             }
-            CallOutcome::Reset(at) => self.later(at, Due::Break(conn)),
+            CallOutcome::Reset(at) => self.schedule(at, Due::Break(conn)),
             CallOutcome::Lost | CallOutcome::Unseen => {}
         }
     }
 
-    fn http_answer(&mut self, now: Micros, conn: Conn, place: u64, status: u16, fields: &[(&str, &str)]) {
-        let Some(Peer { speech: Speech::Http(_, queue, first), .. }) = self.peers.get_mut(&conn) else {
+    fn answer_http(&mut self, now: Micros, conn: Conn, place: u64, status: u16, fields: &[(&str, &str)]) {
+        let Some(Peer { protocol: PeerProtocol::Http(_, queue, first), .. }) = self.peers.get_mut(&conn)
+        else {
             return;
         };
         let mut out = BytesMut::new();
@@ -377,49 +389,49 @@
             *first += 1;
         }
         if !ready.is_empty() {
-            self.say(now, conn, ready);
+            self.send(now, conn, ready);
         }
     }
 
-    fn fall_due(&mut self, now: Micros, due: Due) {
+    fn handle_due(&mut self, now: Micros, due: Due) {
         match due {
-            Due::Smpp(conn, sequence, arrival) => self.smpp_answer(now, conn, sequence, arrival),
+            Due::Smpp(conn, sequence, arrival) => self.answer_smpp(now, conn, sequence, arrival),
             Due::Http(conn, place, from, n) => {
                 let verdict = self.arrivals[from].verdict;
                 let wait;
                 match verdict {
-                    Verdict::Done => self.http_answer(now, conn, place, 200, &[]),
-                    Verdict::Busy(0) => self.http_answer(now, conn, place, 429, &[]),
+                    Verdict::Done => self.answer_http(now, conn, place, 200, &[]),
+                    Verdict::Busy(0) => self.answer_http(now, conn, place, 429, &[]),
                     Verdict::Busy(w) => {
                         wait = format!("{:.3}", w as f64 / 1e6);
-                        self.http_answer(now, conn, place, 503, &[("retry-after", &wait)]);
+                        self.answer_http(now, conn, place, 503, &[("retry-after", &wait)]);
                     }
-                    Verdict::Error | Verdict::Silent => self.http_answer(now, conn, place, 500, &[]),
+                    Verdict::Error | Verdict::Silent => self.answer_http(now, conn, place, 500, &[]),
                 }
-                // A response waits for those before it; the record says when it was ready, which is no later.
+                // A response waits for those before it. The record has the time at which it was ready.
                 self.arrivals[from..from + n].iter_mut().for_each(|a| a.answered = Some(now));
                 if let Some(peer) = self.peers.get_mut(&conn) {
                     (from..from + n).for_each(|a| _ = peer.open.remove(&a));
                 }
             }
             Due::Break(conn) => {
-                if self.forget(now, conn) {
+                if self.remove_peer(now, conn) {
                     self.actions.push(Action::Drop(conn));
                 }
             }
-            Due::Drip(conn) => self.drip(now, conn),
+            Due::Trickle(conn) => self.trickle(now, conn),
         }
     }
 
-    /// Doors and ears follow the troubles.
-    fn follow(&mut self, now: Micros) {
-        self.changes = self.models.values().map(|m| m.changes(now)).min().unwrap_or(Micros::MAX);
+    /// Listens and reads as the incidents of this time allow.
+    fn apply_incidents(&mut self, now: Micros) {
+        self.next_change = self.models.values().map(|m| m.changes(now)).min().unwrap_or(Micros::MAX);
         for i in 0..self.endpoints.len() {
             let e = &self.endpoints[i];
             let model = self.models.get(&e.destination);
             let left = e.leaves.is_some_and(|t| t <= now);
             if let Some(t) = e.leaves.filter(|t| *t > now) {
-                self.changes = self.changes.min(t);
+                self.next_change = self.next_change.min(t);
             }
             let listens = !left && model.is_none_or(|m| m.listens(now));
             let reads = model.is_none_or(|m| m.reads(now));
@@ -432,23 +444,23 @@
             for conn in mine {
                 let Some(peer) = self.peers.get_mut(&conn) else { continue };
                 if !listens && !left {
-                    self.forget(now, conn);
+                    self.remove_peer(now, conn);
                     self.actions.push(Action::Drop(conn));
                     continue;
                 }
-                if left && let Speech::Smpp(session, _) = &mut peer.speech {
+                if left && let PeerProtocol::Smpp(session, _) = &mut peer.protocol {
                     let mut out = BytesMut::new();
                     session.unbind(now, &mut out);
                     self.actions.push(Action::Write(conn, out.to_vec()));
                 } else if left {
-                    self.forget(now, conn);
+                    self.remove_peer(now, conn);
                     self.actions.push(Action::Close(conn));
                     continue;
                 }
-                if peer.deaf == reads {
-                    peer.deaf = !reads;
+                if peer.read_paused == reads {
+                    peer.read_paused = !reads;
                     peer.unread = peer.unread.or(Some(now));
-                    self.actions.push(Action::Deaf(conn, !reads));
+                    self.actions.push(Action::PauseReading(conn, !reads));
                 }
             }
         }
@@ -461,58 +473,58 @@
 
 impl Actor for Receivers {
     fn accepted(&mut self, now: Micros, listener: usize, conn: Conn) {
-        let speech = match self.endpoints[listener].speaks {
-            Speaks::Smpp => Speech::Smpp(Box::new(Session::new(now, self.limits)), String::new()),
-            Speaks::Http => Speech::Http(Reader::new(Side::Requests, 1 << 20), VecDeque::new(), 0),
+        let protocol = match self.endpoints[listener].speaks {
+            Speaks::Smpp => PeerProtocol::Smpp(Box::new(Session::new(now, self.limits)), String::new()),
+            Speaks::Http => PeerProtocol::Http(Reader::new(Side::Requests, 1 << 20), VecDeque::new(), 0),
         };
         let destination = self.endpoints[listener].destination;
-        let deaf = self.models.get(&destination).is_some_and(|m| !m.reads(now));
+        let read_paused = self.models.get(&destination).is_some_and(|m| !m.reads(now));
         self.peers.insert(
             conn,
             Peer {
                 endpoint: listener,
-                speech,
-                deaf,
-                unread: deaf.then_some(now),
+                protocol,
+                read_paused,
+                unread: read_paused.then_some(now),
                 open: BTreeSet::new(),
-                drip: VecDeque::new(),
+                trickle: VecDeque::new(),
             },
         );
-        if deaf {
-            self.actions.push(Action::Deaf(conn, true));
+        if read_paused {
+            self.actions.push(Action::PauseReading(conn, true));
         }
     }
 
-    fn received(&mut self, now: Micros, conn: Conn, octets: &[u8]) {
-        match self.peers.get(&conn).map(|p| &p.speech) {
-            Some(Speech::Smpp(..)) => self.smpp(now, conn, octets),
-            Some(Speech::Http(..)) => self.http(now, conn, octets),
+    fn received(&mut self, now: Micros, conn: Conn, bytes: &[u8]) {
+        match self.peers.get(&conn).map(|p| &p.protocol) {
+            Some(PeerProtocol::Smpp(..)) => self.receive_smpp(now, conn, bytes),
+            Some(PeerProtocol::Http(..)) => self.receive_http(now, conn, bytes),
             None => {}
         }
-        // The runner reads until nothing is left; what comes in a later turn was not there before.
+        // The event loop reads until nothing is left. What arrives in a later turn was not there before.
         if let Some(peer) = self.peers.get_mut(&conn)
-            && peer.unread.is_some_and(|_| !peer.deaf && octets.len() < crate::run::TURN)
+            && peer.unread.is_some_and(|_| !peer.read_paused && bytes.len() < crate::run::READ_BUDGET)
         {
             peer.unread = None;
         }
     }
 
     fn closed(&mut self, now: Micros, conn: Conn) {
-        self.forget(now, conn);
+        self.remove_peer(now, conn);
     }
 
     fn tick(&mut self, now: Micros) {
-        if now >= self.changes {
-            self.follow(now);
+        if now >= self.next_change {
+            self.apply_incidents(now);
         }
         while let Some((_, _, due)) = self.due.first().copied().filter(|d| d.0 <= now) {
             self.due.pop_first();
-            self.fall_due(now, due);
+            self.handle_due(now, due);
         }
     }
 
     fn wake(&self) -> Micros {
-        self.due.first().map_or(Micros::MAX, |d| d.0).min(self.changes)
+        self.due.first().map_or(Micros::MAX, |d| d.0).min(self.next_change)
     }
 
     fn actions(&mut self) -> Vec<Action> {
