--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -1,4 +1,4 @@
-//! `platform`: one real sender on the users' platform, which tells it everything by `GW_CONFIG` and `GW_STATE`.
+//! The command `platform`: one sender on the users' platform, configured by `GW_CONFIG` and `GW_STATE`.
 
 use crate::fail;
 use heronroute_net::{Reload, Signals, StandaloneSender, StartRetry, is_temporary};
@@ -7,7 +7,14 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-fn variable(name: &str) -> Result<PathBuf, String> {
+/// What the platform gives to a sender.
+struct Environment {
+    config_file: PathBuf,
+    start_up: StartUp,
+    state_folder: PathBuf,
+}
+
+fn path_variable(name: &str) -> Result<PathBuf, String> {
     match std::env::var_os(name) {
         Some(value) if !value.is_empty() => Ok(value.into()),
         _ => Err(format!("{name} is not set")),
@@ -23,61 +30,64 @@
     Invalid(String, StartUpError),
 }
 
-fn start_up(path: &Path) -> Result<StartUp, ConfigError> {
-    let name = || path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|error| ConfigError::Unreadable(name(), error))?;
+fn read_config(file: &Path) -> Result<StartUp, ConfigError> {
+    let name = || file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|error| ConfigError::Unreadable(name(), error))?;
     read(&text).map_err(|error| ConfigError::Invalid(name(), error))
 }
 
-fn told(retry: StartRetry, signals: &Signals) -> Result<(PathBuf, StartUp, PathBuf), String> {
-    let config = variable("GW_CONFIG")?;
+/// Reads the environment and the configuration, and retries while the file system fails.
+fn read_environment(retry: StartRetry, signals: &Signals) -> Result<Environment, String> {
+    let config_file = path_variable("GW_CONFIG")?;
     let may_pass = |error: &ConfigError| matches!(error, ConfigError::Unreadable(_, e) if is_temporary(e));
-    let start_up = retry.run(signals, may_pass, || start_up(&config)).map_err(|error| error.to_string())?;
-    let folder = variable("GW_STATE")?;
-    let is_folder =
-        retry.run(signals, is_temporary, || std::fs::metadata(&folder)).is_ok_and(|found| found.is_dir());
-    if !is_folder {
-        return Err(format!("GW_STATE: {}: no folder", folder.display()));
+    let start_up = retry.run(signals, may_pass, || read_config(&config_file));
+    let start_up = start_up.map_err(|error| error.to_string())?;
+    let state_folder = path_variable("GW_STATE")?;
+    let metadata = retry.run(signals, is_temporary, || std::fs::metadata(&state_folder));
+    if !metadata.is_ok_and(|metadata| metadata.is_dir()) {
+        return Err(format!("GW_STATE: {}: no folder", state_folder.display()));
     }
-    Ok((config, start_up, folder))
+    Ok(Environment { config_file, start_up, state_folder })
 }
 
 /// Reads the configuration again.
-fn reload(path: &Path) -> Reload {
-    match start_up(path) {
+fn reload(file: &Path) -> Reload {
+    match read_config(file) {
         Ok(new) => {
-            tracing::info!(discovery = %new.discovery, "discovery is elsewhere");
+            tracing::info!(discovery = %new.discovery, "the address of discovery was read again");
             Reload::Discovery(new.discovery)
         }
         Err(ConfigError::Unreadable(_, error)) => Reload::Unreadable(error),
         Err(error @ ConfigError::Invalid(..)) => {
-            tracing::error!(%error, "the new configuration is wrong; the old one holds");
+            tracing::error!(%error, "the new configuration is invalid; the previous one stays in effect");
             Reload::Invalid
         }
     }
 }
 
+/// Runs one sender until it is shut down.
 pub fn run() -> ExitCode {
-    // Signals are taken before anything starts, so that none ends the program halfway.
+    // Signals are handled before anything starts, so that none ends the process during its start.
     let signals = match Signals::install() {
         Ok(signals) => signals,
-        Err(e) => return fail(1, format_args!("signals: {e}")),
+        Err(error) => return fail(1, format_args!("signals: {error}")),
     };
     let retry = StartRetry::begin();
-    let (path, start_up_, folder) = match told(retry, &signals) {
-        Ok(told) => told,
-        Err(e) => return fail(2, e),
+    let environment = match read_environment(retry, &signals) {
+        Ok(environment) => environment,
+        Err(error) => return fail(2, error),
     };
-    let reload = move || reload(&path);
-    let sender = match StandaloneSender::start(&start_up_, &folder, retry, signals, Box::new(reload)) {
-        Ok(started) => started,
-        Err(e) => return fail(1, e),
+    let Environment { config_file, start_up, state_folder } = environment;
+    let reload = Box::new(move || reload(&config_file));
+    let sender = match StandaloneSender::start(&start_up, &state_folder, retry, signals, reload) {
+        Ok(sender) => sender,
+        Err(error) => return fail(1, error),
     };
     match sender.run() {
         Ok(stats) => {
             tracing::info!(?stats, "out of service");
             ExitCode::SUCCESS
         }
-        Err(e) => fail(1, e),
+        Err(error) => fail(1, error),
     }
 }
--- a/crates/net/src/reactor/reload.rs
+++ b/crates/net/src/reactor/reload.rs
@@ -66,7 +66,7 @@
             }
         };
         if now >= pending.give_up_at {
-            tracing::error!(%error, "the configuration can't be read; the old one holds");
+            tracing::error!(%error, "the configuration can't be read; the previous one stays in effect");
             self.pending_reload = None;
             return;
         }
