An answer with bytes behind it that begin no other answer is not certain

Cause: the soak wrote two copies of an answer with a body at once, so that their bytes mixed ("do" of one, "HT" of the next): an answer that is new on its connection, which counted as the call's own.

Change: where bytes follow an answer that can't begin another one, the answer was not read as it was written and has no identity, so that it is certain only as the first of its connection. mixed_copies_of_an_answer_are_no_new_answer failed before (cut at 39) and passes.

--- a/crates/engine/tests/answer_copies.rs
+++ b/crates/engine/tests/answer_copies.rs
@@ -330,6 +330,27 @@
     );
 }
 
+/// Guards against a delivery that is believed from two copies whose bytes were mixed: together they are an answer that is
+/// new on its connection.
+#[test]
+fn mixed_copies_of_an_answer_are_no_new_answer() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+    for cut in answer.len() - 3..answer.len() {
+        let mut harness = new_harness();
+        let client = harness.connect_client();
+        harness.submit(client, "before", SAFE);
+        let (conn, _) = harness.take_received(1001).remove(0);
+        harness.peer_sends(conn, answer);
+        harness.submit(client, "doubtful", SAFE);
+        assert_eq!(harness.take_received(1001).remove(0).0, conn);
+        harness.peer_sends(conn, &format!("{}{answer}{}", &answer[..cut], &answer[cut..]));
+        harness.advance(2_000 * MS);
+        let called_again = harness.take_received(1001).iter().any(|(_, text)| text.contains("doubtful"));
+        let has_ended = harness.take_received(2).iter().any(|(_, text)| text.contains("doubtful"));
+        assert!(called_again || has_ended, "cut at {cut}: its own answer was never received");
+    }
+}
+
 /// Guards against a call that is out on an open connection once its message's time is over: a second copy was taken
 /// for its answer, and the endpoint is still busy with the call before it.
 #[test]
--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -3,6 +3,9 @@
 use crate::MAX_HEAD_BYTES;
 use bytes::{Buf, BytesMut};
 
+/// The beginning of each response.
+const RESPONSE_PREFIX: &[u8] = b"HTTP/1.";
+
 /// The kind of messages that a stream carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -131,6 +134,12 @@
         !self.buffer.is_empty() || !matches!(self.state, State::Head)
     }
 
+    /// Returns whether what follows the last message can't be the beginning of a response.
+    pub fn is_followed_by_garbage(&self) -> bool {
+        let length = self.buffer.len().min(RESPONSE_PREFIX.len());
+        matches!(self.state, State::Head) && self.buffer[..length] != RESPONSE_PREFIX[..length]
+    }
+
     /// Returns the status of the current response as soon as its start line has arrived, even if the rest is
     /// unreadable.
     pub fn status_so_far(&self) -> Option<u16> {
--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -114,7 +114,7 @@
     }
 
     /// Takes the identity of the answer that was reported last, or `None` if that answer was not read
-    /// completely.
+    /// completely, or not as it was written.
     pub fn take_identity(&mut self) -> Option<Identity> {
         self.identity.take()
     }
@@ -193,7 +193,9 @@
         let mut unusable = answer.closes_connection || closed || self.reader.has_partial_message();
         let closed_at_once = std::mem::take(&mut self.is_new) && answer.closes_connection;
         let named = names_its_call(answer, &ids);
-        self.identity = Some(Identity::of(answer, named));
+        // Bytes that begin no answer show that this one was not read as it was written.
+        let is_intact = !self.reader.is_followed_by_garbage();
+        self.identity = is_intact.then(|| Identity::of(answer, named));
         let outcomes = message_outcomes(answer, &ids, closed_at_once);
         // The real answer to this call may still arrive, and would be taken for the answer to the next one.
         unusable |= ids.len() > 1 && answer.status() == 200 && !named;
