--- a/crates/cli/tests/soak/connection.rs
+++ b/crates/cli/tests/soak/connection.rs
@@ -1,11 +1,13 @@
-//! The endpoints' side of a connection, which several threads look at.
+//! The endpoints' side of a connection, which several threads look at. The network may delay what crosses it.
 
 use crate::world::World;
 use socket2::SockRef;
+use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::sync::Mutex;
-use std::thread::sleep;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Mutex, MutexGuard};
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(1);
@@ -13,22 +15,32 @@
 struct State {
     /// None once the endpoint has reset the connection.
     stream: Option<TcpStream>,
+    /// What the process has sent and the endpoint does not see yet, with the time at which it does.
+    in_transit: VecDeque<(Instant, Vec<u8>)>,
     unread: Vec<u8>,
     /// When the first of the unread octets came.
     unread_since: Option<Instant>,
+    /// Whether the process has closed the connection or ended its sending on it, seen or not.
     ended: bool,
 }
 
 impl State {
     /// Reads all that has come, and sees whether the connection has ended.
-    fn read(&mut self) {
+    fn read(&mut self, delay: Duration) {
+        self.receive(delay);
+        while let Some((seen_at, octets)) = self.in_transit.pop_front_if(|(at, _)| *at <= Instant::now()) {
+            self.unread_since.get_or_insert(seen_at);
+            self.unread.extend_from_slice(&octets);
+        }
+    }
+
+    fn receive(&mut self, delay: Duration) {
         let mut buffer = [0; 8_192];
         let Some(stream) = &mut self.stream else { return };
         while !self.ended {
             match stream.read(&mut buffer) {
                 Ok(length @ 1..) => {
-                    self.unread_since.get_or_insert_with(Instant::now);
-                    self.unread.extend_from_slice(&buffer[..length]);
+                    self.in_transit.push_back((Instant::now() + delay, buffer[..length].to_vec()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -38,19 +50,64 @@
     }
 }
 
+/// What the endpoint does to a connection.
+enum Outgoing {
+    Text(String),
+    Reset,
+}
+
+/// Carries out what an endpoint does, each a while later, and in the end closes the connection.
+fn deliver(mut stream: TcpStream, delay: Duration, outgoing: &Receiver<(Instant, Outgoing)>) {
+    while let Ok((at, action)) = outgoing.recv() {
+        sleep((at + delay).saturating_duration_since(Instant::now()));
+        match action {
+            Outgoing::Text(text) => _ = stream.write_all(text.as_bytes()),
+            Outgoing::Reset => return reset(&stream),
+        }
+    }
+    sleep(delay);
+}
+
+fn reset(stream: &TcpStream) {
+    _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 /// A connection from the process.
 pub struct Connection {
     state: Mutex<State>,
+    /// Held while an answer is written, so that the pieces of two answers don't mix.
+    writing: Mutex<()>,
     accepted: Instant,
+    /// How long the network takes, each way.
+    delay: Duration,
+    /// To the thread that writes a while later, where the network takes time.
+    outgoing: Option<Sender<(Instant, Outgoing)>>,
 }
 
 impl Connection {
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, delay: Duration) -> Self {
         stream.set_nonblocking(true).unwrap();
         stream.set_nodelay(true).unwrap();
-        let state =
-            Mutex::new(State { stream: Some(stream), unread: Vec::new(), unread_since: None, ended: false });
-        Connection { state, accepted: Instant::now() }
+        let outgoing = (!delay.is_zero()).then(|| {
+            let (sender, receiver) = channel();
+            let stream = stream.try_clone().unwrap();
+            spawn(move || deliver(stream, delay, &receiver));
+            sender
+        });
+        let state = State {
+            stream: Some(stream),
+            in_transit: VecDeque::new(),
+            unread: Vec::new(),
+            unread_since: None,
+            ended: false,
+        };
+        Connection {
+            state: Mutex::new(state),
+            writing: Mutex::new(()),
+            accepted: Instant::now(),
+            delay,
+            outgoing,
+        }
     }
 
     /// The connection in words: how long ago it was accepted, and whether it is open.
@@ -62,7 +119,7 @@
     /// Whether the process has neither closed the connection nor ended its sending on it.
     pub fn is_open(&self) -> bool {
         let mut state = self.state.lock().unwrap();
-        state.read();
+        state.read(self.delay);
         !state.ended
     }
 
@@ -72,7 +129,7 @@
         let idle_until = Instant::now() + idle;
         while !world.is_over() {
             let mut state = self.state.lock().unwrap();
-            state.read();
+            state.read(self.delay);
             if let Some(length) = request_length(&state.unread) {
                 let request: Vec<u8> = state.unread.drain(..length).collect();
                 let began = state.unread_since.take().unwrap_or_else(Instant::now);
@@ -81,7 +138,8 @@
                 }
                 return Some((String::from_utf8_lossy(&request).into_owned(), began));
             }
-            if state.ended || (state.unread.is_empty() && Instant::now() >= idle_until) {
+            let has_all = state.ended && state.in_transit.is_empty();
+            if has_all || (state.unread.is_empty() && Instant::now() >= idle_until) {
                 return None;
             }
             drop(state);
@@ -90,20 +148,33 @@
         None
     }
 
+    /// Waits until no other answer is being written, and keeps others from it.
+    pub fn begin_answer(&self) -> MutexGuard<'_, ()> {
+        self.writing.lock().unwrap()
+    }
+
     /// Writes octets, which are few. False where the connection has ended.
     pub fn write(&self, text: &str) -> bool {
         let mut state = self.state.lock().unwrap();
-        state.read();
-        let open = !state.ended;
-        open && state.stream.as_mut().is_some_and(|stream| stream.write_all(text.as_bytes()).is_ok())
+        state.read(self.delay);
+        if state.ended {
+            return false;
+        }
+        if let Some(outgoing) = &self.outgoing {
+            return outgoing.send((Instant::now(), Outgoing::Text(text.to_string()))).is_ok();
+        }
+        state.stream.as_mut().is_some_and(|stream| stream.write_all(text.as_bytes()).is_ok())
     }
 
     /// Resets the connection: what has not been read is dropped.
     pub fn reset(&self) {
         let mut state = self.state.lock().unwrap();
         state.ended = true;
-        if let Some(stream) = state.stream.take() {
-            _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        let stream = state.stream.take();
+        match (&self.outgoing, stream) {
+            (Some(outgoing), _) => _ = outgoing.send((Instant::now(), Outgoing::Reset)),
+            (None, Some(stream)) => reset(&stream),
+            (None, None) => {}
         }
     }
 
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -36,19 +36,30 @@
     long_calls: u64,
     /// After so long an idle connection is closed.
     idle: Duration,
+    /// How long the network takes, each way.
+    delay: Duration,
 }
 
 /// Longer than a run.
 const NEVER: Duration = Duration::from_secs(3_600);
 
 impl Profile {
-    /// One run in three has copies of most answers, and more long calls; in one of four idle connections are closed soon.
+    /// One run in three has copies of most answers, and more long calls; in one of four idle connections are closed soon, in
+    /// one of three the network takes time.
     pub fn of_run(seed: u64) -> Self {
         let idle = if seed % 4 == 2 { Duration::from_millis(40) } else { NEVER };
+        let delay = if seed % 3 == 1 { Duration::from_millis(5 + 10 * (seed % 5)) } else { Duration::ZERO };
         if seed.is_multiple_of(3) {
-            return Profile { copied_behind: 3, copied_later: 5, copied_twice: true, long_calls: 5, idle };
+            return Profile {
+                copied_behind: 3,
+                copied_later: 5,
+                copied_twice: true,
+                long_calls: 5,
+                idle,
+                delay,
+            };
         }
-        Profile { copied_behind: 2, copied_later: 1, copied_twice: false, long_calls: 3, idle }
+        Profile { copied_behind: 2, copied_later: 1, copied_twice: false, long_calls: 3, idle, delay }
     }
 }
 
@@ -186,6 +197,11 @@
     }
 }
 
+fn write_interim(connection: &Connection) -> bool {
+    let _writing = connection.begin_answer();
+    connection.write(INTERIM)
+}
+
 /// Waits between two pieces of an answer.
 fn wait_between_pieces(pieces: usize, random: &mut Random) {
     sleep(if pieces == 2 { random.millis(1, 20) } else { random.micros(50, 500) });
@@ -194,6 +210,7 @@
 /// Writes a copy of an answer, at times in pieces.
 fn write_copy(connection: &Connection, answer: &str, random: &mut Random) {
     let pieces = pieces(answer, random);
+    let _writing = connection.begin_answer();
     for piece in &pieces {
         _ = connection.write(piece);
         if pieces.len() > 1 {
@@ -205,7 +222,7 @@
 /// An endpoint, by its number: answers calls as its seed says, often twice.
 pub fn endpoint(number: usize, stream: TcpStream, profile: Profile, seed: u64, world: &World) {
     let mut random = Random::new(seed);
-    let connection = Arc::new(Connection::new(stream));
+    let connection = Arc::new(Connection::new(stream, profile.delay));
     let mut answers: Vec<String> = Vec::new();
     // A second copy of an answer, which is written behind the next call.
     let mut copy: Option<String> = None;
@@ -251,6 +268,7 @@
 fn write_later(connection: Arc<Connection>, answer: String, delay: Duration) {
     spawn(move || {
         sleep(delay);
+        let _writing = connection.begin_answer();
         _ = connection.write(&answer);
     });
 }
@@ -286,7 +304,7 @@
             trail.steps.push(format!("{began:?} called with {}, {fate:?} {state}, on {on}", call.ids.len()));
         });
     }
-    let interim = random.one_in(12) && connection.write(INTERIM);
+    let interim = random.one_in(12) && write_interim(connection);
     let open = connection.stays_open_for(run_time(profile, random), world);
     wait_while_hung(number, connection, world);
     if !open || !connection.is_open() {
@@ -321,6 +339,7 @@
     world: &World,
 ) -> bool {
     let pieces = pieces(answer, random);
+    let _writing = connection.begin_answer();
     let mut written = 0;
     for (index, piece) in pieces.iter().enumerate() {
         let is_last = index + 1 == pieces.len();
@@ -353,7 +372,7 @@
 /// A process's discovery: a watch of the list, and notices. At times the connection ends in place of taking them.
 pub fn discovery(process: usize, stream: TcpStream, seed: u64, world: &World) {
     let mut random = Random::new(seed);
-    let connection = Connection::new(stream);
+    let connection = Connection::new(stream, Duration::ZERO);
     while let Some((request, _)) = connection.next_request(NEVER, world) {
         if request.starts_with("GET") {
             return world.listing.follow(process, &connection, &request, &mut random, world);
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -1,8 +1,8 @@
 //! Seeded runs of the real program, in some of several processes, beside faults: answers that come twice or octet by octet,
 //! calls that take longer than any timer, refusals, resets and spoilt answers of endpoints, endpoints that hang, drain and
-//! return, lists that break off or come twice, notices that are not taken, failing calls for the network, a folder that
-//! fails for a while, signals in series, a crowd of idle clients, a wall clock that is stepped between a kill and the
-//! next start. Judged from what crossed the sockets.
+//! return, a network that takes time, lists that break off or come twice, notices that are not taken, failing calls for
+//! the network, a folder that fails for a while, signals in series, a crowd of idle clients, a wall clock that is
+//! stepped between a kill and the next start. Judged from what crossed the sockets.
 //!
 //! In CI on a few fixed seeds. By hand: `SOAK_SEEDS=50 cargo test -p heronroute-cli --test soak -- --nocapture`, one seed
 //! again with `SOAK_SEED=N`. Where a rule is broken, the program's log is kept; `TEST_LOG=debug` makes it longer.
