--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// A message's time.
-pub const TIME: Duration = Duration::from_millis(2_500);
+pub const MESSAGE_TIME: Duration = Duration::from_millis(2_500);
 /// How long a client waits for its answer.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The destinations, by number from 1. The last one takes several messages in a call.
@@ -90,7 +90,7 @@
             submitted += 1;
             let class = ["safe", "keyed", "once"][random.below(3) as usize];
             let id = format!("c{name}-{submitted}");
-            let pairs = format!("c={class},t=t,d={},k=key-{id},dest={dest}", TIME.as_millis());
+            let pairs = format!("c={class},t=t,d={},k=key-{id},dest={dest}", MESSAGE_TIME.as_millis());
             requests += &out_add_as(&id, &pairs);
             messages.push(Submitted { process, id, class, at: Instant::now(), accepted: false });
         }
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -21,7 +21,7 @@
 /// So many of the last answers on a connection may be written once more.
 const ANSWERS_KEPT: usize = 3;
 /// How often a hanging endpoint looks whether it may go on.
-const HANG_POLL: Duration = Duration::from_millis(2);
+const HANG_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
 /// How often the endpoints of a run do what is hard to bear.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +40,10 @@
     delay: Duration,
 }
 
+/// After so long an idle connection is closed in some runs.
+const SHORT_IDLE: Duration = Duration::from_millis(40);
+/// How long the network takes each way in some runs, in milliseconds.
+const NETWORK_DELAYS_MS: [u64; 5] = [5, 15, 25, 35, 45];
 /// Longer than a run.
 const NEVER: Duration = Duration::from_secs(3_600);
 
@@ -47,8 +51,9 @@
     /// One run in three has copies of most answers, and more long calls; in one of four idle connections are closed soon, in
     /// one of three the network takes time.
     pub fn of_run(seed: u64) -> Self {
-        let idle = if seed % 4 == 2 { Duration::from_millis(40) } else { NEVER };
-        let delay = if seed % 3 == 1 { Duration::from_millis(5 + 10 * (seed % 5)) } else { Duration::ZERO };
+        let idle = if seed % 4 == 2 { SHORT_IDLE } else { NEVER };
+        let delay = NETWORK_DELAYS_MS[(seed % 5) as usize];
+        let delay = if seed % 3 == 1 { Duration::from_millis(delay) } else { Duration::ZERO };
         if seed.is_multiple_of(3) {
             return Profile {
                 copied_behind: 3,
@@ -277,7 +282,7 @@
 fn wait_while_hung(number: usize, connection: &Connection, world: &World) -> bool {
     let hung = world.is_hung(number);
     while world.is_hung(number) && connection.is_open() && !world.is_over() {
-        sleep(HANG_POLL);
+        sleep(HANG_POLL_INTERVAL);
     }
     hung
 }
--- a/crates/cli/tests/soak/member.rs
+++ b/crates/cli/tests/soak/member.rs
@@ -162,7 +162,7 @@
         self.pauses.push((began, Instant::now()));
     }
 
-    /// SIGTERM, with further signals behind it, and SIGKILL as early as the page allows.
+    /// SIGTERM, with further signals behind it, and SIGKILL as early as it may come.
     fn terminate(&mut self, random: &mut Random) {
         let began = Instant::now();
         self.note("SIGTERM");
--- a/crates/cli/tests/soak/run.rs
+++ b/crates/cli/tests/soak/run.rs
@@ -1,9 +1,9 @@
 //! One run: processes, clients, endpoints and discovery, whose faults are drawn from the run's seed.
 
 use crate::alone::{MS, Sender, set_up};
-use crate::clients::{DESTINATIONS, Submitted, TIME, client, crowd};
+use crate::clients::{DESTINATIONS, MESSAGE_TIME, Submitted, client, crowd};
 use crate::endpoint::{Profile, discovery, endpoint};
-use crate::judge::{MACHINE, START_SLACK, judge_drains, judge_end, judge_runs};
+use crate::judge::{MACHINE_SLACK, START_SLACK, judge_drains, judge_end, judge_runs};
 use crate::member::Member;
 use crate::world::{Random, World, serve};
 use serde_json::{Value, json};
@@ -152,7 +152,7 @@
     let world = Arc::new(World::default());
     let mut members = start(seed, &world);
     let (all, faults) = play_faults(seed, &mut members, &world);
-    sleep(TIME + START_SLACK + MACHINE + 200 * MS);
+    sleep(MESSAGE_TIME + START_SLACK + MACHINE_SLACK + 200 * MS);
     let trails = world.trails.lock().unwrap().clone();
     let drains = world.listing.drains();
     let mut broken: Vec<String> =
