Tests: a message that an endpoint answered 410 is sent again after a doubtful answer (red)

Brought out twice on the unchanged code: in memory (engine, ended_messages: repeatable and keyed messages are called again 0.535 s after a 410 on a connection whose earlier 200 came twice, 0.925 s where that was less than 0.4 s ago; once-only ones are not) and with the real program on loopback (cli, answer_copies).

--- a/crates/cli/tests/answer_copies.rs
+++ b/crates/cli/tests/answer_copies.rs
@@ -205,3 +205,27 @@
     stream.write_all(OK.as_bytes()).unwrap();
     assert_eq!(called_while_out(&sender, &stream, "second", RUNS_LONG), None, "two out at once");
 }
+
+/// A message is over for the endpoint.
+const GONE: &str = "HTTP/1.1 410 No\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against a message that an endpoint answered 410, on a connection on which an earlier answer came twice, and that
+/// is called again.
+#[test]
+fn a_message_that_was_answered_410_on_a_used_connection_is_not_called_again() {
+    for pairs in [SAFE, "c=keyed,t=t,d=8000,k=abc,dest=1", ONCE] {
+        let sender = start("answered-410");
+        let mut client = sender.client();
+        assert_eq!(client.asks(&out_add("first")), "+OK");
+        let (mut stream, _) = sender.call();
+        stream.write_all(OK.as_bytes()).unwrap();
+        for (id, pairs, answer) in [("second", SAFE, OK), ("third", pairs, GONE)] {
+            sleep(20 * MS);
+            assert_eq!(client.asks(&out_add_as(id, pairs)), "+OK");
+            let call = calls(&mut stream, 1, Duration::from_secs(2));
+            assert!(call.contains(&format!("X-Call-Id: {id}\r\n")), "{call:?}");
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+        assert!(!is_called_again(&sender, &mut stream, "X-Call-Id: third\r\n"), "{pairs}: sent again");
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/ended_messages.rs
@@ -0,0 +1,66 @@
+//! Messages that an endpoint has ended: none is sent again, whether the answer was certainly its own or may have been a
+//! copy of another call's, and each still gets its end.
+
+mod sender;
+
+use heronroute_engine::ConnId;
+use sender::*;
+
+const GONE: &str = "HTTP/1.1 410 No\r\ncontent-length: 0\r\n\r\n";
+/// Longer than any deadline of the harness.
+const UNTIL_ALL_IS_OVER: i64 = 9_000 * MS;
+
+/// Submits a message and answers its call, on a connection that is used already. Returns the connection.
+fn deliver(harness: &mut Harness, client: ConnId, id: &str, answer: &str) -> ConnId {
+    harness.submit(client, id, SAFE);
+    let (conn, text) = harness.take_received(1001).remove(0);
+    assert!(text.contains(&format!("X-Call-Id: {id}\r\n")), "{text}");
+    harness.peer_sends(conn, answer);
+    conn
+}
+
+/// Runs to the end of all deadlines. Returns the number of further calls with a message, and all notices.
+fn run_to_the_end(harness: &mut Harness, id: &str) -> (usize, String) {
+    let header = format!("X-Call-Id: {id}\r\n");
+    let (mut calls, mut notices) = (0, String::new());
+    let end = harness.now + UNTIL_ALL_IS_OVER;
+    while harness.now < end {
+        harness.advance(5 * MS);
+        for (conn, text) in harness.take_received(1001) {
+            if text.contains(&header) {
+                calls += 1;
+            }
+            harness.peer_sends(conn, GONE);
+        }
+        for (conn, text) in harness.take_received(2) {
+            if text.starts_with("POST") {
+                notices += &text;
+                harness.peer_sends(conn, NO_CONTENT);
+            }
+        }
+    }
+    (calls, notices)
+}
+
+/// Guards against a further call with a message that an endpoint answered 410 on a connection on which an earlier answer
+/// came twice.
+#[test]
+fn a_message_that_may_have_been_answered_410_is_not_sent_again() {
+    // The span between the doubtful delivery and the call: less than the time for which it is watched, and more.
+    for span in [20 * MS, 600 * MS] {
+        for pairs in [SAFE, KEYED, ONCE] {
+            let mut harness = new_harness();
+            let client = harness.connect_client();
+            deliver(&mut harness, client, "first", OK);
+            deliver(&mut harness, client, "second", OK);
+            harness.advance(span);
+            harness.submit(client, "m", pairs);
+            let (conn, _) = harness.take_received(1001).remove(0);
+            harness.peer_sends(conn, GONE);
+            let (calls, notices) = run_to_the_end(&mut harness, "m");
+            assert_eq!(calls, 0, "{pairs}, {span} after a doubtful delivery: sent again");
+            assert!(notices.contains(r#"{"id":"m","state":"failed"}"#), "{pairs}: {notices}");
+            assert_eq!(harness.node.open(), 0);
+        }
+    }
+}
