An unsent call of several is taken back where one of its messages ends

What callers could see: a message sent after its notice, if a call of several had been placed on a connection that took no octet (a full socket buffer, failing send calls) and one message's time was over by then. Only that message was to be taken back, its bytes are shared with the others, so nothing was, and the call left as it was.

Now the whole call is taken back; the other messages have never left and go again. The guard before each attempt also refuses a message that has ended, so that this is decided where attempts start, whatever path led there.

ended_messages: a_message_of_an_unsent_call_of_several_is_not_sent_after_its_end, which failed before ("sent after its end").

--- a/crates/engine/src/delivery/start_guard.rs
+++ b/crates/engine/src/delivery/start_guard.rs
@@ -1,5 +1,6 @@
-//! The guard before each attempt: none starts while an earlier attempt of its message may be out on an open
-//! connection, and a message that must not run twice is not tried again unless it surely did not run.
+//! The guard before each attempt: none starts for a message that has ended, or while an earlier attempt of its
+//! message may be out on an open connection, and a message that must not run twice is not tried again unless it
+//! surely did not run.
 
 use crate::answers::MessageEnd;
 use crate::attempts::{Proof, StartPermission};
@@ -17,6 +18,10 @@
         let parts = self.calls.get(call).map_or(0, |open_call| open_call.parts.len());
         for part in 0..parts {
             let Some(message) = self.open_part(call, part) else { continue };
+            if !self.messages.contains_key(&message) {
+                self.deny(call, part, message, "the message has ended");
+                continue;
+            }
             match self.attempts.permission(message, self.runs_once(message)) {
                 StartPermission::Granted => {}
                 StartPermission::Waiting => self.deny(call, part, message, "an earlier attempt waits"),
--- a/crates/engine/src/node/answer.rs
+++ b/crates/engine/src/node/answer.rs
@@ -5,6 +5,7 @@
 use super::state::{Effect, FinishedMessage, Message};
 use crate::Micros;
 use crate::answers::{self, MessageEnd};
+use crate::calls::CallEnd;
 use crate::failover::Suspension;
 use crate::front::Speaks;
 use crate::ids::format_id;
@@ -30,9 +31,9 @@
     /// Gives a message its final answer, once; the message is no longer open after that.
     pub(crate) fn answer(&mut self, id: MsgId, end: MessageEnd) {
         // An attempt that has not started to be written is cancelled first: it can't be sent after the
-        // answer, and the answer may then say that nothing ran.
+        // answer, and the answer may then say that nothing ran. Messages that share its bytes are sent again.
         if let Some((call, part)) = self.messages.get(&id).and_then(|m| m.out) {
-            self.cancel_unsent(call, part);
+            self.withdraw_unsent(call, part, CallEnd::Cancelled, true);
         }
         let Some(m) = self.messages.get(&id) else { return };
         let may_run = m.may_have_run_since.is_some() || m.out.is_some();
--- a/crates/engine/tests/ended_messages.rs
+++ b/crates/engine/tests/ended_messages.rs
@@ -19,15 +19,15 @@
     conn
 }
 
-/// Runs to the end of all deadlines. Returns the number of further calls with a message, and all notices.
-fn run_to_the_end(harness: &mut Harness, id: &str) -> (usize, String) {
-    let header = format!("X-Call-Id: {id}\r\n");
+/// Runs to the end of all deadlines. Returns the number of further calls with these messages, and all notices.
+fn run_to_the_end(harness: &mut Harness, ids: &[&str]) -> (usize, String) {
+    let names_one = |text: &str| ids.iter().any(|id| text.contains(&format!("X-Call-Id: {id}\r\n")));
     let (mut calls, mut notices) = (0, String::new());
     let end = harness.now + UNTIL_ALL_IS_OVER;
     while harness.now < end {
         harness.advance(5 * MS);
         for (conn, text) in harness.take_received(1001) {
-            if text.contains(&header) {
+            if names_one(&text) {
                 calls += 1;
             }
             harness.peer_sends(conn, GONE);
@@ -57,10 +57,42 @@
             harness.submit(client, "m", pairs);
             let (conn, _) = harness.take_received(1001).remove(0);
             harness.peer_sends(conn, GONE);
-            let (calls, notices) = run_to_the_end(&mut harness, "m");
+            let (calls, notices) = run_to_the_end(&mut harness, &["m"]);
             assert_eq!(calls, 0, "{pairs}, {span} after a doubtful delivery: sent again");
             assert!(notices.contains(r#"{"id":"m","state":"failed"}"#), "{pairs}: {notices}");
             assert_eq!(harness.node.open(), 0);
         }
     }
 }
+
+/// Guards against a message that is sent after its end, in a call of several that no octet of had left by then.
+#[test]
+fn a_message_of_an_unsent_call_of_several_is_not_sent_after_its_end() {
+    let mut harness = new_harness();
+    let client = harness.connect_client();
+    harness.submit(client, "before", "c=safe,t=t,d=4000,dest=2");
+    let (conn, _) = harness.take_received(1002).remove(0);
+    harness.peer_sends(conn, OK);
+    harness.stalled = Some(conn);
+    let both = out_add_command("short", "c=safe,t=t,d=300,dest=2", "body")
+        + &out_add_command("long", "c=safe,t=t,d=4000,dest=2", "body");
+    harness.node.received(harness.now, client, both.as_bytes());
+    harness.advance(5 * MS);
+    let pending = String::from_utf8_lossy(harness.node.pending(conn)).into_owned();
+    assert!(pending.contains("short") && pending.contains("long"), "{pending}");
+    harness.advance(600 * MS);
+    let notices: String = harness.take_received(2).into_iter().map(|(_, text)| text).collect();
+    assert!(notices.contains("short"), "{notices}");
+    harness.stalled = None;
+    harness.advance(5 * MS);
+    if harness.node_connections.contains_key(&conn) {
+        harness.handle_output(heronroute_engine::Output::Write(conn));
+    }
+    let mut sent = String::new();
+    for _ in 0..200 {
+        harness.advance(5 * MS);
+        sent.extend(harness.take_received(1002).into_iter().map(|(_, text)| text));
+    }
+    assert!(!sent.contains("short"), "sent after its end");
+    assert!(sent.contains("long"), "the other message is not sent");
+}
