A message that an answer ends is never sent again, also where the answer is in doubt

Once any answer on a connection had come twice (most 200s are alike), every later 410 on it was in doubt.

Class: a message's end is weakened by what is known besides. Also in it, each failing in ended_messages or answer_table before: a 410 or 504 that comes a call late or as the next call is half written, behind a copy; a 410 or 504 whose body never comes, or whose head can't be read behind its status line; a list that breaks off behind "gone"; and 504 and "exhausted", certain ones too, which were followed by further calls though the message had had all its attempts.

Now src/policy/finality.rs alone decides whether a message may be sent again after an answer and which end it is owed. Doubt changes what may have run, never the finality; what may be the own answer of an earlier call ends that call's message too. A message out of attempts is returned where its class allows, else failed; after a 410 the notice says failed, certain or not. Log: a message that is ended in doubt, with id, connection and finality; a contradiction says its finality. Figure: ended_in_doubt.

platform/tests/call: the flag "final" is now one of three values, compared as before; 504 and "exhausted" are final.

--- a/crates/contracts/src/link/calls.rs
+++ b/crates/contracts/src/link/calls.rs
@@ -3,7 +3,7 @@
 use super::connection::Connection;
 use super::{CallOutcome, Receiver};
 use crate::ensure;
-use heronroute::Outcome;
+use heronroute::{Finality, Outcome};
 use heronroute_engine::calls::{CallEnd, outcome_without_answer};
 use heronroute_engine::link::LinkEvent;
 
@@ -49,11 +49,11 @@
 }
 
 pub fn how(r: &dyn Receiver) -> Result<(), String> {
-    for (how, outcome, wait, over) in [
-        (CallOutcome::Done, Outcome::Done, 0, true),
-        (CallOutcome::Busy(2_000_000), Outcome::Busy, 2_000_000, false),
-        (CallOutcome::Busy(0), Outcome::Busy, 0, false),
-        (CallOutcome::Error, Outcome::Error, 0, false),
+    for (how, outcome, wait, finality) in [
+        (CallOutcome::Done, Outcome::Done, 0, Finality::Over),
+        (CallOutcome::Busy(2_000_000), Outcome::Busy, 2_000_000, Finality::Open),
+        (CallOutcome::Busy(0), Outcome::Busy, 0, Finality::Open),
+        (CallOutcome::Error, Outcome::Error, 0, Finality::Open),
     ] {
         let mut connection = Connection::ready(r)?;
         connection.call(1, 1);
@@ -62,7 +62,10 @@
         let answered = connection.answered();
         ensure!(answered.len() == 1, "{how:?}: {:?}", connection.events);
         let reply = answered[0].2;
-        ensure!((reply.outcome, reply.wait, reply.over) == (outcome, wait, over), "{how:?}: {reply:?}");
+        ensure!(
+            (reply.outcome, reply.wait, reply.finality) == (outcome, wait, finality),
+            "{how:?}: {reply:?}"
+        );
     }
     Ok(())
 }
--- a/crates/contracts/src/link/faulty.rs
+++ b/crates/contracts/src/link/faulty.rs
@@ -1,7 +1,7 @@
 //! A correct link with one planted fault.
 
 use super::{CallOutcome, Receiver};
-use heronroute::Outcome;
+use heronroute::{Finality, Outcome};
 use heronroute_engine::link::{Link, LinkEvent, OutboundMessage, Reply};
 use heronroute_engine::{Micros, Stream};
 
@@ -46,7 +46,7 @@
     Spins,
 }
 
-const DONE: Reply = Reply { outcome: Outcome::Done, wait: 0, over: true, report: None };
+const DONE: Reply = Reply { outcome: Outcome::Done, wait: 0, finality: Finality::Over, report: None };
 
 /// A link with a planted fault.
 #[derive(Debug)]
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -2,7 +2,6 @@
 
 use super::{CallEnd, reply_of};
 use crate::Micros;
-use crate::calls::outcome_without_answer;
 use crate::ids::ConnId;
 use crate::link::{Link, LinkEvent};
 use crate::node::{CloseReason, Conn, ConnRole, LinkEvents, Node, TimerKey};
@@ -101,28 +100,41 @@
                     }
                     self.assign_calls(endpoint);
                 }
-                LinkEvent::Answered { call, part, reply } => self.record_own_answer(call, part, reply),
-                LinkEvent::AnsweredUnconfirmed { call, part, reply } => {
-                    self.handle_unconfirmed_answer(conn, call, part, reply);
-                }
-                LinkEvent::EarlierConfirmed => self.confirm_deliveries(conn),
-                LinkEvent::Contradicted => self.handle_contradiction(conn),
-                LinkEvent::WaitAnnounced(wait) => self.handle_announced_wait(endpoint, wait),
                 LinkEvent::PauseUntilConfirmed => self.pause_until_confirmed(endpoint, conn),
                 LinkEvent::NoMoreCalls => self.endpoints[endpoint].pool.retire(conn),
                 LinkEvent::RefusalsUnproven => self.endpoints[endpoint].pool.mark_ambiguous(conn),
-                LinkEvent::Probed(reply) => self.finish_probe(endpoint, reply),
                 LinkEvent::Unusable(why) => {
                     tracing::debug!(conn, why, "closing a connection to a receiver");
                     self.end_link(conn);
                     return;
                 }
+                event => self.handle_answer_event(conn, endpoint, event),
             }
         }
         self.flush(conn);
         self.schedule_link_tick(conn);
     }
 
+    /// Handles an event that concerns answers, as it may also come with the end of the connection. Other events
+    /// have no effect.
+    fn handle_answer_event(&mut self, conn: ConnId, endpoint: EndpointId, event: LinkEvent) {
+        match event {
+            LinkEvent::Answered { call, part, reply } => self.record_own_answer(call, part, reply),
+            LinkEvent::AnsweredUnconfirmed { call, part, reply } => {
+                self.handle_unconfirmed_answer(conn, call, part, reply);
+            }
+            LinkEvent::EarlierConfirmed => self.confirm_deliveries(conn),
+            LinkEvent::Contradicted(finality) => self.handle_contradiction(conn, finality),
+            LinkEvent::WaitAnnounced(wait) => self.handle_announced_wait(endpoint, wait),
+            LinkEvent::Probed(reply) => self.finish_probe(endpoint, reply),
+            LinkEvent::Ready
+            | LinkEvent::PauseUntilConfirmed
+            | LinkEvent::NoMoreCalls
+            | LinkEvent::RefusalsUnproven
+            | LinkEvent::Unusable(_) => {}
+        }
+    }
+
     /// Handles a wait that an endpoint announced, independently of the outcome of the call that it answers.
     pub(crate) fn handle_announced_wait(&mut self, endpoint: EndpointId, wait: Micros) {
         self.cancel_for_announced_wait(endpoint);
@@ -154,23 +166,7 @@
             // Bytes that arrived before the end may still answer a call.
             let mut events = LinkEvents::new();
             link.ended(self.now, &mut events);
-            for event in events {
-                match event {
-                    LinkEvent::Answered { call, part, reply } => self.record_own_answer(call, part, reply),
-                    LinkEvent::AnsweredUnconfirmed { call, part, reply } => {
-                        self.handle_unconfirmed_answer(conn, call, part, reply);
-                    }
-                    LinkEvent::EarlierConfirmed => self.confirm_deliveries(conn),
-                    LinkEvent::Contradicted => self.handle_contradiction(conn),
-                    LinkEvent::Probed(reply) => self.finish_probe(endpoint, reply),
-                    LinkEvent::Ready
-                    | LinkEvent::WaitAnnounced(_)
-                    | LinkEvent::PauseUntilConfirmed
-                    | LinkEvent::NoMoreCalls
-                    | LinkEvent::RefusalsUnproven
-                    | LinkEvent::Unusable(_) => {}
-                }
-            }
+            events.into_iter().for_each(|event| self.handle_answer_event(conn, endpoint, event));
         }
         self.remove_expiry(conn);
         let window = self.cfg.kinds[self.endpoints[endpoint].kind].window;
@@ -201,7 +197,8 @@
         }
         self.attempts.connection_closed(conn);
         for (call, part, begun) in begun.into_iter().rev() {
-            self.record_outcome(call, part, reply_of(outcome_without_answer(CallEnd::Closed, begun)));
+            let reply = self.reply_without_answer(call, part, CallEnd::Closed, begun);
+            self.record_outcome(call, part, reply);
         }
         for call in waiting {
             let parts = self.calls.get(call).map_or(0, |open_call| open_call.parts.len());
--- a/crates/engine/src/delivery/mod.rs
+++ b/crates/engine/src/delivery/mod.rs
@@ -12,9 +12,9 @@
 
 use crate::calls::CallEnd;
 use crate::link::Reply;
-use heronroute::Outcome;
+use heronroute::{Finality, Outcome};
 
-/// Returns a reply that consists of an outcome only.
+/// Returns a reply that consists of an outcome without an answer only.
 fn reply_of(outcome: Outcome) -> Reply {
-    Reply { outcome, wait: 0, over: outcome == Outcome::Done, report: None }
+    Reply { outcome, wait: 0, finality: Finality::Open, report: None }
 }
--- a/crates/engine/src/delivery/outcome.rs
+++ b/crates/engine/src/delivery/outcome.rs
@@ -6,7 +6,7 @@
 use crate::ids::ConnId;
 use crate::link::Reply;
 use crate::node::{ConnRole, Node, TimerKey};
-use heronroute::{Event, Outcome};
+use heronroute::{Event, Finality, MsgId, Outcome, UndeliveredEnd, undelivered_end};
 use heronroute_held::{KnownOutcome, What as TrailStep};
 use heronroute_journal::entry::{self, What};
 
@@ -45,7 +45,7 @@
                 message.may_have_run_since =
                     Some(message.may_have_run_since.map_or(began, |at| at.min(began)));
             }
-            message_closed = reply.over;
+            message_closed = reply.finality != Finality::Open;
             if !message_closed {
                 let never_ran = reply.outcome.never_ran();
                 self.ledger.write(|| What::Outcome(entry::Outcome { id: closed.message.0, never_ran }));
@@ -73,7 +73,7 @@
                 sent,
                 took = self.now - began,
                 outcome = ?reply.outcome,
-                over = reply.over,
+                finality = ?reply.finality,
                 wait = reply.wait,
                 belief = ?self.dispatcher.belief(endpoint),
                 "a call ended"
@@ -93,11 +93,8 @@
             if !self.awaits_confirmation(closed.message) {
                 self.answer(closed.message, MessageEnd::Delivered);
             }
-        } else if reply.over {
-            // The platform considers the message finished because its client is gone. The client may have
-            // been notified of the acceptance just before and then expects an end, so one is reported; a
-            // superfluous notice does no harm.
-            self.answer(closed.message, MessageEnd::Failed);
+        } else if reply.finality != Finality::Open {
+            self.answer_undelivered(closed.message, reply.finality);
         }
         if !call_ended {
             return;
@@ -115,6 +112,19 @@
         }
     }
 
+    /// Answers a message that may not be sent again. Where its endpoint considers it finished because its client
+    /// is gone, an end is reported too: the client may have been notified of the acceptance just before, and a
+    /// superfluous notice does no harm.
+    fn answer_undelivered(&mut self, id: MsgId, finality: Finality) {
+        let Some(message) = self.messages.get(&id) else { return };
+        let class = &self.cfg.settings.classes[message.class];
+        let end = match undelivered_end(finality, class, message.may_have_run_since.is_some()) {
+            UndeliveredEnd::Returned => MessageEnd::Refused(self.cfg.settings.max_retry_after),
+            UndeliveredEnd::Failed => MessageEnd::Failed,
+        };
+        self.answer(id, end);
+    }
+
     /// Starts the idle timeout of a connection that carries no calls. The platform's endpoints use the same
     /// timeout, and a call that crosses their close may have run, so this side closes earlier.
     pub(crate) fn start_idle_timer(&mut self, conn: ConnId) {
@@ -148,13 +158,25 @@
         if !self.has_begun(call, part) && self.withdraw_unsent(call, part, end, false) {
             return;
         }
+        let reply = self.reply_without_answer(call, part, end, true);
         if let Some(ConnRole::Receiver { link, .. }) =
             conn.and_then(|conn| self.conns.get_mut(&conn)).map(|entry| &mut entry.role)
         {
             link.forget(call, part, false);
         }
         // Bytes that were written, or that can't be withdrawn, may run.
-        self.record_outcome(call, part, reply_of(outcome_without_answer(end, true)));
+        self.record_outcome(call, part, reply);
+    }
+
+    /// Returns the reply that stands for a message of a call without a complete answer. The part of an answer
+    /// that has been received may have ended the message all the same.
+    pub(crate) fn reply_without_answer(&self, call: u64, part: usize, end: CallEnd, begun: bool) -> Reply {
+        let conn = self.calls.get(call).and_then(|open_call| open_call.conn);
+        let finality = match conn.and_then(|conn| self.conns.get(&conn)).map(|entry| &entry.role) {
+            Some(ConnRole::Receiver { link, .. }) if begun => link.finality_so_far(part),
+            _ => Finality::Open,
+        };
+        Reply { finality, ..reply_of(outcome_without_answer(end, begun)) }
     }
 
     /// Stops waiting for the answer to a message that shares its call with others. Such a call is abandoned
@@ -179,11 +201,8 @@
             if !begun {
                 self.record_unsent(call, part);
             }
-            self.record_outcome(
-                call,
-                part,
-                reply_of(outcome_without_answer(p.abandoned.unwrap_or(end), begun)),
-            );
+            let reply = self.reply_without_answer(call, part, p.abandoned.unwrap_or(end), begun);
+            self.record_outcome(call, part, reply);
         }
     }
 }
--- a/crates/engine/src/delivery/unconfirmed.rs
+++ b/crates/engine/src/delivery/unconfirmed.rs
@@ -14,7 +14,7 @@
 use crate::link::{CONFIRMATION_DELAY, Reply};
 use crate::node::{CloseReason, ConnRole, Node, TimerKey};
 use crate::unconfirmed::UnconfirmedOutcome;
-use heronroute::{DestId, Effect, EndpointId, Event, MsgId, Outcome};
+use heronroute::{AttemptEnd, DestId, Effect, EndpointId, Event, Finality, MsgId, Outcome};
 
 /// An unconfirmed delivery that is still unconfirmed this long after its message's deadline is reported as
 /// one that may have run. It is less than the time within which an end has to be reported.
@@ -85,9 +85,12 @@
 
     /// Handles an unconfirmed answer other than a delivery. If the answer to the call before it is unconfirmed
     /// too, what follows may tell which of them belongs to which call, so the connection is kept for a while
-    /// and the message is not released.
+    /// and the message is not released. A message that the answer would end is ended at once.
     fn handle_unconfirmed_refusal(&mut self, conn: ConnId, call: u64, part: usize, reply: Reply) {
-        if self.unconfirmed.next(conn).is_none() {
+        if reply.finality != Finality::Open {
+            self.log_end_in_doubt(conn, call, part, reply.finality);
+        }
+        if reply.finality != Finality::Open || self.unconfirmed.next(conn).is_none() {
             return self.release_unproven(conn, call, part, reply);
         }
         let Some(endpoint) = self.calls.get(call).map(|open_call| open_call.endpoint) else { return };
@@ -105,8 +108,22 @@
     fn release_unproven(&mut self, conn: ConnId, call: u64, part: usize, reply: Reply) {
         let Some(endpoint) = self.calls.get(call).map(|open_call| open_call.endpoint) else { return };
         self.endpoints[endpoint].pool.retire(conn);
-        let outcome = if reply.outcome.never_ran() { Outcome::UnprovenBusy } else { reply.outcome };
-        self.record_outcome(call, part, Reply { outcome, over: false, ..reply });
+        let AttemptEnd { outcome, finality } =
+            AttemptEnd { outcome: reply.outcome, finality: reply.finality }.in_doubt();
+        self.record_outcome(call, part, Reply { outcome, finality, ..reply });
+    }
+
+    fn log_end_in_doubt(&mut self, conn: ConnId, call: u64, part: usize, finality: Finality) {
+        self.stats.ended_in_doubt += 1;
+        let message = self.calls.get(call).map(|open_call| open_call.parts[part].message);
+        let id = message.and_then(|id| self.messages.get(&id)?.submission.identity.as_deref());
+        tracing::info!(
+            now = self.now,
+            conn,
+            id,
+            ?finality,
+            "a message is ended by an answer that may be another call's"
+        );
     }
 
     fn add_unconfirmed(&mut self, conn: ConnId, due: Micros, outcome: UnconfirmedOutcome) {
@@ -172,20 +189,25 @@
     }
 
     /// Handles the case that later bytes on a connection show that its unconfirmed answers may belong to
-    /// other calls.
-    pub(crate) fn handle_contradiction(&mut self, conn: ConnId) {
+    /// other calls. `finality` says whether the messages may be sent again if those bytes are their answers.
+    pub(crate) fn handle_contradiction(&mut self, conn: ConnId, finality: Finality) {
         self.timers.clear(TimerKey::Confirm(conn));
         for outcome in self.unconfirmed.take_due(conn, Micros::MAX) {
             self.stats.contradicted += 1;
             match outcome {
                 UnconfirmedOutcome::Refused { call, part, .. } => {
                     let message = self.calls.get(call).map(|open_call| open_call.parts[part].message);
-                    self.log_contradiction(conn, message, "refused");
-                    self.record_outcome(call, part, reply_of(Outcome::Error));
+                    self.log_contradiction(conn, message, "refused", finality);
+                    let end = AttemptEnd { outcome: Outcome::Error, finality }.in_doubt();
+                    let reply = Reply { finality, ..reply_of(end.outcome) };
+                    self.record_outcome(call, part, reply);
                 }
                 UnconfirmedOutcome::Delivered { message, dest, endpoint, began, .. } => {
-                    self.log_contradiction(conn, Some(message), "delivered");
-                    self.resume_message(message, dest, endpoint, began);
+                    self.log_contradiction(conn, Some(message), "delivered", finality);
+                    match finality {
+                        Finality::Open => self.resume_message(message, dest, endpoint, began),
+                        Finality::Exhausted | Finality::Over => self.report_possibly_run(message, began),
+                    }
                 }
             }
         }
@@ -215,14 +237,18 @@
     /// Handles a connection that the endpoint ended. Its unconfirmed answers count as contradicted, because
     /// one of them may be a copy that was taken for the answer of a call which gets none of its own.
     pub(crate) fn link_closed(&mut self, conn: ConnId, gone: CloseReason) {
+        let finality = match self.conns.get(&conn).map(|c| &c.role) {
+            Some(ConnRole::Receiver { link, .. }) => link.finality_of_earlier(),
+            _ => Finality::Open,
+        };
         self.remove_link(conn, gone);
-        self.handle_contradiction(conn);
+        self.handle_contradiction(conn, finality);
         self.start_delayed_calls(conn);
     }
 
-    fn log_contradiction(&self, conn: ConnId, message: Option<MsgId>, answer: &str) {
+    fn log_contradiction(&self, conn: ConnId, message: Option<MsgId>, answer: &str, finality: Finality) {
         let id = message.and_then(|id| self.messages.get(&id)?.submission.identity.as_deref());
-        tracing::info!(now = self.now, conn, id, answer, "an unconfirmed answer was contradicted");
+        tracing::info!(now = self.now, conn, id, answer, ?finality, "an unconfirmed answer was contradicted");
     }
 
     /// Resumes a message that counted as delivered but may have been rejected, or may have run, in the same
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -12,7 +12,7 @@
 use super::{Link, LinkEvent, OutboundMessage, Reply};
 use crate::Micros;
 use crate::stream::Stream;
-use heronroute::{LimitReport, Outcome};
+use heronroute::{Finality, LimitReport, Outcome};
 use heronroute_config::KindConfig;
 use heronroute_http::prost::Message as _;
 use heronroute_http::{BATCH_TYPE, Batch, Item, Message, Reader, Side, write_request};
@@ -157,7 +157,7 @@
     Reply {
         outcome,
         wait: if outcome == Outcome::Busy { wait } else { 0 },
-        over: outcome == Outcome::Done,
+        finality: if outcome == Outcome::Done { Finality::Over } else { Finality::Open },
         report: report(response),
     }
 }
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::Micros;
 use crate::stream::Stream;
-use heronroute::{LimitReport, Outcome};
+use heronroute::{Finality, LimitReport, Outcome};
 use heronroute_config::{KindConfig, Protocol};
 use heronroute_smpp::server::Limits;
 use heronroute_smpp::submission::Submission;
@@ -42,8 +42,8 @@
     pub outcome: Outcome,
     /// The wait that the receiver announced, 0 if none.
     pub wait: Micros,
-    /// Whether the message is finished, so that no further answer is owed.
-    pub over: bool,
+    /// Whether the message may be sent again.
+    pub finality: Finality,
     /// What the receiver reported about its limit.
     pub report: Option<LimitReport>,
 }
@@ -75,8 +75,8 @@
     /// The next answer is certainly the own answer of its call, and so every earlier one was.
     EarlierConfirmed,
     /// What followed the unconfirmed answers shows that the calls they were attributed to may have ended
-    /// otherwise.
-    Contradicted,
+    /// otherwise. Contains whether their messages may then be sent again.
+    Contradicted(Finality),
     /// Each unconfirmed answer, including the one whose event follows, may belong to the call before its own.
     /// The connection takes no calls until they are confirmed.
     PauseUntilConfirmed,
@@ -118,6 +118,15 @@
     fn is_request_unsent(&self, _: &Stream) -> bool {
         false
     }
+    /// Returns whether a message of the open call may be sent again if its connection ends now, by the incomplete
+    /// answer that has been received. `part` is the message's index in the call.
+    fn finality_so_far(&self, _part: usize) -> Finality {
+        Finality::Open
+    }
+    /// Returns the same for messages of earlier calls whose answers are unconfirmed.
+    fn finality_of_earlier(&self) -> Finality {
+        Finality::Open
+    }
     /// Returns the time until which what follows unconfirmed answers may tell which calls they belonged to, if
     /// there are any.
     fn unconfirmed_until(&self) -> Option<Micros> {
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -5,10 +5,10 @@
 use super::{Link, LinkEvent, OutboundMessage, Reply};
 use crate::Micros;
 use crate::stream::Stream;
-use heronroute::Outcome;
+use heronroute::{Finality, Outcome};
 use heronroute_http::write_request;
 use heronroute_platform::call::{
-    AnswerEvent, AnswerReader, Identity, MessageOutcome, OutgoingMessage, write_call,
+    AnswerEvent, AnswerReader, Identity, LateAnswers, MessageOutcome, OutgoingMessage, write_call,
 };
 use std::cmp::Reverse;
 
@@ -47,24 +47,7 @@
                 if unusable {
                     events.push(LinkEvent::NoMoreCalls);
                 }
-                let identity = self.answer_reader.take_identity();
-                let certainty = self.answer_history.attribute(now, identity);
-                match certainty {
-                    Certainty::ConfirmsEarlier => events.push(LinkEvent::EarlierConfirmed),
-                    Certainty::Shifted => events.push(LinkEvent::PauseUntilConfirmed),
-                    Certainty::Certain | Certainty::Unconfirmed => {}
-                }
-                // A second refusal on a connection could be a copy of the first.
-                let refused = outcomes.iter().any(|message| message.outcome != Outcome::Done);
-                let named = matches!(identity, Some(Identity::Named(_)));
-                if self.answer_history.is_full() || (refused && !named) {
-                    events.push(LinkEvent::NoMoreCalls);
-                }
-                let unconfirmed = matches!(certainty, Certainty::Unconfirmed | Certainty::Shifted);
-                self.push_replies(&outcomes, unconfirmed, events);
-                if unconfirmed && self.answer_reader.has_begun() {
-                    self.receive_surplus(now, b"", events);
-                }
+                self.handle_answer(now, outcomes, events);
             }
             Some(AnswerEvent::RetryAfter(wait)) => events.push(LinkEvent::WaitAnnounced(wait)),
             Some(AnswerEvent::Unusable(why)) => events.push(LinkEvent::Unusable(why)),
@@ -75,11 +58,48 @@
         }
     }
 
+    fn handle_answer(&mut self, now: Micros, mut outcomes: Vec<MessageOutcome>, events: &mut Vec<LinkEvent>) {
+        let identity = self.answer_reader.take_identity();
+        let certainty = self.answer_history.attribute(now, identity);
+        match certainty {
+            Certainty::ConfirmsEarlier => events.push(LinkEvent::EarlierConfirmed),
+            Certainty::Shifted => events.push(LinkEvent::PauseUntilConfirmed),
+            Certainty::Certain | Certainty::Unconfirmed => {}
+        }
+        // A second refusal on a connection could be a copy of the first.
+        let refused = outcomes.iter().any(|message| message.outcome != Outcome::Done);
+        let named = matches!(identity, Some(Identity::Named(_)));
+        if self.answer_history.is_full() || (refused && !named) {
+            events.push(LinkEvent::NoMoreCalls);
+        }
+        let unconfirmed = matches!(certainty, Certainty::Unconfirmed | Certainty::Shifted);
+        if !unconfirmed {
+            return self.push_replies(&outcomes, false, events);
+        }
+        let finality = strictest_refusal(&outcomes);
+        if finality != Finality::Open {
+            // It may be the own answer of an earlier call.
+            events.push(LinkEvent::Contradicted(finality));
+        }
+        let late = self.answer_reader.has_late_bytes().then(|| self.answer_reader.receive_late(b""));
+        if let Some(late) = &late {
+            let may_change =
+                |message: &MessageOutcome| message.outcome != Outcome::Done || !self.is_repeat(late);
+            let messages = outcomes.iter_mut().filter(|message| may_change(message));
+            messages.for_each(|message| *message = message.or_later(late.finality));
+        }
+        self.push_replies(&outcomes, true, events);
+        if let Some(late) = late {
+            self.handle_late_answers(now, &late, events);
+        }
+    }
+
+    /// Passes the outcomes of the open call, or of a probe, on.
     fn push_replies(&mut self, outcomes: &[MessageOutcome], unconfirmed: bool, events: &mut Vec<LinkEvent>) {
         let reply = |message: &MessageOutcome| Reply {
             outcome: message.outcome,
             wait: message.retry_after,
-            over: message.is_final,
+            finality: message.finality,
             report: None,
         };
         let Some((call, parts)) = self.open_call.take() else {
@@ -97,22 +117,36 @@
 
     /// Handles bytes that belong to no open call. After an unconfirmed answer they show which call it
     /// belonged to: a repeat of the same answer has no effect, and any other answer is the call's own.
-    fn receive_surplus(&mut self, now: Micros, bytes: &[u8], events: &mut Vec<LinkEvent>) {
-        tracing::debug!(now, octets = bytes.len(), "received bytes after an unconfirmed answer");
+    fn receive_late(&mut self, now: Micros, bytes: &[u8], events: &mut Vec<LinkEvent>) {
+        tracing::debug!(now, octets = bytes.len(), "received bytes that answer no open call");
+        let late = self.answer_reader.receive_late(bytes);
+        self.handle_late_answers(now, &late, events);
+    }
+
+    fn handle_late_answers(&mut self, now: Micros, late: &LateAnswers, events: &mut Vec<LinkEvent>) {
         if !self.answer_history.has_unconfirmed(now) {
             return events.push(LinkEvent::Unusable("received bytes without an open request"));
         }
-        match self.answer_reader.receive_surplus(bytes) {
-            Ok(digests) if digests.iter().all(|d| self.answer_history.is_harmless_surplus(*d)) => {
-                events.push(LinkEvent::NoMoreCalls);
-            }
-            _ => Self::close_contradicted(events),
+        if self.is_repeat(late) {
+            return events.push(LinkEvent::NoMoreCalls);
         }
+        Self::close_contradicted(late.finality, events);
+    }
+
+    /// Returns whether late answers only repeat the unconfirmed ones, as far as they have arrived.
+    fn is_repeat(&self, late: &LateAnswers) -> bool {
+        late.readable && late.digests.iter().all(|digest| self.answer_history.is_harmless_surplus(*digest))
+    }
+
+    /// Handles bytes that arrived before all of the request was sent, so that nothing can have answered it.
+    fn receive_premature(&mut self, bytes: &[u8], events: &mut Vec<LinkEvent>) {
+        let late = self.answer_reader.receive_late(bytes);
+        Self::close_contradicted(late.finality, events);
     }
 
     /// Ends the use of the connection, because an answer to an earlier call arrived.
-    fn close_contradicted(events: &mut Vec<LinkEvent>) {
-        events.push(LinkEvent::Contradicted);
+    fn close_contradicted(finality: Finality, events: &mut Vec<LinkEvent>) {
+        events.push(LinkEvent::Contradicted(finality));
         events.push(LinkEvent::Unusable("received an answer to an earlier call"));
     }
 
@@ -122,6 +156,12 @@
     }
 }
 
+/// Returns the strictest finality of the messages that were not delivered.
+fn strictest_refusal(outcomes: &[MessageOutcome]) -> Finality {
+    let refusals = outcomes.iter().filter(|message| message.outcome != Outcome::Done);
+    refusals.map(|message| message.finality).max().unwrap_or_default()
+}
+
 impl Link for PlatformLink {
     fn open(&mut self, _: Micros, _: &mut Stream, events: &mut Vec<LinkEvent>) {
         events.push(LinkEvent::Ready);
@@ -170,10 +210,10 @@
         let premature = self.is_request_unsent(stream)
             || (self.is_partly_written(stream) && !self.answer_reader.is_new());
         if premature {
-            return Self::close_contradicted(events);
+            return self.receive_premature(bytes, events);
         }
-        if !self.answer_reader.awaits_answer() && self.answer_history.has_unconfirmed(now) {
-            return self.receive_surplus(now, bytes, events);
+        if !self.answer_reader.awaits_answer() {
+            return self.receive_late(now, bytes, events);
         }
         self.answer_reader.set_waits_for_complete_answer(self.answer_history.expects_copies());
         // What answers a call before all of it was sent leaves the rest of it to be sent.
@@ -211,6 +251,16 @@
         stream.out.clear();
     }
 
+    fn finality_so_far(&self, part: usize) -> Finality {
+        let parts = self.open_call.iter().flat_map(|(_, parts)| parts);
+        let index = parts.clone().position(|other| *other == part);
+        index.map_or(Finality::Open, |index| self.answer_reader.finality_so_far(index))
+    }
+
+    fn finality_of_earlier(&self) -> Finality {
+        self.answer_reader.finality_of_rest()
+    }
+
     fn unconfirmed_until(&self) -> Option<Micros> {
         self.answer_history.unconfirmed_until()
     }
--- a/crates/engine/src/link/smpp.rs
+++ b/crates/engine/src/link/smpp.rs
@@ -6,7 +6,7 @@
 use super::{Link, LinkEvent, OutboundMessage, Reply};
 use crate::Micros;
 use crate::stream::Stream;
-use heronroute::{LimitReport, Outcome};
+use heronroute::{Finality, LimitReport, Outcome};
 use heronroute_config::KindConfig;
 use heronroute_smpp::client::{Event, Session};
 use heronroute_smpp::server::{Limits, Mode};
@@ -88,7 +88,7 @@
     Reply {
         outcome,
         wait: if outcome == Outcome::Busy { wait } else { 0 },
-        over: outcome == Outcome::Done,
+        finality: if outcome == Outcome::Done { Finality::Over } else { Finality::Open },
         report,
     }
 }
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -36,6 +36,8 @@
     pub doubtful: u64,
     /// Unconfirmed answers that were contradicted by what followed.
     pub contradicted: u64,
+    /// Messages ended by an answer that may have belonged to another call.
+    pub ended_in_doubt: u64,
     /// Calls to receivers.
     pub calls: u64,
     /// Probes of receivers.
--- a/crates/engine/tests/ended_messages.rs
+++ b/crates/engine/tests/ended_messages.rs
@@ -65,6 +65,54 @@
     }
 }
 
+/// Delivers one message and answers the call of a second with a copy of that answer. Returns the connection.
+fn answer_with_a_copy(harness: &mut Harness, client: ConnId, pairs: &str) -> ConnId {
+    deliver(harness, client, "first", OK);
+    harness.submit(client, "m", pairs);
+    let (conn, _) = harness.take_received(1001).remove(0);
+    harness.peer_sends(conn, OK);
+    conn
+}
+
+/// Guards against a message that is sent again as the connection's next call is taken for answered, by the 410 or 504 that
+/// was the message's own.
+#[test]
+fn a_message_whose_end_comes_a_call_late_is_not_sent_again() {
+    for answer in [GONE, "HTTP/1.1 504 No\r\ncontent-length: 0\r\n\r\n"] {
+        for pairs in [SAFE, KEYED] {
+            let mut harness = new_harness();
+            let client = harness.connect_client();
+            let conn = answer_with_a_copy(&mut harness, client, pairs);
+            harness.submit(client, "n", pairs);
+            assert_eq!(harness.take_received(1001).remove(0).0, conn);
+            harness.peer_sends(conn, answer);
+            let (calls, notices) = run_to_the_end(&mut harness, &["m", "n"]);
+            assert_eq!(calls, 0, "{answer:?}: sent again");
+            assert!(notices.contains(r#"{"id":"m","state":"failed"}"#), "{notices}");
+            assert!(notices.contains(r#""id":"n""#), "{notices}");
+        }
+    }
+}
+
+/// Guards against the same where the end comes as the next call is half written.
+#[test]
+fn a_message_whose_end_comes_before_the_next_call_is_written_is_not_sent_again() {
+    for pairs in [SAFE, KEYED] {
+        let mut harness = new_harness();
+        let client = harness.connect_client();
+        let conn = answer_with_a_copy(&mut harness, client, pairs);
+        harness.stalled = Some(conn);
+        harness.submit(client, "n", SAFE);
+        assert!(harness.node.pending(conn).len() > 10);
+        harness.node.wrote(conn, 10);
+        harness.node.received(harness.now, conn, GONE.as_bytes());
+        harness.stalled = None;
+        let (calls, notices) = run_to_the_end(&mut harness, &["m"]);
+        assert_eq!(calls, 0, "sent again");
+        assert!(notices.contains(r#"{"id":"m","state":"failed"}"#), "{notices}");
+    }
+}
+
 /// Guards against a message that is sent after its end, in a call of several that no octet of had left by then.
 #[test]
 fn a_message_of_an_unsent_call_of_several_is_not_sent_after_its_end() {
--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -152,6 +152,18 @@
         })
     }
 
+    /// Returns the part of the current message's body that has been parsed.
+    pub fn body_so_far(&self) -> &[u8] {
+        match &self.state {
+            State::Head => &[],
+            State::FixedLength { head, .. }
+            | State::ChunkSize { head }
+            | State::Chunk { head, .. }
+            | State::Trailer { head }
+            | State::UntilClose { head } => &head.body,
+        }
+    }
+
     /// Returns the wait in the current response, in seconds, as soon as its head has arrived, even if its
     /// body is unreadable.
     pub fn retry_after_so_far(&self) -> Option<f64> {
--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -1,7 +1,10 @@
 //! Parses the answers on one connection from bytes as they arrive.
 
-use super::outcome::{MessageOutcome, message_outcomes, names_its_call, seconds_to_micros};
-use heronroute::{Micros, Outcome};
+use super::outcome::{
+    MessageOutcome, finality_in_partial_batch, finality_of_status, message_outcomes, names_its_call,
+    seconds_to_micros, strictest_in_batch, unreadable_outcomes,
+};
+use heronroute::{Finality, Micros, Outcome};
 use heronroute_http::{Message, ParseError, Reader, Side};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -57,6 +60,19 @@
     hasher.finish()
 }
 
+/// Answers that arrived while no call was in flight.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LateAnswers {
+    /// The digest of each complete one.
+    pub digests: Vec<u64>,
+    /// Whether all bytes can be parts of answers.
+    pub readable: bool,
+    /// Whether a message may be sent again, if any of them was its call's own.
+    pub finality: Finality,
+    /// The longest wait that one of them demands, or 0.
+    pub retry_after: Micros,
+}
+
 /// Reads answers on one connection, which carries one call at a time.
 #[derive(Debug)]
 pub struct AnswerReader {
@@ -71,6 +87,8 @@
     identity: Option<Identity>,
     /// An answer with status 200 counts only once it is complete.
     waits_for_complete_answer: bool,
+    /// The last answer could not be read to its end.
+    is_broken: bool,
 }
 
 impl Default for AnswerReader {
@@ -82,6 +100,7 @@
             is_new: true,
             identity: None,
             waits_for_complete_answer: false,
+            is_broken: false,
         }
     }
 }
@@ -103,9 +122,9 @@
         self.in_flight.is_some()
     }
 
-    /// Returns whether a part of an answer has been received.
-    pub fn has_begun(&self) -> bool {
-        self.reader.has_partial_message()
+    /// Returns whether bytes have been received that follow the last answer.
+    pub fn has_late_bytes(&self) -> bool {
+        !self.is_broken && self.reader.has_partial_message()
     }
 
     /// Returns whether no complete answer has been read on this connection yet.
@@ -125,18 +144,48 @@
         self.waits_for_complete_answer = waits;
     }
 
-    /// Processes bytes that follow an answer while no call is in flight. Returns the digest of each complete
-    /// answer among them.
-    ///
-    /// # Errors
-    /// If the bytes are not an answer.
-    pub fn receive_surplus(&mut self, bytes: &[u8]) -> Result<Vec<u64>, ParseError> {
+    /// Processes bytes that belong to no call in flight, such as those that follow an answer.
+    pub fn receive_late(&mut self, bytes: &[u8]) -> LateAnswers {
         self.reader.push(bytes);
-        let mut digests = Vec::new();
-        while let Some(answer) = self.reader.next_message()? {
-            digests.push(digest(&answer));
+        let mut late = LateAnswers { readable: true, ..LateAnswers::default() };
+        loop {
+            match self.reader.next_message() {
+                Ok(Some(answer)) => late.add(&answer),
+                Ok(None) => break,
+                Err(_) => {
+                    (late.readable, self.is_broken) = (false, true);
+                    break;
+                }
+            }
+        }
+        late.finality = late.finality.max(self.finality_of_rest());
+        late.retry_after = late.retry_after.max(self.retry_after());
+        late
+    }
+
+    /// Returns whether a message may be sent again, if what has arrived since the last complete answer is the
+    /// beginning of its call's own answer.
+    pub fn finality_of_rest(&self) -> Finality {
+        match self.reader.status_so_far() {
+            Some(200) => strictest_in_batch(self.reader.body_so_far()),
+            Some(status) => finality_of_status(status),
+            // It may be any answer.
+            None if self.has_late_bytes() => Finality::Over,
+            None => Finality::Open,
+        }
+    }
+
+    /// Returns whether a message of the call in flight may be sent again, by the incomplete answer that has been
+    /// received. `index` is the message's position in the call.
+    pub fn finality_so_far(&self, index: usize) -> Finality {
+        let Some(ids) = &self.in_flight else { return Finality::Open };
+        match self.reader.status_so_far() {
+            Some(200) if ids.len() > 1 => {
+                let finalities = finality_in_partial_batch(self.reader.body_so_far(), ids);
+                finalities.get(index).copied().unwrap_or_default()
+            }
+            status => status.map_or(Finality::Open, finality_of_status),
         }
-        Ok(digests)
     }
 
     /// Returns whether an incomplete answer with status 200 to a single message has been received.
@@ -221,9 +270,20 @@
     /// Handles an unreadable answer. The request has run, and only the status line may still be valid.
     fn unreadable(&mut self, error: ParseError) -> AnswerEvent {
         let Some(ids) = self.in_flight.take() else { return AnswerEvent::Unusable(error.0) };
-        let delivered = ids.len() == 1 && self.reader.status_so_far() == Some(200);
-        let outcome = if delivered { Outcome::Done } else { Outcome::Error };
-        let outcomes = vec![MessageOutcome::of(outcome, self.retry_after()); ids.len().max(1)];
+        self.is_broken = true;
+        let outcomes = unreadable_outcomes(self.reader.status_so_far(), ids.len(), self.retry_after());
         AnswerEvent::Answered { outcomes, unusable: true }
     }
 }
+
+impl LateAnswers {
+    fn add(&mut self, answer: &Message) {
+        self.digests.push(digest(answer));
+        let finality = match answer.status() {
+            200 => strictest_in_batch(&answer.body),
+            status => finality_of_status(status),
+        };
+        self.finality = self.finality.max(finality);
+        self.retry_after = self.retry_after.max(answer.retry_after().map_or(0, seconds_to_micros));
+    }
+}
--- a/crates/platform/src/call/mod.rs
+++ b/crates/platform/src/call/mod.rs
@@ -4,6 +4,6 @@
 mod outcome;
 mod request;
 
-pub use answers::{AnswerEvent, AnswerReader, Identity};
+pub use answers::{AnswerEvent, AnswerReader, Identity, LateAnswers};
 pub use outcome::MessageOutcome;
 pub use request::{OutgoingMessage, max_batch_entry_size, write_call};
--- a/crates/platform/src/call/outcome.rs
+++ b/crates/platform/src/call/outcome.rs
@@ -1,6 +1,6 @@
 //! Derives the outcome of each message of a call from a complete answer.
 
-use heronroute::{Micros, Outcome};
+use heronroute::{Finality, Micros, Outcome};
 use heronroute_http::Message;
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -12,19 +12,29 @@
     pub outcome: Outcome,
     /// The wait that the answer demands before the next attempt, or 0.
     pub retry_after: Micros,
-    /// Whether the message needs no further attempt.
-    pub is_final: bool,
+    /// Whether the message may be sent again.
+    pub finality: Finality,
 }
 
 impl MessageOutcome {
     /// Returns an outcome that is final only if the message was delivered.
     pub(super) fn of(outcome: Outcome, retry_after: Micros) -> Self {
-        MessageOutcome { outcome, retry_after, is_final: outcome == Outcome::Done }
+        let finality = if outcome == Outcome::Done { Finality::Over } else { Finality::Open };
+        MessageOutcome { outcome, retry_after, finality }
     }
 
-    /// Returns the outcome of a message that the endpoint will never accept.
-    fn rejected_for_good(retry_after: Micros) -> Self {
-        MessageOutcome { outcome: Outcome::Skipped, retry_after, is_final: true }
+    /// Returns the outcome if a later answer, which is not a delivery alone, may have been the message's own.
+    #[must_use]
+    pub fn or_later(self, later: Finality) -> Self {
+        match self.outcome {
+            Outcome::Done => MessageOutcome { outcome: Outcome::Error, finality: later, ..self },
+            _ => MessageOutcome { finality: self.finality.max(later), ..self },
+        }
+    }
+
+    /// Returns the outcome of a message that the endpoint will never accept, for this reason.
+    fn refused_for_good(finality: Finality, retry_after: Micros) -> Self {
+        MessageOutcome { outcome: Outcome::Skipped, retry_after, finality }
     }
 }
 
@@ -65,27 +75,95 @@
         503 if has_no_slot => MessageOutcome::of(Outcome::Skipped, retry_after),
         503 if closed_at_once && retry_after == 0 => MessageOutcome::of(Outcome::Crowded, 0),
         503 => MessageOutcome::of(Outcome::Busy, retry_after),
-        504 => MessageOutcome::of(Outcome::Skipped, retry_after),
-        410 => MessageOutcome::rejected_for_good(retry_after),
-        _ => MessageOutcome::of(Outcome::Error, retry_after),
+        status => match finality_of_status(status) {
+            Finality::Open => MessageOutcome::of(Outcome::Error, retry_after),
+            finality => MessageOutcome::refused_for_good(finality, retry_after),
+        },
     };
     vec![outcome; ids.len().max(1)]
 }
 
+/// Returns whether messages may be sent again that were answered with this status, other than 200.
+pub(super) fn finality_of_status(status: u16) -> Finality {
+    match status {
+        410 => Finality::Over,
+        504 => Finality::Exhausted,
+        _ => Finality::Open,
+    }
+}
+
+/// Returns the outcome of each message whose answer has this status and can't be read to its end.
+pub(super) fn unreadable_outcomes(
+    status: Option<u16>,
+    count: usize,
+    retry_after: Micros,
+) -> Vec<MessageOutcome> {
+    let outcome = match (status, status.map_or(Finality::Open, finality_of_status)) {
+        // The status line of a single message's delivery is enough.
+        (Some(200), _) if count == 1 => MessageOutcome::of(Outcome::Done, retry_after),
+        (_, Finality::Open) => MessageOutcome::of(Outcome::Error, retry_after),
+        (_, finality) => MessageOutcome::refused_for_good(finality, retry_after),
+    };
+    vec![outcome; count.max(1)]
+}
+
 /// Returns the outcomes of a batch, whose answer states one for each message. A message that is missing, or
 /// whose state is unknown, may have run.
 fn batch_outcomes(body: &[u8], ids: &[String], retry_after: Micros) -> Vec<MessageOutcome> {
-    let answer: Value = serde_json::from_slice(body).unwrap_or_default();
-    let entries = answer.as_array().map(Vec::as_slice).unwrap_or_default();
-    let outcome = |id: &String| {
-        let entry = entries.iter().find(|entry| entry["id"] == id.as_str());
-        match entry.and_then(|entry| entry["state"].as_str()) {
-            Some("ok") => MessageOutcome::of(Outcome::Done, retry_after),
-            Some("later") => MessageOutcome::of(Outcome::Busy, retry_after),
-            Some("gone") => MessageOutcome::rejected_for_good(retry_after),
-            Some("exhausted") => MessageOutcome::of(Outcome::Skipped, retry_after),
-            _ => MessageOutcome::of(Outcome::Error, retry_after),
-        }
+    let Ok(Value::Array(entries)) = serde_json::from_slice(body) else {
+        return broken_batch_outcomes(body, ids, retry_after);
+    };
+    let outcome = |id: &String| match state_of(&entries, id) {
+        Some("ok") => MessageOutcome::of(Outcome::Done, retry_after),
+        Some("later") => MessageOutcome::of(Outcome::Busy, retry_after),
+        state => match finality_of_state(state) {
+            Finality::Open => MessageOutcome::of(Outcome::Error, retry_after),
+            finality => MessageOutcome::refused_for_good(finality, retry_after),
+        },
     };
     ids.iter().map(outcome).collect()
 }
+
+/// Returns the outcomes of a batch whose answer can't be read to its end. Only what ends a message counts.
+fn broken_batch_outcomes(body: &[u8], ids: &[String], retry_after: Micros) -> Vec<MessageOutcome> {
+    let outcome = |finality| match finality {
+        Finality::Open => MessageOutcome::of(Outcome::Error, retry_after),
+        finality => MessageOutcome::refused_for_good(finality, retry_after),
+    };
+    finality_in_partial_batch(body, ids).into_iter().map(outcome).collect()
+}
+
+/// Returns whether each message of a batch may be sent again, by the part of its answer's body that has been
+/// received.
+pub(super) fn finality_in_partial_batch(body: &[u8], ids: &[String]) -> Vec<Finality> {
+    let entries = complete_entries(body);
+    ids.iter().map(|id| finality_of_state(state_of(&entries, id))).collect()
+}
+
+/// Returns the strictest finality that a batch answer, which may be incomplete, states for any message.
+pub(super) fn strictest_in_batch(body: &[u8]) -> Finality {
+    let entries = complete_entries(body);
+    entries.iter().map(|entry| finality_of_state(entry["state"].as_str())).max().unwrap_or_default()
+}
+
+/// Returns the entries of a JSON array that are complete, though the array may not be.
+fn complete_entries(body: &[u8]) -> Vec<Value> {
+    if let Ok(entries) = serde_json::from_slice(body) {
+        return entries;
+    }
+    let Some(end) = body.iter().rposition(|byte| *byte == b'}') else { return Vec::new() };
+    let closed = [&body[..=end], b"]"].concat();
+    serde_json::from_slice(&closed).unwrap_or_default()
+}
+
+fn state_of<'a>(entries: &'a [Value], id: &str) -> Option<&'a str> {
+    entries.iter().find(|entry| entry["id"] == id)?["state"].as_str()
+}
+
+fn finality_of_state(state: Option<&str>) -> Finality {
+    match state {
+        Some("gone") => Finality::Over,
+        Some("exhausted") => Finality::Exhausted,
+        _ => Finality::Open,
+    }
+}
--- a/crates/platform/tests/call.rs
+++ b/crates/platform/tests/call.rs
@@ -1,6 +1,7 @@
 //! Tests of the requests to endpoints, and of the outcomes that their answers prove.
 
 use bytes::BytesMut;
+use heronroute::Finality::{self, Exhausted, Open, Over};
 use heronroute::{Micros, Outcome};
 use heronroute_platform::call::{AnswerEvent, AnswerReader, OutgoingMessage, write_call};
 use serde_json::{Value, json};
@@ -11,10 +12,10 @@
     a.receive(text.as_bytes(), false)
 }
 
-fn one(text: &str) -> (Outcome, Micros, bool, bool) {
+fn one(text: &str) -> (Outcome, Micros, Finality, bool) {
     match answer(&["a"], text) {
         Some(AnswerEvent::Answered { outcomes, unusable }) => {
-            (outcomes[0].outcome, outcomes[0].retry_after, outcomes[0].is_final, unusable)
+            (outcomes[0].outcome, outcomes[0].retry_after, outcomes[0].finality, unusable)
         }
         other => panic!("{text:?}: {other:?}"),
     }
@@ -24,14 +25,14 @@
 fn each_status_has_its_outcome() {
     use Outcome::*;
     let plain = |status: &str| one(&format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n"));
-    assert_eq!(plain("200 OK"), (Done, 0, true, false));
-    assert_eq!(plain("500 No"), (Error, 0, false, false));
-    assert_eq!(plain("429 No\r\nRetry-After: 0.25"), (Busy, 250_000, false, false));
-    assert_eq!(plain("503 No"), (Busy, 0, false, false));
-    assert_eq!(plain("503 No\r\nX-No-Slot: 1"), (Skipped, 0, false, false));
-    assert_eq!(plain("504 No"), (Skipped, 0, false, false));
-    assert_eq!(plain("410 No"), (Skipped, 0, true, false));
-    assert_eq!(plain("200 OK\r\nConnection: close"), (Done, 0, true, true));
+    assert_eq!(plain("200 OK"), (Done, 0, Over, false));
+    assert_eq!(plain("500 No"), (Error, 0, Open, false));
+    assert_eq!(plain("429 No\r\nRetry-After: 0.25"), (Busy, 250_000, Open, false));
+    assert_eq!(plain("503 No"), (Busy, 0, Open, false));
+    assert_eq!(plain("503 No\r\nX-No-Slot: 1"), (Skipped, 0, Open, false));
+    assert_eq!(plain("504 No"), (Skipped, 0, Exhausted, false));
+    assert_eq!(plain("410 No"), (Skipped, 0, Over, false));
+    assert_eq!(plain("200 OK\r\nConnection: close"), (Done, 0, Over, true));
     assert_eq!(
         one("HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").0,
         Done
@@ -42,7 +43,7 @@
 fn only_a_503_that_closes_a_new_connection_means_a_full_connection_table() {
     let no = |more: &str| format!("HTTP/1.1 503 No\r\ncontent-length: 0\r\n{more}\r\n");
     let close = no("X-Rejected: 1\r\nConnection: close\r\n");
-    assert_eq!(one(&close), (Outcome::Crowded, 0, false, true));
+    assert_eq!(one(&close), (Outcome::Crowded, 0, Open, true));
     assert_eq!(
         one(&no("X-Rejected: 1\r\n")).0,
         Outcome::Busy,
@@ -109,9 +110,9 @@
 #[test]
 fn bytes_after_a_good_answer_make_the_connection_unusable() {
     let good = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-    assert_eq!(one(good), (Outcome::Done, 0, true, false));
-    assert_eq!(one(&format!("{good}{good}")), (Outcome::Done, 0, true, true));
-    assert_eq!(one(&format!("{good}noise")), (Outcome::Done, 0, true, true));
+    assert_eq!(one(good), (Outcome::Done, 0, Over, false));
+    assert_eq!(one(&format!("{good}{good}")), (Outcome::Done, 0, Over, true));
+    assert_eq!(one(&format!("{good}noise")), (Outcome::Done, 0, Over, true));
     let mut a = AnswerReader::default();
     assert!(
         matches!(a.receive(good.as_bytes(), false), Some(AnswerEvent::Unusable(_))),
@@ -173,7 +174,7 @@
     let Some(AnswerEvent::Answered { outcomes, .. }) = answer(&["a", "b", "c", "d"], &text) else { panic!() };
     use Outcome::*;
     assert_eq!(outcomes.iter().map(|f| f.outcome).collect::<Vec<_>>(), [Done, Busy, Skipped, Error]);
-    assert_eq!(outcomes.iter().map(|f| f.is_final).collect::<Vec<_>>(), [true, false, true, false]);
+    assert_eq!(outcomes.iter().map(|f| f.finality).collect::<Vec<_>>(), [Over, Open, Over, Open]);
     assert_eq!(outcomes[1].retry_after, 1_500_000);
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 mod state;
 
 pub use interface::*;
+pub use policy::{AttemptEnd, Finality, UndeliveredEnd, may_be_returned, undelivered_end};
 pub use state::Dispatcher;
 
 /// The dispatcher's current view of an endpoint and its destination, for diagnostics.
--- a/src/policy/message.rs
+++ b/src/policy/message.rs
@@ -1,5 +1,6 @@
 //! The life cycle of a message: whether it may be tried again, its final answer, and its end.
 
+use super::may_be_returned;
 use crate::{interface::*, state::*};
 
 impl Dispatcher {
@@ -63,10 +64,8 @@
 
     /// Returns whether the client may be told that submitting the message again does no harm.
     pub(super) fn may_refuse(&self, message: &Message) -> bool {
-        let class = self.class_of(message);
-        class.effect == Effect::Free
-            || (message.in_flight.is_empty() && message.may_run.is_none())
-            || (class.effect == Effect::Guarded && class.group == DedupScope::All)
+        let may_have_run = !message.in_flight.is_empty() || message.may_run.is_some();
+        may_be_returned(self.class_of(message), may_have_run)
     }
 
     /// Gives the final answer. The retry-after of a refusal is the time until the destination can take a
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod estimate;
 mod events;
+mod finality;
 mod health;
 mod message;
 mod overload;
@@ -17,6 +18,8 @@
 mod quota;
 mod send;
 
+pub use finality::{AttemptEnd, Finality, UndeliveredEnd, may_be_returned, undelivered_end};
+
 use crate::{interface::*, state::*};
 
 impl Dispatcher {
