A wait that is told behind a copy of another answer binds

What endpoints saw: calls right after a 429 with a wait. Where a copy of an earlier answer had been taken for the call's own, its 429 came as an answer to no call, and the wait in it was dropped. Now every answer that is read announces its wait, whomever it belongs to: doubt adds caution.

--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -124,6 +124,9 @@
     }
 
     fn handle_late_answers(&mut self, now: Micros, late: &LateAnswers, events: &mut Vec<LinkEvent>) {
+        if late.retry_after > 0 {
+            events.push(LinkEvent::WaitAnnounced(late.retry_after));
+        }
         if !self.answer_history.has_unconfirmed(now) {
             return events.push(LinkEvent::Unusable("received bytes without an open request"));
         }
@@ -141,6 +144,9 @@
     /// Handles bytes that arrived before all of the request was sent, so that nothing can have answered it.
     fn receive_premature(&mut self, bytes: &[u8], events: &mut Vec<LinkEvent>) {
         let late = self.answer_reader.receive_late(bytes);
+        if late.retry_after > 0 {
+            events.push(LinkEvent::WaitAnnounced(late.retry_after));
+        }
         Self::close_contradicted(late.finality, events);
     }
 
--- a/crates/engine/tests/ended_messages.rs
+++ b/crates/engine/tests/ended_messages.rs
@@ -113,6 +113,26 @@
     }
 }
 
+/// Guards against a told wait that is lost because the answer with it comes late, behind a copy.
+#[test]
+fn a_wait_that_is_told_behind_a_copy_is_kept() {
+    const WAIT: i64 = 1_200 * MS;
+    let mut harness = new_harness();
+    let client = harness.connect_client();
+    let conn = answer_with_a_copy(&mut harness, client, SAFE);
+    harness.advance(60 * MS);
+    let told = harness.now;
+    harness.peer_sends(conn, "HTTP/1.1 429 No\r\nretry-after: 1.2\r\ncontent-length: 0\r\n\r\n");
+    harness.submit(client, "n", SAFE);
+    let mut called = None;
+    while called.is_none() && harness.now < told + 3 * WAIT {
+        harness.advance(5 * MS);
+        called = harness.take_received(1001).pop().map(|_| harness.now);
+    }
+    let called = called.expect("called after the wait");
+    assert!(called >= told + WAIT, "called {} us after a wait of {WAIT} us was told", called - told);
+}
+
 /// Guards against a message that is sent after its end, in a call of several that no octet of had left by then.
 #[test]
 fn a_message_of_an_unsent_call_of_several_is_not_sent_after_its_end() {
