Contracts of links: answers that end a message, and late waits; HTTP receivers' late waits

The suite of links knew three answers: done, busy, error. No clause could see that an answer in doubt frees a message that it ends. Four clauses now, each with a planted fault that it and no other clause finds: what ends a message says so, in doubt too, where it breaks off, and a wait is announced whoever's answer it comes with.

The last one found a fault in HTTP receivers of serve: a 429 that came as an answer to no open call closed the connection and its wait was dropped. It is announced first now; without that the clause fails for both HTTP receivers.

--- a/crates/contracts/src/link/clauses.rs
+++ b/crates/contracts/src/link/clauses.rs
@@ -1,7 +1,7 @@
 //! The clauses that every link keeps.
 
 use super::connection::Connection;
-use super::{CallOutcome, Receiver, calls, copies};
+use super::{CallOutcome, Receiver, calls, copies, ends};
 use crate::ensure;
 use crate::random::SeededRandom;
 use crate::suite::Clause;
@@ -22,6 +22,10 @@
     Clause { name: "an answer that nobody waits for is passed over", run: calls::forgotten },
     Clause { name: "a copy of an answer proves nothing of the next call", run: copies::of_the_call_before },
     Clause { name: "an answer that comes a call late proves nothing", run: copies::late_by_one },
+    Clause { name: "what ends a message says so", run: ends::certain },
+    Clause { name: "what ends a message says so in doubt too", run: ends::in_doubt },
+    Clause { name: "what ends a message says so where it breaks off", run: ends::broken_off },
+    Clause { name: "a wait is announced whoever's answer it comes with", run: ends::late_wait },
     Clause { name: "an answer to nothing answers nothing", run: unrequested_answer },
     Clause { name: "an answer of another kind is no delivery", run: mismatch },
     Clause { name: "a probe is answered as one", run: probe },
--- a/crates/contracts/src/link/faulty.rs
+++ b/crates/contracts/src/link/faulty.rs
@@ -36,6 +36,14 @@
     Hopeful,
     /// An unconfirmed answer is reported as certain, and its connection stays in use.
     BelievesCopies,
+    /// An answer that ends a message frees it.
+    ForgetsEnds,
+    /// The same only where the answer may be another call's.
+    ForgetsEndsInDoubt,
+    /// The same only where the answer breaks off.
+    ForgetsHeads,
+    /// A wait in an answer to an earlier call is lost.
+    NoLateWait,
     /// The link panics at the byte 0xFD.
     Panics,
     /// A duplicate answer is reported again.
@@ -78,6 +86,14 @@
                     if self.is(Fault::NoWait) {
                         reply.wait = 0;
                     }
+                    if self.is(Fault::ForgetsEnds) && reply.outcome != Outcome::Done {
+                        reply.finality = Finality::Open;
+                    }
+                }
+                LinkEvent::AnsweredUnconfirmed { reply, .. }
+                    if self.is(Fault::ForgetsEndsInDoubt) && reply.outcome != Outcome::Done =>
+                {
+                    reply.finality = Finality::Open;
                 }
                 LinkEvent::AnsweredUnconfirmed { call, part, reply } if self.is(Fault::BelievesCopies) => {
                     *event = LinkEvent::Answered { call: *call, part: *part, reply: *reply };
@@ -94,6 +110,9 @@
         if self.is(Fault::BelievesCopies) {
             events.retain(|e| *e != LinkEvent::NoMoreCalls);
         }
+        if self.is(Fault::NoLateWait) {
+            events.retain(|e| !matches!(e, LinkEvent::WaitAnnounced(_)));
+        }
         if self.is(Fault::LosesThird) {
             let third = |e: &LinkEvent| matches!(e, LinkEvent::Answered { part: 2, .. });
             events.retain(|e| !third(e));
@@ -165,6 +184,12 @@
             self.inner.forget(call, part, unsent);
         }
     }
+    fn finality_so_far(&self, part: usize) -> Finality {
+        if self.is(Fault::ForgetsHeads) { Finality::Open } else { self.inner.finality_so_far(part) }
+    }
+    fn finality_of_earlier(&self) -> Finality {
+        self.inner.finality_of_earlier()
+    }
     fn close(&mut self, now: Micros, stream: &mut Stream) {
         self.inner.close(now, stream);
     }
@@ -212,4 +237,7 @@
     fn batch(&self) -> usize {
         self.0.batch()
     }
+    fn can_end_messages(&self) -> bool {
+        self.0.can_end_messages()
+    }
 }
--- a/crates/contracts/src/link/http.rs
+++ b/crates/contracts/src/link/http.rs
@@ -49,7 +49,7 @@
         let answer = match how {
             CallOutcome::Done => response(200, 0, b"taken"),
             CallOutcome::Busy(wait) => response(503, wait, b""),
-            CallOutcome::Error => response(500, 0, b"no"),
+            CallOutcome::Error | CallOutcome::Gone | CallOutcome::Exhausted => response(500, 0, b"no"),
         };
         requests(sent).iter().map(|_| answer.clone()).collect()
     }
--- a/crates/contracts/src/link/mod.rs
+++ b/crates/contracts/src/link/mod.rs
@@ -4,6 +4,7 @@
 mod clauses;
 mod connection;
 mod copies;
+mod ends;
 mod faulty;
 mod http;
 mod platform;
@@ -28,6 +29,10 @@
     Busy(Micros),
     /// The call failed.
     Error,
+    /// The messages are over for the receiver. Only of receivers that can end messages.
+    Gone,
+    /// The messages have had all their attempts. Only of receivers that can end messages.
+    Exhausted,
 }
 
 /// A receiver that talks to a link.
@@ -50,4 +55,8 @@
     fn may_reorder(&self) -> bool;
     /// Returns the maximum number of messages in a call.
     fn batch(&self) -> usize;
+    /// Returns whether the protocol has answers after which a message may not be sent again.
+    fn can_end_messages(&self) -> bool {
+        false
+    }
 }
--- a/crates/contracts/src/link/platform.rs
+++ b/crates/contracts/src/link/platform.rs
@@ -17,6 +17,8 @@
         CallOutcome::Done => "ok",
         CallOutcome::Busy(_) => "later",
         CallOutcome::Error => "failed",
+        CallOutcome::Gone => "gone",
+        CallOutcome::Exhausted => "exhausted",
     };
     let of = |m: &Value| json!({"id": m["id"], "state": state});
     let told: Vec<Value> = asked.as_array().into_iter().flatten().map(of).collect();
@@ -31,8 +33,13 @@
         None
     }
     fn answers(&self, sent: &[u8], how: CallOutcome) -> Vec<Vec<u8>> {
+        let is_single = |request: &Message| request.field("x-call-id").is_some();
         let answer = |request: &Message| match how {
-            CallOutcome::Done => response(200, 0, &each(request, how)),
+            CallOutcome::Gone if is_single(request) => response(410, 0, b""),
+            CallOutcome::Exhausted if is_single(request) => response(504, 0, b""),
+            CallOutcome::Done | CallOutcome::Gone | CallOutcome::Exhausted => {
+                response(200, 0, &each(request, how))
+            }
             CallOutcome::Busy(wait) => response(429, wait, b""),
             CallOutcome::Error => response(500, 0, b""),
         };
@@ -50,4 +57,7 @@
     fn batch(&self) -> usize {
         3
     }
+    fn can_end_messages(&self) -> bool {
+        true
+    }
 }
--- a/crates/contracts/src/link/smpp.rs
+++ b/crates/contracts/src/link/smpp.rs
@@ -30,7 +30,7 @@
     let (status, wait) = match how {
         CallOutcome::Done => (CommandStatus::EsmeRok, 0),
         CallOutcome::Busy(wait) => (CommandStatus::EsmeRthrottled, wait),
-        CallOutcome::Error => (CommandStatus::EsmeRsyserr, 0),
+        CallOutcome::Error | CallOutcome::Gone | CallOutcome::Exhausted => (CommandStatus::EsmeRsyserr, 0),
     };
     let ms = u32::try_from(wait / 1_000).unwrap_or(u32::MAX).to_be_bytes().to_vec();
     let wait = Tlv::Other { tag: tags::tag(tags::RECEIVER_RETRY_AFTER), value: AnyOctetString::from_vec(ms) };
--- a/crates/contracts/tests/link.rs
+++ b/crates/contracts/tests/link.rs
@@ -58,6 +58,19 @@
     }
 }
 
+#[test]
+fn planted_links_that_free_ended_messages_or_drop_waits_are_caught() {
+    for (fault, clause) in [
+        (Fault::ForgetsEnds, "what ends a message says so"),
+        (Fault::ForgetsEndsInDoubt, "what ends a message says so in doubt too"),
+        (Fault::ForgetsHeads, "what ends a message says so where it breaks off"),
+        (Fault::NoLateWait, "a wait is announced whoever's answer it comes with"),
+    ] {
+        let wrong = FaultyReceiver(&Platform, fault);
+        planted_in(CLAUSES, &wrong as &dyn Receiver, clause, PLATFORM_KNOWN);
+    }
+}
+
 #[test]
 fn a_planted_link_that_believes_copies_is_caught() {
     let [copy, late] = COPY_CLAUSES;
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -99,6 +99,10 @@
 
     fn handle_response(&mut self, now: Micros, response: &Message, events: &mut Vec<LinkEvent>) {
         let Some(OpenRequest { request, .. }) = self.open_requests.pop_front() else {
+            let wait = reply(response).wait;
+            if wait > 0 {
+                events.push(LinkEvent::WaitAnnounced(wait));
+            }
             // It is unknown which request the next response would belong to.
             return self.end_use("received a response without an open request", events);
         };
