Timers wait until what has arrived is read, so that no answered call is given up

Cause: SIGCONT ends the wait for events with EINTR, and the turn then ran its timers without having read a socket; so did the turn behind a slow write. A call whose time was over by then was given up beside its answer, and its message sent again.

--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -61,6 +61,8 @@
     pub(crate) events: Vec<Event>,
     actions: Vec<Action>,
     last_round: Micros,
+    /// All input that arrived until then has been handled. Timers that are due later wait.
+    inputs_until: Micros,
     pub(crate) timers: Timers<TimerKey>,
     pub(crate) conns: BTreeMap<ConnId, Conn>,
     next_conn: ConnId,
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -8,7 +8,22 @@
 use heronroute::{EndpointId, Event};
 use heronroute_journal::Usage;
 
+/// A round of the decision library, which may give calls up, waits for input that may have arrived so long ago.
+const MAX_INPUT_AGE: Micros = 5_000;
+
 impl Node {
+    /// Records that all input that arrived until a time has been passed to the node. Guards against a timer
+    /// that gives a call up although its answer has arrived, as after a pause of the process or a slow write
+    /// to the journal. Until the first call no timer waits for input.
+    pub fn inputs_handled(&mut self, until: Micros) {
+        self.inputs_until = until;
+    }
+
+    /// Returns whether input that arrived longer ago than a round may ignore can be unhandled.
+    pub fn needs_inputs(&self, now: Micros) -> bool {
+        now.saturating_sub(self.inputs_until) > MAX_INPUT_AGE
+    }
+
     /// Handles due timers and runs the rounds of the decision library. Must be called after a turn of inputs,
     /// and at [`Node::wake`].
     pub fn settle(&mut self, now: Micros) {
@@ -17,14 +32,14 @@
         // Each round may produce outcomes at once (calls that could not be made) and due timers; the next
         // round handles them.
         for _ in 0..64 {
-            while let Some(key) = self.timers.due(self.now) {
+            while let Some(key) = self.timers.due(self.now.min(self.inputs_until)) {
                 self.handle_timer(key);
             }
             if self.events.is_empty() || self.frozen {
                 break;
             }
             let next = self.last_round + self.cfg.settings.quantum;
-            if next > self.now {
+            if next > self.now || self.needs_inputs(self.now) {
                 self.timers.set(TimerKey::Round, next);
                 break;
             }
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -87,6 +87,7 @@
             events: Vec::new(),
             actions: Vec::new(),
             last_round: Micros::MIN / 2,
+            inputs_until: Micros::MAX,
             timers: Timers::default(),
             conns: BTreeMap::new(),
             next_conn: 0,
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -2,6 +2,7 @@
 
 mod accepting;
 mod commands;
+mod inputs;
 mod journal;
 mod outputs;
 mod reload;
@@ -168,11 +169,7 @@
         self.execute_outputs();
         while !self.node.is_shut_down() {
             let timeout = self.poll_timeout();
-            match self.poll.poll(&mut events, timeout) {
-                // Interrupted by a signal.
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => events.clear(),
-                other => other?,
-            }
+            let inputs_until = self.wait_for_events(&mut events, timeout)?;
             self.handle_events(&events);
             // After emptying the pipe, so that no signal is missed.
             self.handle_signals();
@@ -183,9 +180,8 @@
                     "the journal failed; the next start recovers its durable entries",
                 ));
             }
-            for conn in std::mem::take(&mut self.ready) {
-                self.read(conn);
-            }
+            self.read_ready(inputs_until);
+            self.read_again_if_late(&mut events)?;
             self.retry_journal();
             self.node.settle(self.clock.now());
             self.stop_listening_if_refused();
