An answer that lies unread as its connection is closed still ends its message

What endpoints could see: a further call with a message whose 410, 504, `gone` or `exhausted` had arrived, but was dropped unread as this side closed the connection: a call that timed out, or that a copy of another call's list had just ended.

Now the reactor reads a connection once more before it closes it, if a message may be out on it. What it finds ends these messages, each by its own entry in a list, with its own notice; a wait in it applies. Anything else changes nothing: the call was given up. Cost: a read for each such close.

ended_messages: a_message_whose_end_lies_unread_as_its_call_is_given_up_is_not_sent_again and the same behind a copied list; both fail without the read ("sent again").

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Returns the messages with an attempt that may be out on a connection.
+    pub fn on_connection(&self, conn: ConnId) -> Vec<MsgId> {
+        self.by_connection.get(&conn).cloned().unwrap_or_default()
+    }
+
     /// Records that a connection was closed: what was written to it may have run.
     pub fn connection_closed(&mut self, conn: ConnId) {
         for message in self.by_connection.remove(&conn).unwrap_or_default() {
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -42,8 +42,10 @@
     /// Ends the use of a connection to a receiver from this side. Calls that waited for it start only once its
     /// close is requested.
     fn end_link(&mut self, conn: ConnId) {
+        let messages = self.attempts.on_connection(conn);
         self.remove_link(conn, CloseReason::Ended);
         self.report_unconfirmed_deliveries(conn);
+        self.keep_until_closed(conn, messages);
         self.finish(conn);
         self.start_delayed_calls(conn);
     }
--- a/crates/engine/src/delivery/mod.rs
+++ b/crates/engine/src/delivery/mod.rs
@@ -9,6 +9,7 @@
 mod send;
 mod start_guard;
 mod unconfirmed;
+mod unhandled;
 
 use crate::calls::CallEnd;
 use crate::link::Reply;
--- a/crates/engine/src/delivery/outcome.rs
+++ b/crates/engine/src/delivery/outcome.rs
@@ -115,7 +115,7 @@
     /// Answers a message that may not be sent again. Where its endpoint considers it finished because its client
     /// is gone, an end is reported too: the client may have been notified of the acceptance just before, and a
     /// superfluous notice does no harm.
-    fn answer_undelivered(&mut self, id: MsgId, finality: Finality) {
+    pub(crate) fn answer_undelivered(&mut self, id: MsgId, finality: Finality) {
         let Some(message) = self.messages.get(&id) else { return };
         let class = &self.cfg.settings.classes[message.class];
         let end = match undelivered_end(finality, class, message.may_have_run_since.is_some()) {
--- a/crates/engine/src/delivery/unconfirmed.rs
+++ b/crates/engine/src/delivery/unconfirmed.rs
@@ -87,8 +87,10 @@
     /// too, what follows may tell which of them belongs to which call, so the connection is kept for a while
     /// and the message is not released. A message that the answer would end is ended at once.
     fn handle_unconfirmed_refusal(&mut self, conn: ConnId, call: u64, part: usize, reply: Reply) {
-        if reply.finality != Finality::Open {
-            self.log_end_in_doubt(conn, call, part, reply.finality);
+        if reply.finality != Finality::Open
+            && let Some(message) = self.calls.get(call).map(|open_call| open_call.parts[part].message)
+        {
+            self.log_end_in_doubt(conn, message, reply.finality);
         }
         if reply.finality != Finality::Open || self.unconfirmed.next(conn).is_none() {
             return self.release_unproven(conn, call, part, reply);
@@ -113,10 +115,10 @@
         self.record_outcome(call, part, Reply { outcome, finality, ..reply });
     }
 
-    fn log_end_in_doubt(&mut self, conn: ConnId, call: u64, part: usize, finality: Finality) {
+    /// Logs that a message is ended by an answer that may be another call's.
+    pub(crate) fn log_end_in_doubt(&mut self, conn: ConnId, message: MsgId, finality: Finality) {
         self.stats.ended_in_doubt += 1;
-        let message = self.calls.get(call).map(|open_call| open_call.parts[part].message);
-        let id = message.and_then(|id| self.messages.get(&id)?.submission.identity.as_deref());
+        let id = self.messages.get(&message).and_then(|m| m.submission.identity.as_deref());
         tracing::info!(
             now = self.now,
             conn,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod attempts;
 pub mod calls;
 mod client_rules;
+mod closing_links;
 mod delivery;
 pub mod directory;
 mod entry_codec;
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -15,6 +15,7 @@
 use crate::stream::Stream;
 use heronroute::{Finality, LimitReport, Outcome};
 use heronroute_config::{KindConfig, Protocol};
+use heronroute_platform::call::LateAnswers;
 use heronroute_smpp::server::Limits;
 use heronroute_smpp::submission::Submission;
 
@@ -127,6 +128,11 @@
     fn finality_of_earlier(&self) -> Finality {
         Finality::Open
     }
+    /// Reads bytes that had arrived before this side closed the connection, and were not handled then. Returns
+    /// what they say about the calls on it. `None` if the protocol has no answers that end a message for good.
+    fn read_unhandled(&mut self, _bytes: &[u8]) -> Option<LateAnswers> {
+        None
+    }
     /// Returns the time until which what follows unconfirmed answers may tell which calls they belonged to, if
     /// there are any.
     fn unconfirmed_until(&self) -> Option<Micros> {
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -267,6 +267,10 @@
         self.answer_reader.finality_of_rest()
     }
 
+    fn read_unhandled(&mut self, bytes: &[u8]) -> Option<LateAnswers> {
+        Some(self.answer_reader.receive_late(bytes))
+    }
+
     fn unconfirmed_until(&self) -> Option<Micros> {
         self.answer_history.unconfirmed_until()
     }
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -22,6 +22,7 @@
 use crate::Micros;
 use crate::attempts::OpenAttempts;
 use crate::calls::Calls;
+use crate::closing_links::ClosingLinks;
 use crate::directory::Directory;
 use crate::failover::Failover;
 use crate::front::FRONT_COUNT;
@@ -92,6 +93,8 @@
     pub(crate) calls: Calls,
     /// The attempts whose end is not proved.
     pub(crate) attempts: OpenAttempts,
+    /// Connections to receivers that this side closes, until they are closed.
+    pub(crate) closing_links: ClosingLinks,
     /// Calls that wait until a connection is closed, because one of their messages may be out on it.
     pub(crate) delayed_calls: BTreeMap<ConnId, Vec<(u64, EndpointId)>>,
     /// Outcomes reported by unconfirmed answers.
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -29,6 +29,7 @@
     pub fn settle(&mut self, now: Micros) {
         self.now = now.max(self.now);
         self.lapse_if_due();
+        self.closing_links.forget_closed();
         // Each round may produce outcomes at once (calls that could not be made) and due timers; the next
         // round handles them.
         for _ in 0..64 {
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -7,6 +7,7 @@
 use crate::Micros;
 use crate::attempts::OpenAttempts;
 use crate::calls::Calls;
+use crate::closing_links::ClosingLinks;
 use crate::directory::{Directory, Polled, Watched};
 use crate::failover::Failover;
 use crate::front::FRONT_COUNT;
@@ -112,6 +113,7 @@
             next_id: ((start.wall.max(0) as u64) << ID_SENDER_BITS) | start.index as u64,
             calls: Calls::default(),
             attempts: OpenAttempts::default(),
+            closing_links: ClosingLinks::default(),
             delayed_calls: BTreeMap::new(),
             unconfirmed: UnconfirmedOutcomes::default(),
             endpoints: EndpointTable::default(),
--- a/crates/engine/tests/ended_messages.rs
+++ b/crates/engine/tests/ended_messages.rs
@@ -164,3 +164,60 @@
     assert!(!sent.contains("short"), "sent after its end");
     assert!(sent.contains("long"), "the other message is not sent");
 }
+
+/// Guards against a message that is sent again though the answer that ends it had arrived when its call was given up.
+#[test]
+fn a_message_whose_end_lies_unread_as_its_call_is_given_up_is_not_sent_again() {
+    for answer in [GONE, "HTTP/1.1 504 No\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 410 No\r\ncontent-le"] {
+        let mut harness = new_harness();
+        let client = harness.connect_client();
+        // From earlier answers the sender learns not to wait for as long as its message has time.
+        for count in 0..20 {
+            let own = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n{count:04}");
+            deliver(&mut harness, client, &format!("before-{count}"), &own);
+            harness.advance(40 * MS);
+        }
+        harness.submit(client, "m", SAFE);
+        let (conn, _) = harness.take_received(1001).remove(0);
+        harness.unread = Some((conn, answer.to_string()));
+        let (calls, notices) = run_to_the_end(&mut harness, &["m"]);
+        assert!(harness.unread.is_none(), "the call was not given up");
+        assert_eq!(calls, 0, "{answer:?}: sent again");
+        assert_eq!(notices.matches(r#""id":"m""#).count(), 1, "{answer:?}: {notices}");
+    }
+}
+
+/// Guards against the same where a copy of another call's list is read first, and closes the connection of a call of several.
+/// The message that the unread list does not end goes on.
+#[test]
+fn a_message_whose_end_lies_unread_behind_a_copied_list_is_not_sent_again() {
+    let list = |entries: &[(&str, &str)]| {
+        let entry = |(id, state): &(&str, &str)| format!(r#"{{"id":"{id}","state":"{state}"}}"#);
+        let body = format!("[{}]", entries.iter().map(entry).collect::<Vec<_>>().join(","));
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+    };
+    let mut harness = new_harness();
+    let client = harness.connect_client();
+    let submit_both = |harness: &mut Harness, ids: [&str; 2]| {
+        let pairs = "c=safe,t=t,d=4000,dest=2";
+        let both: String = ids.iter().map(|id| out_add_command(id, pairs, "body")).collect();
+        harness.node.received(harness.now, client, both.as_bytes());
+        harness.advance(5 * MS);
+        harness.take_received(1002).remove(0)
+    };
+    let (conn, _) = submit_both(&mut harness, ["a0", "a1"]);
+    let copied = list(&[("a0", "ok"), ("a1", "ok")]);
+    harness.peer_sends(conn, &copied);
+    let (second, _) = submit_both(&mut harness, ["b0", "b1"]);
+    assert_eq!(second, conn, "another connection");
+    harness.unread = Some((conn, list(&[("b0", "gone"), ("b1", "later")])));
+    harness.peer_sends(conn, &copied);
+    let mut further = String::new();
+    for _ in 0..400 {
+        harness.advance(5 * MS);
+        further.extend(harness.take_received(1002).into_iter().map(|(_, text)| text));
+    }
+    assert!(harness.unread.is_none(), "the connection was not closed");
+    assert!(!further.contains("b0"), "sent again");
+    assert!(further.contains("b1"), "the other message does not go on");
+}
--- a/crates/engine/tests/sender/mod.rs
+++ b/crates/engine/tests/sender/mod.rs
@@ -50,6 +50,8 @@
     pub connecting: Vec<ConnId>,
     /// A connection that accepts no bytes from the node.
     pub stalled: Option<ConnId>,
+    /// Bytes that have arrived on a connection and are read only when the node drops it.
+    pub unread: Option<(ConnId, String)>,
 }
 
 /// Starts a node with the default configuration on a journal.
@@ -79,6 +81,7 @@
         slow_port: None,
         connecting: vec![],
         stalled: None,
+        unread: None,
     };
     harness.advance(0);
     harness
@@ -143,7 +146,14 @@
                     self.connection_closed(conn);
                 }
             }
-            Output::Drop(conn) => self.connection_closed(conn),
+            Output::Drop(conn) => {
+                if let Some((_, bytes)) = self.unread.take_if(|(of, _)| *of == conn)
+                    && self.node.reads_before_drop(conn)
+                {
+                    self.node.received_unhandled(self.now, conn, bytes.as_bytes());
+                }
+                self.connection_closed(conn);
+            }
             Output::Journal(entries) if self.journal_enabled => {
                 // A full journal is replaced by a snapshot, as in the reactor.
                 let mut result = self.journal.commit(&entries);
--- a/crates/net/src/reactor/teardown.rs
+++ b/crates/net/src/reactor/teardown.rs
@@ -1,6 +1,7 @@
 //! Closes connections, one by one and when the sender ends.
 
 use super::Reactor;
+use crate::socket::{Progress, read_some};
 use heronroute_engine::{CloseReason, ConnId};
 use mio::Events;
 use std::io;
@@ -12,6 +13,7 @@
 impl Reactor {
     /// Closes a connection whose output is written. A client's connection is half-closed first.
     pub(super) fn close(&mut self, conn: ConnId) {
+        self.read_before_close(conn);
         if let Some(socket) = self.sockets.remove(&conn).filter(|s| s.accepted) {
             self.closing.half_close(conn, socket.stream, self.clock.now());
             // Leaves descriptors for endpoints and the journal.
@@ -19,6 +21,22 @@
         }
     }
 
+    /// Reads what has arrived on a connection whose last call this side gives up: its answer may lie there.
+    fn read_before_close(&mut self, conn: ConnId) {
+        if !self.node.reads_before_drop(conn) {
+            return;
+        }
+        let Some(socket) = self.sockets.get_mut(&conn) else { return };
+        let (Progress::Blocked(length) | Progress::More(length) | Progress::Ended(length)) =
+            read_some(&mut socket.stream, &mut self.buffer, socket.peer_closed)
+        else {
+            return;
+        };
+        if length > 0 {
+            self.node.received_unhandled(self.clock.now(), conn, &self.buffer[..length]);
+        }
+    }
+
     /// Writes the rest of a connection's output, and then closes the connection.
     pub(super) fn finish(&mut self, conn: ConnId) {
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -1,8 +1,8 @@
 //! Parses the answers on one connection from bytes as they arrive.
 
 use super::outcome::{
-    MessageOutcome, finality_in_partial_batch, finality_of_status, message_outcomes, names_its_call,
-    seconds_to_micros, strictest_in_batch, unreadable_outcomes,
+    MessageOutcome, ended_in_batch, finality_in_partial_batch, finality_of_status, message_outcomes,
+    names_its_call, seconds_to_micros, strictest_in_batch, unreadable_outcomes,
 };
 use heronroute::{Finality, Micros, Outcome};
 use heronroute_http::{Message, ParseError, Reader, Side};
@@ -69,6 +69,10 @@
     pub readable: bool,
     /// Whether a message may be sent again, if any of them was its call's own.
     pub finality: Finality,
+    /// The messages that they name as ones that may not be sent again.
+    pub ended: Vec<(String, Finality)>,
+    /// The part of `finality` that is due to answers which name no messages.
+    pub unnamed_finality: Finality,
     /// The longest wait that one of them demands, or 0.
     pub retry_after: Micros,
 }
@@ -158,11 +162,21 @@
                 }
             }
         }
-        late.finality = late.finality.max(self.finality_of_rest());
+        self.add_rest(&mut late);
         late.retry_after = late.retry_after.max(self.retry_after());
         late
     }
 
+    fn add_rest(&self, late: &mut LateAnswers) {
+        let finality = self.finality_of_rest();
+        if self.reader.status_so_far() == Some(200) {
+            late.add_ended(ended_in_batch(self.reader.body_so_far()));
+        } else {
+            late.add_unnamed(finality);
+        }
+        late.finality = late.finality.max(finality);
+    }
+
     /// Returns whether a message may be sent again, if what has arrived since the last complete answer is the
     /// beginning of its call's own answer.
     pub fn finality_of_rest(&self) -> Finality {
@@ -277,13 +291,29 @@
 }
 
 impl LateAnswers {
+    /// Returns whether the message with this id may be sent again, if any of the answers was its call's own.
+    pub fn finality_of(&self, id: &str) -> Finality {
+        let named = self.ended.iter().filter(|(other, _)| other == id).map(|(_, finality)| *finality).max();
+        self.unnamed_finality.max(named.unwrap_or_default())
+    }
+
     fn add(&mut self, answer: &Message) {
         self.digests.push(digest(answer));
-        let finality = match answer.status() {
-            200 => strictest_in_batch(&answer.body),
-            status => finality_of_status(status),
-        };
-        self.finality = self.finality.max(finality);
+        match answer.status() {
+            200 => self.add_ended(ended_in_batch(&answer.body)),
+            status => self.add_unnamed(finality_of_status(status)),
+        }
         self.retry_after = self.retry_after.max(answer.retry_after().map_or(0, seconds_to_micros));
     }
+
+    fn add_ended(&mut self, ended: Vec<(String, Finality)>) {
+        let strictest = ended.iter().map(|(_, finality)| *finality).max();
+        self.finality = self.finality.max(strictest.unwrap_or_default());
+        self.ended.extend(ended);
+    }
+
+    fn add_unnamed(&mut self, finality: Finality) {
+        self.unnamed_finality = self.unnamed_finality.max(finality);
+        self.finality = self.finality.max(finality);
+    }
 }
--- a/crates/platform/src/call/outcome.rs
+++ b/crates/platform/src/call/outcome.rs
@@ -140,6 +140,16 @@
     ids.iter().map(|id| finality_of_state(state_of(&entries, id))).collect()
 }
 
+/// Returns the messages that a batch answer, which may be incomplete, states may not be sent again.
+pub(super) fn ended_in_batch(body: &[u8]) -> Vec<(String, Finality)> {
+    let ended = |entry: &Value| {
+        let finality = finality_of_state(entry["state"].as_str());
+        let id = entry["id"].as_str().filter(|_| finality != Finality::Open)?;
+        Some((id.to_string(), finality))
+    };
+    complete_entries(body).iter().filter_map(ended).collect()
+}
+
 /// Returns the strictest finality that a batch answer, which may be incomplete, states for any message.
 pub(super) fn strictest_in_batch(body: &[u8]) -> Finality {
     let entries = complete_entries(body);
