Soak: its judge reads the protocol page anew, with a planted break of each rule

What users saw first: a message sent again after a 410. The judge could not: its rules were the code's own notions (out twice, run twice, lost), and a call behind a 410 neither runs nor overlaps.

Now 20 rules on a message and four on a whole run, each with its sentence of the protocol page or of STANDING: new are sent after an endpoint ended it, after its notice, after -BUSY, beyond its attempts, within a told wait, elsewhere, a call behind another on its connection, malformed calls, notices and client answers, two different ends, a connection ended with no answer, a notice after -BUSY; and over a run: untried messages given up after a restart (all, and those that may not simply be repeated), accepted only after the delivery, all rejected on end. planted.rs has a break of each, which that rule and no other finds. Endpoints are removed, not only drained, and a change counts as told after 6 s in any case; lists tell waits; bodies differ by message.

Allowed, each by what the page or a trace shows: a process killed within 0.4 s of an answer, or whose reads failed then, does not know it; a crowd's new connections may be closed unread.

--- a/crates/cli/tests/alone/mod.rs
+++ b/crates/cli/tests/alone/mod.rs
@@ -336,6 +336,11 @@
 
 /// The same with these names and values.
 pub fn out_add_as(id: &str, pairs: &str) -> String {
-    let args = ["OUT.ADD", "0000", id, pairs, "body"];
+    out_add_with_body(id, pairs, "body")
+}
+
+/// The same with a body.
+pub fn out_add_with_body(id: &str, pairs: &str, body: &str) -> String {
+    let args = ["OUT.ADD", "0000", id, pairs, body];
     "*5\r\n".to_string() + &args.map(|a| format!("${}\r\n{a}\r\n", a.len())).concat()
 }
--- a/crates/cli/tests/soak/clients.rs
+++ b/crates/cli/tests/soak/clients.rs
@@ -1,9 +1,9 @@
 //! Clients of a run: each submits a few messages at once, on one connection for as long as that stays open; a crowd rests on
 //! connections that say nothing.
 
-use crate::alone::out_add_as;
+use crate::alone::out_add_with_body;
 use crate::world::Random;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,6 +21,21 @@
 /// The connections of a crowd: more than the process has descriptors.
 const CROWD: usize = 300;
 
+/// What a client heard of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// Accepted, at this time.
+    Accepted(Instant),
+    /// Refused, at this time: submitting the message again is harmless.
+    Busy(Instant),
+    /// Any other line.
+    Other(String),
+    /// Nothing in time; the client closed the connection.
+    Nothing,
+    /// The connection ended first, at this time, on a connection that was new, or on two one behind the other.
+    Closed(Instant),
+}
+
 /// A submitted message.
 #[derive(Clone, Debug)]
 pub struct Submitted {
@@ -28,14 +43,45 @@
     pub process: usize,
     pub id: String,
     pub class: &'static str,
+    pub dest: u64,
     pub at: Instant,
-    pub accepted: bool,
+    pub heard: Heard,
+}
+
+impl Submitted {
+    pub fn is_accepted(&self) -> bool {
+        matches!(self.heard, Heard::Accepted(_))
+    }
 }
 
 /// One client's connection, opened anew where it has ended.
 struct Link {
     listen: SocketAddr,
     stream: Option<TcpStream>,
+    /// Whether a request has been answered on it.
+    is_used: bool,
+}
+
+/// The body of a message: bytes that end lines elsewhere, and its id.
+pub fn body_of(id: &str) -> String {
+    format!("\r\n{{{id}}}\r\n\r\n")
+}
+
+/// Whether a line is `-BUSY` or `-BUSY MS`.
+fn is_busy(line: &str) -> bool {
+    match line.strip_prefix("-BUSY") {
+        Some("") => true,
+        Some(wait) => wait.strip_prefix(' ').is_some_and(|wait| wait.parse::<u64>().is_ok()),
+        None => false,
+    }
+}
+
+fn heard(line: &str) -> Heard {
+    match line {
+        line if line.starts_with('+') => Heard::Accepted(Instant::now()),
+        line if is_busy(line) => Heard::Busy(Instant::now()),
+        line => Heard::Other(line.to_string()),
+    }
 }
 
 impl Link {
@@ -43,32 +89,59 @@
     fn connect(&mut self) {
         if self.stream.is_none() {
             self.stream = TcpStream::connect(self.listen).ok();
+            self.is_used = false;
         }
     }
 
-    /// Submits requests together, and gives which of them were accepted, in their order.
-    fn submit(&mut self, requests: &str, count: usize) -> Vec<bool> {
-        let Some(stream) = &mut self.stream else { return vec![false; count] };
+    /// Submits requests together, and gives when that was, and what was heard of each, in their order. A connection
+    /// that ends before the first answer, and had been used, may have crossed the requests: they are submitted once more.
+    fn submit(&mut self, requests: &str, count: usize) -> (Instant, Vec<Heard>) {
+        let (at, was_used) = (Instant::now(), self.is_used);
+        let heard = self.submit_once(requests, count);
+        if was_used && matches!(heard[0], Heard::Closed(_)) {
+            self.connect();
+            return (Instant::now(), self.submit_once(requests, count));
+        }
+        (at, heard)
+    }
+
+    fn submit_once(&mut self, requests: &str, count: usize) -> Vec<Heard> {
+        let Some(stream) = &mut self.stream else { return vec![Heard::Nothing; count] };
         _ = stream.set_nodelay(true);
         _ = stream.set_read_timeout(Some(ANSWER_TIMEOUT));
         let (mut text, mut octets) = (String::new(), [0; 1_024]);
-        let mut open = stream.write_all(requests.as_bytes()).is_ok();
-        while open && text.matches("\r\n").count() < count {
+        let mut all: Vec<Heard> = Vec::new();
+        let mut end = stream.write_all(requests.as_bytes()).err().map(|_| Heard::Nothing);
+        while end.is_none() && all.len() < count {
             match stream.read(&mut octets) {
-                Ok(length @ 1..) => text.push_str(&String::from_utf8_lossy(&octets[..length])),
-                _ => open = false,
+                Ok(length @ 1..) => {
+                    text.push_str(&String::from_utf8_lossy(&octets[..length]));
+                    all.extend(std::iter::from_fn(|| take_line(&mut text)).map(|line| heard(&line)));
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    end = Some(Heard::Nothing);
+                }
+                Ok(_) | Err(_) => end = Some(Heard::Closed(Instant::now())),
             }
         }
-        if !open {
+        self.is_used |= !all.is_empty();
+        if let Some(end) = end {
             self.stream = None;
+            all.resize(count, end);
         }
-        let whole = text.rsplit_once("\r\n").map_or("", |(whole, _)| whole);
-        let mut accepted: Vec<bool> = whole.split("\r\n").map(|line| line.starts_with("+OK")).collect();
-        accepted.resize(count, false);
-        accepted
+        all
     }
 }
 
+/// Takes the first line, if all of it is there.
+fn take_line(text: &mut String) -> Option<String> {
+    let length = text.find("\r\n")?;
+    let line = text[..length].to_string();
+    text.drain(..length + "\r\n".len());
+    Some(line)
+}
+
 /// One client of a process: submits messages until the end of the run.
 pub fn client(
     (process, listen): (usize, SocketAddr),
@@ -78,7 +151,7 @@
     all: &Mutex<Vec<Submitted>>,
 ) {
     let mut random = Random::new(seed);
-    let mut link = Link { listen, stream: None };
+    let mut link = Link { listen, stream: None, is_used: false };
     let mut submitted = 0;
     while !stop.load(Ordering::Relaxed) {
         link.connect();
@@ -91,11 +164,11 @@
             let class = ["safe", "keyed", "once"][random.below(3) as usize];
             let id = format!("c{name}-{submitted}");
             let pairs = format!("c={class},t=t,d={},k=key-{id},dest={dest}", MESSAGE_TIME.as_millis());
-            requests += &out_add_as(&id, &pairs);
-            messages.push(Submitted { process, id, class, at: Instant::now(), accepted: false });
+            requests += &out_add_with_body(&id, &pairs, &body_of(&id));
+            messages.push(Submitted { process, id, class, dest, at: Instant::now(), heard: Heard::Nothing });
         }
-        let accepted = link.submit(&requests, messages.len());
-        messages.iter_mut().zip(accepted).for_each(|(message, accepted)| message.accepted = accepted);
+        let (at, heard) = link.submit(&requests, messages.len());
+        messages.iter_mut().zip(heard).for_each(|(message, heard)| (message.at, message.heard) = (at, heard));
         all.lock().unwrap().extend(messages);
         sleep(random.millis(10, 60));
     }
--- a/crates/cli/tests/soak/connection.rs
+++ b/crates/cli/tests/soak/connection.rs
@@ -5,8 +5,9 @@
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,10 @@
     unread_since: Option<Instant>,
     /// Whether the process has closed the connection or ended its sending on it, seen or not.
     ended: bool,
+    /// Whether a copy of an answer was written, which the process may take for an answer.
+    has_copies: bool,
+    /// The number of writes.
+    writes: usize,
 }
 
 impl State {
@@ -57,13 +62,19 @@
 }
 
 /// Carries out what an endpoint does, each a while later, and in the end closes the connection.
-fn deliver(mut stream: TcpStream, delay: Duration, outgoing: &Receiver<(Instant, Outgoing)>) {
+fn deliver(
+    mut stream: TcpStream,
+    delay: Duration,
+    outgoing: &Receiver<(Instant, Outgoing)>,
+    arrived: &AtomicUsize,
+) {
     while let Ok((at, action)) = outgoing.recv() {
         sleep((at + delay).saturating_duration_since(Instant::now()));
         match action {
             Outgoing::Text(text) => _ = stream.write_all(text.as_bytes()),
             Outgoing::Reset => return reset(&stream),
         }
+        arrived.fetch_add(1, Ordering::SeqCst);
     }
     sleep(delay);
 }
@@ -80,6 +91,8 @@
     accepted: Instant,
     /// How long the network takes, each way.
     delay: Duration,
+    /// The number of writes that have crossed the network, where it takes time.
+    arrived: Arc<AtomicUsize>,
     /// To the thread that writes a while later, where the network takes time.
     outgoing: Option<Sender<(Instant, Outgoing)>>,
 }
@@ -88,10 +101,11 @@
     pub fn new(stream: TcpStream, delay: Duration) -> Self {
         stream.set_nonblocking(true).unwrap();
         stream.set_nodelay(true).unwrap();
+        let arrived = Arc::new(AtomicUsize::new(0));
         let outgoing = (!delay.is_zero()).then(|| {
             let (sender, receiver) = channel();
-            let stream = stream.try_clone().unwrap();
-            spawn(move || deliver(stream, delay, &receiver));
+            let (stream, arrived) = (stream.try_clone().unwrap(), arrived.clone());
+            spawn(move || deliver(stream, delay, &receiver, &arrived));
             sender
         });
         let state = State {
@@ -100,12 +114,15 @@
             unread: Vec::new(),
             unread_since: None,
             ended: false,
+            has_copies: false,
+            writes: 0,
         };
         Connection {
             state: Mutex::new(state),
             writing: Mutex::new(()),
             accepted: Instant::now(),
             delay,
+            arrived,
             outgoing,
         }
     }
@@ -148,6 +165,19 @@
         None
     }
 
+    /// Records that a copy of an answer is written.
+    pub fn mark_copied(&self) {
+        self.state.lock().unwrap().has_copies = true;
+    }
+
+    /// Whether bytes of a further call have come before the answer to the one that was read last, though nothing on the
+    /// connection could have been taken for that answer.
+    pub fn has_call_behind(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        state.read(self.delay);
+        !state.has_copies && !state.unread.is_empty()
+    }
+
     /// Waits until no other answer is being written, and keeps others from it.
     pub fn begin_answer(&self) -> MutexGuard<'_, ()> {
         self.writing.lock().unwrap()
@@ -160,12 +190,25 @@
         if state.ended {
             return false;
         }
+        state.writes += 1;
         if let Some(outgoing) = &self.outgoing {
             return outgoing.send((Instant::now(), Outgoing::Text(text.to_string()))).is_ok();
         }
         state.stream.as_mut().is_some_and(|stream| stream.write_all(text.as_bytes()).is_ok())
     }
 
+    /// Waits until what was written has crossed the network. False if the process has closed the connection before.
+    pub fn has_arrived(&self) -> bool {
+        let writes = self.state.lock().unwrap().writes;
+        while self.outgoing.is_some() && self.arrived.load(Ordering::SeqCst) < writes {
+            if !self.is_open() {
+                return false;
+            }
+            sleep(POLL_INTERVAL);
+        }
+        self.is_open()
+    }
+
     /// Resets the connection: what has not been read is dropped.
     pub fn reset(&self) {
         let mut state = self.state.lock().unwrap();
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -1,6 +1,7 @@
 //! Endpoints and discovery of a run: what they do is drawn from its seed, what they saw is recorded.
 
 use crate::connection::Connection;
+use crate::incoming::IncomingCall;
 use crate::world::{Random, World};
 use serde_json::{Value, json};
 use std::net::TcpStream;
@@ -17,7 +18,11 @@
 const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
 const GONE: &str = "HTTP/1.1 410 No\r\ncontent-length: 0\r\n\r\n";
 const EXHAUSTED: &str = "HTTP/1.1 504 No\r\ncontent-length: 0\r\n\r\n";
-const LIMITED: &str = "HTTP/1.1 429 No\r\nretry-after: 0.2\r\ncontent-length: 0\r\n\r\n";
+const LIMITED: &str = "HTTP/1.1 429 No\r\nretry-after: 0.4\r\ncontent-length: 0\r\n\r\n";
+/// A wait in the head of an answer, and how long it is.
+const WAIT_FIELD: &str = "retry-after: 0.4\r\n";
+const LIMITED_FOR: Duration = Duration::from_millis(400);
+pub const ENDPOINTS_PER_DESTINATION: u64 = 2;
 /// So many of the last answers on a connection may be written once more.
 const ANSWERS_KEPT: usize = 3;
 /// How often a hanging endpoint looks whether it may go on.
@@ -74,6 +79,8 @@
     Delivered,
     /// Each message of a call of several ends by itself.
     Mixed,
+    /// The same, and the answer tells a wait.
+    MixedWithWait,
     Full,
     Limited,
     Failed,
@@ -92,56 +99,21 @@
 
 impl Fate {
     fn draw(random: &mut Random, in_bulk: bool) -> Self {
-        match random.below(24) {
+        match random.below(26) {
             0..10 => Fate::Delivered,
-            10..13 if in_bulk => Fate::Mixed,
+            10 if in_bulk => Fate::MixedWithWait,
+            11..13 if in_bulk => Fate::Mixed,
             13..17 => Fate::Full,
             17 => Fate::Limited,
             18 => Fate::Failed,
             19 => Fate::Broken,
             20 => Fate::Reset,
-            21 => [Fate::Gone, Fate::Exhausted][random.below(2) as usize],
+            21..24 => [Fate::Gone, Fate::Exhausted][random.below(2) as usize],
             _ => [Fate::Delivered, Fate::Closing, Fate::Spoilt][random.below(3) as usize],
         }
     }
 }
 
-/// A call as an endpoint read it.
-struct IncomingCall {
-    ids: Vec<String>,
-    in_bulk: bool,
-    /// When its first octet came.
-    sent: Instant,
-    /// Whether its connection was open when it was read.
-    is_open: bool,
-    /// Whether the endpoint hung when it came.
-    met_hang: bool,
-}
-
-impl IncomingCall {
-    fn read(request: &str, sent: Instant) -> Self {
-        let in_bulk = request.starts_with("POST /inbox/bulk ");
-        let ids = if in_bulk {
-            let body = request.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-            let entries: Value = serde_json::from_str(body).unwrap_or_default();
-            let entries = entries.as_array().cloned().unwrap_or_default();
-            entries.iter().filter_map(|entry| entry["id"].as_str().map(str::to_string)).collect()
-        } else {
-            let id = request.split("X-Call-Id: ").nth(1).and_then(|text| text.split("\r\n").next());
-            vec![id.unwrap_or("?").to_string()]
-        };
-        IncomingCall { ids, in_bulk, sent, is_open: false, met_hang: false }
-    }
-}
-
-impl IncomingCall {
-    /// Whether the process has to close the connection before any message's time is over. A call of several that
-    /// meets a hang is given up with the last of its messages: an endpoint answers 410 for those that are over.
-    fn is_owed_in_time(&self) -> bool {
-        self.is_open && !(self.met_hang && self.ids.len() > 1)
-    }
-}
-
 /// How each message of a call ends, and the answer that says so.
 fn answer_to(call: &IncomingCall, fate: Fate, random: &mut Random) -> (Vec<&'static str>, String) {
     let states: Vec<&'static str> = call
@@ -149,7 +121,9 @@
         .iter()
         .map(|_| match fate {
             Fate::Delivered | Fate::Closing => "ok",
-            Fate::Mixed => ["ok", "later", "error", "gone", "exhausted"][random.below(5) as usize],
+            Fate::Mixed | Fate::MixedWithWait => {
+                ["ok", "later", "error", "gone", "exhausted"][random.below(5) as usize]
+            }
             Fate::Full | Fate::Limited => "later",
             Fate::Gone => "gone",
             Fate::Exhausted => "exhausted",
@@ -157,14 +131,35 @@
         })
         .collect();
     let answer = match fate {
-        Fate::Delivered | Fate::Mixed | Fate::Closing | Fate::Gone | Fate::Exhausted if call.in_bulk => {
-            let entries = call.ids.iter().zip(&states);
-            let body =
-                Value::from_iter(entries.map(|(id, state)| json!({"id": id, "state": state}))).to_string();
-            let close = if fate == Fate::Closing { "connection: close\r\n" } else { "" };
-            format!("HTTP/1.1 200 OK\r\n{close}content-length: {}\r\n\r\n{body}", body.len())
+        Fate::Full | Fate::Limited | Fate::Failed | Fate::Broken | Fate::Reset | Fate::Spoilt
+            if call.in_bulk =>
+        {
+            plain_answer(fate, random)
+        }
+        _ if call.in_bulk => list_answer(&call.ids, &states, fate),
+        _ => plain_answer(fate, random),
+    };
+    (states, answer)
+}
+
+/// The answer to a call of several that gives the end of each message.
+fn list_answer(ids: &[String], states: &[&str], fate: Fate) -> String {
+    let entries = ids.iter().zip(states).map(|(id, state)| json!({"id": id, "state": state}));
+    let body = Value::from_iter(entries).to_string();
+    let field = match fate {
+        Fate::Closing => "connection: close\r\n",
+        Fate::MixedWithWait => WAIT_FIELD,
+        _ => "",
+    };
+    format!("HTTP/1.1 200 OK\r\n{field}content-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// The answer that says the same of all messages of a call.
+fn plain_answer(fate: Fate, random: &mut Random) -> String {
+    match fate {
+        Fate::Delivered | Fate::Mixed | Fate::MixedWithWait => {
+            [OK, OK, OK_WITH_BODY][random.below(3) as usize].to_string()
         }
-        Fate::Delivered | Fate::Mixed => [OK, OK, OK_WITH_BODY][random.below(3) as usize].to_string(),
         Fate::Gone => GONE.to_string(),
         Fate::Exhausted => EXHAUSTED.to_string(),
         Fate::Full => FULL.to_string(),
@@ -173,8 +168,7 @@
         Fate::Broken | Fate::Reset => String::new(),
         Fate::Closing => CLOSING.to_string(),
         Fate::Spoilt => SPOILT.to_string(),
-    };
-    (states, answer)
+    }
 }
 
 /// How long a call takes: at times longer than any timer of the program, also where it is refused.
@@ -216,6 +210,7 @@
 fn write_copy(connection: &Connection, answer: &str, random: &mut Random) {
     let pieces = pieces(answer, random);
     let _writing = connection.begin_answer();
+    connection.mark_copied();
     for piece in &pieces {
         _ = connection.write(piece);
         if pieces.len() > 1 {
@@ -233,7 +228,12 @@
     let mut copy: Option<String> = None;
     while let Some((request, sent)) = connection.next_request(profile.idle, world) {
         let mut call = IncomingCall::read(&request, sent);
-        call.ids.iter().for_each(|id| world.with(id, |trail| trail.calls.push((number, sent))));
+        for id in &call.ids {
+            world.with(id, |trail| {
+                trail.calls.push((number, sent));
+                trail.malformed.extend(call.malformed.iter().cloned());
+            });
+        }
         call.is_open = world.call_began(&call.ids, &connection);
         call.met_hang = wait_while_hung(number, &connection, world);
         call.is_open = call.is_open && connection.is_open();
@@ -274,6 +274,7 @@
     spawn(move || {
         sleep(delay);
         let _writing = connection.begin_answer();
+        connection.mark_copied();
         _ = connection.write(&answer);
     });
 }
@@ -330,6 +331,11 @@
         world.step(&call.ids, "ended before its whole answer");
         return None;
     }
+    let written = Instant::now();
+    if open && connection.has_arrived() {
+        world.step(&call.ids, "the answer has arrived, and the connection is open");
+        record_arrival(call, &states, answer.contains(WAIT_FIELD), written, world);
+    }
     world.step(&call.ids, if interim { "answered behind an interim answer" } else { "answered" });
     Some(answer)
 }
@@ -345,6 +351,9 @@
 ) -> bool {
     let pieces = pieces(answer, random);
     let _writing = connection.begin_answer();
+    if connection.has_call_behind() {
+        call.ids.iter().for_each(|id| world.with(id, |trail| trail.has_call_behind = true));
+    }
     let mut written = 0;
     for (index, piece) in pieces.iter().enumerate() {
         let is_last = index + 1 == pieces.len();
@@ -367,6 +376,22 @@
     true
 }
 
+/// Records what an answer that has reached the process tells it beyond its calls' outcomes. A wait counts from when it was
+/// written.
+fn record_arrival(call: &IncomingCall, states: &[&str], waits: bool, written: Instant, world: &World) {
+    let now = Instant::now();
+    for (id, state) in call.ids.iter().zip(states) {
+        world.with(id, |trail| {
+            if ["gone", "exhausted"].contains(state) {
+                trail.ended = trail.ended.or(Some(now));
+            }
+            if waits {
+                trail.waits.push((now, written + LIMITED_FOR));
+            }
+        });
+    }
+}
+
 fn record_delivered(world: &World, ids: &[&String]) {
     let now = Instant::now();
     for id in ids {
@@ -374,6 +399,19 @@
     }
 }
 
+/// Whether a line is a notice as the protocol page has it.
+fn is_notice(line: &str) -> bool {
+    let Ok(Value::Object(fields)) = serde_json::from_str(line) else { return false };
+    let is_known = |name: &String| ["id", "state", "after_ms"].contains(&name.as_str());
+    let has_wait = fields.get("after_ms").is_some();
+    fields.keys().all(is_known)
+        && match fields.get("state").and_then(Value::as_str) {
+            Some("failed") => !has_wait,
+            Some("returned") => fields.get("after_ms").is_none_or(Value::is_u64),
+            _ => false,
+        }
+}
+
 /// A process's discovery: a watch of the list, and notices. At times the connection ends in place of taking them.
 pub fn discovery(process: usize, stream: TcpStream, seed: u64, world: &World) {
     let mut random = Random::new(seed);
@@ -390,6 +428,8 @@
             world.with(id, |t| {
                 t.noticed = t.noticed.or(Some(Instant::now()));
                 t.returned |= line.contains("\"returned\"");
+                t.failed |= line.contains("\"failed\"");
+                t.bad_notices.extend((!is_notice(line)).then(|| line.to_string()));
                 t.steps.push(format!("{:?} notice {line}", Instant::now()));
             });
         }
--- a/crates/cli/tests/soak/listing.rs
+++ b/crates/cli/tests/soak/listing.rs
@@ -1,4 +1,4 @@
-//! The list of endpoints that discovery tells of, as it changes: endpoints drain, and serve again.
+//! The list of endpoints that discovery tells of, as it changes: endpoints drain or are removed, and serve again.
 
 use crate::connection::Connection;
 use crate::world::{Random, Trail, World};
@@ -10,15 +10,21 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// After so long without a change a watch gets an empty line.
 const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// The state of an endpoint that was removed from the list.
+const DELETED: &str = "DELETED";
 
-/// A span in which an endpoint was draining.
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD_WITHIN: Duration = Duration::from_secs(6);
+
+/// A span in which an endpoint was draining or removed.
 #[derive(Clone, Debug)]
 pub struct Drain {
     pub endpoint: usize,
-    /// When discovery had written it to each process, if it has.
+    pub since: Instant,
+    /// When discovery had written it to each process, or when it counts as told though it has not.
     pub told: Vec<Option<Instant>>,
     pub over: Option<Instant>,
-    version: u64,
+    pub version: u64,
 }
 
 #[derive(Default)]
@@ -30,8 +36,8 @@
     versions: Vec<Vec<Value>>,
     /// The changes since the first version, oldest first.
     changes: Vec<(u64, Value)>,
-    /// Until then watches get nothing.
-    silent_until: Option<Instant>,
+    /// The spans in which watches get nothing.
+    silences: Vec<(Instant, Instant)>,
     drains: Vec<Drain>,
 }
 
@@ -52,11 +58,13 @@
     pub fn held_by(&self, process: usize) -> Value {
         let state = self.0.lock().unwrap();
         let version = state.told[process];
-        json!({"version": version, "full": true, "servers": state.versions[version as usize - 1]})
+        let entries = &state.versions[version as usize - 1];
+        let listed: Vec<&Value> = entries.iter().filter(|entry| entry["state"] != DELETED).collect();
+        json!({"version": version, "full": true, "servers": listed})
     }
 
-    /// Lets an endpoint drain, or serve again where it drains. Gives what was done, in words.
-    pub fn toggle(&self, endpoint: usize) -> String {
+    /// Lets an endpoint drain or be removed, or serve again where it does not. Gives what was done, in words.
+    pub fn toggle(&self, endpoint: usize, removed: bool) -> String {
         let mut state = self.0.lock().unwrap();
         state.version += 1;
         let version = state.version;
@@ -68,8 +76,8 @@
             }
             None => {
                 let told = vec![None; state.told.len()];
-                state.drains.push(Drain { endpoint, told, over: None, version });
-                "DRAINING"
+                state.drains.push(Drain { endpoint, since: Instant::now(), told, over: None, version });
+                if removed { DELETED } else { "DRAINING" }
             }
         };
         let mut entries = state.versions.last().cloned().unwrap_or_default();
@@ -81,15 +89,23 @@
 
     /// Lets discovery say nothing for a span.
     pub fn fall_silent(&self, span: Duration) {
-        self.0.lock().unwrap().silent_until = Some(Instant::now() + span);
+        let now = Instant::now();
+        self.0.lock().unwrap().silences.push((now, now + span));
     }
 
     fn is_silent(&self) -> bool {
-        self.0.lock().unwrap().silent_until.is_some_and(|until| Instant::now() < until)
+        self.0.lock().unwrap().silences.last().is_some_and(|(_, until)| Instant::now() < *until)
     }
 
+    /// The spans in which endpoints were draining or removed, and when each counts as told to each process.
     pub fn drains(&self) -> Vec<Drain> {
-        self.0.lock().unwrap().drains.clone()
+        let state = self.0.lock().unwrap();
+        let mut drains = state.drains.clone();
+        for drain in &mut drains {
+            let due = told_at_the_latest(drain.since, &state.silences);
+            drain.told.iter_mut().for_each(|told| *told = Some(told.map_or(due, |told| told.min(due))));
+        }
+        drains
     }
 
     /// Answers a process's watch until it ends. At times a line breaks off with its connection, or an earlier line
@@ -171,11 +187,18 @@
     }
 }
 
+/// When a change counts as told at the latest, by the spans in which discovery could not be reached.
+fn told_at_the_latest(since: Instant, silences: &[(Instant, Instant)]) -> Instant {
+    silences.iter().fold(since + TOLD_WITHIN, |due, (began, until)| {
+        if *began < due && *until > since { due.max(*until + TOLD_WITHIN) } else { due }
+    })
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-/// The first call of a process's message that came while its endpoint was draining and this had long been told.
+/// The first call of a process's message that came while its endpoint was draining or removed and this had long been told.
 pub fn called_while_draining(
     process: usize,
     trail: &Trail,
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -12,10 +12,13 @@
 mod clients;
 mod connection;
 mod endpoint;
+mod incoming;
 mod judge;
 mod listing;
 mod member;
+mod planted;
 mod run;
+mod run_rules;
 mod world;
 
 use std::sync::Mutex;
--- a/crates/cli/tests/soak/member.rs
+++ b/crates/cli/tests/soak/member.rs
@@ -1,7 +1,7 @@
 //! One process of a run, and the faults that it meets: signals, system calls that fail, another wall clock.
 
 use crate::alone::{Sender, command};
-use crate::judge::Spans;
+use crate::judge::ProcessHistory;
 use crate::world::{Random, World};
 use heronroute_syscall_faults::{Call, Control, ONE_OCTET};
 use serde_json::Value;
@@ -14,6 +14,7 @@
 
 /// The earliest that SIGKILL follows SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(3_700);
+const EINTR: i32 = 4;
 /// The descriptors of a process.
 const DESCRIPTORS: usize = 256;
 
@@ -36,10 +37,7 @@
     world: Arc<World>,
     sender: Sender,
     control: Control,
-    /// When it was ending, down or starting.
-    pub downs: Spans,
-    /// When it was stopped for long.
-    pub pauses: Spans,
+    pub history: ProcessHistory,
     /// The faults so far, in words.
     pub faults: Vec<String>,
     pub broken: Vec<String>,
@@ -49,10 +47,10 @@
     /// Starts the process of a sender that is set up.
     pub fn start(process: usize, sender: Sender, world: &Arc<World>) -> Self {
         let control = Control::new(&sender.folder.join("faults")).unwrap();
-        let (downs, pauses) = (Spans::new(), Spans::new());
+        let history = ProcessHistory::default();
         let (faults, broken) = (Vec::new(), Vec::new());
         let world = world.clone();
-        let mut member = Member { process, world, sender, control, downs, pauses, faults, broken };
+        let mut member = Member { process, world, sender, control, history, faults, broken };
         member.start_process();
         member
     }
@@ -116,6 +114,7 @@
     }
 
     fn fail_folder(&mut self, random: &mut Random) {
+        let failed_since = Instant::now();
         let call = if random.one_in(2) { Call::Write } else { Call::HalfWrite };
         let errno = if random.one_in(2) { 5 } else { 28 };
         self.note(&format!("{call:?} fails with errno {errno}"));
@@ -131,9 +130,11 @@
         self.control.heal(call).unwrap();
         self.control.heal(Call::Truncate).unwrap();
         self.note("the folder is well");
+        self.history.disturbed.push((failed_since, Instant::now()));
     }
 
     fn fail_network(&mut self, random: &mut Random) {
+        let failed_since = Instant::now();
         let (call, errors) = NETWORK_FAULTS[random.below(NETWORK_FAULTS.len() as u64) as usize];
         let errno = errors[random.below(errors.len() as u64) as usize];
         self.note(&format!("{call:?} fails with errno {errno}"));
@@ -141,14 +142,21 @@
         sleep(random.millis(20, 200));
         self.control.heal(call).unwrap();
         self.note("the network is well");
+        let span = (failed_since, Instant::now());
+        self.history.disturbed.push(span);
+        if call == Call::Receive && ![EINTR, ONE_OCTET].contains(&errno) {
+            self.history.failed_reads.push(span);
+        }
     }
 
     fn pause(&mut self, random: &mut Random) {
+        let began = Instant::now();
         self.note("SIGSTOP");
         self.sender.hold();
         sleep(random.millis(20, 150));
         self.sender.go_on();
         self.note("SIGCONT");
+        self.history.disturbed.push((began, Instant::now()));
     }
 
     /// Stops the process for longer than any of its timers may be late; it can't answer meanwhile.
@@ -159,7 +167,8 @@
         sleep(random.millis(400, 3_000));
         self.sender.go_on();
         self.note("SIGCONT");
-        self.pauses.push((began, Instant::now()));
+        self.history.pauses.push((began, Instant::now()));
+        self.history.disturbed.push((began, Instant::now()));
     }
 
     /// SIGTERM, with further signals behind it, and SIGKILL as early as it may come.
@@ -183,6 +192,7 @@
     /// SIGKILL, and a start after a while, with another wall clock. The process was ending since `began`.
     fn kill(&mut self, began: Instant, random: &mut Random) {
         self.note("SIGKILL");
+        self.history.kills.push(Instant::now());
         _ = self.sender.child.kill();
         self.sender.child.wait().unwrap();
         let step = [0, 2, -2, 60, -60, 3_600, -3_600][random.below(7) as usize];
@@ -196,6 +206,6 @@
         self.note("start");
         self.start_process();
         self.note("ready");
-        self.downs.push((began, Instant::now()));
+        self.history.downs.push((began, Instant::now()));
     }
 }
--- a/crates/cli/tests/soak/run.rs
+++ b/crates/cli/tests/soak/run.rs
@@ -2,11 +2,13 @@
 
 use crate::alone::{MS, Sender, set_up};
 use crate::clients::{DESTINATIONS, MESSAGE_TIME, Submitted, client, crowd};
-use crate::endpoint::{Profile, discovery, endpoint};
-use crate::judge::{MACHINE_SLACK, START_SLACK, judge_drains, judge_end, judge_runs};
+use crate::endpoint::{ENDPOINTS_PER_DESTINATION, Profile, discovery, endpoint};
+use crate::incoming::MOST_IN_BULK;
+use crate::judge::{Case, MACHINE_SLACK, START_SLACK, Wait, judge, judge_run};
 use crate::member::Member;
-use crate::world::{Random, World, serve};
+use crate::world::{Random, Trail, World, serve};
 use serde_json::{Value, json};
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -16,11 +18,12 @@
 /// How long messages are submitted in a run.
 const SPAN: Duration = Duration::from_secs(8);
 const CLIENTS: u64 = 6;
-const ENDPOINTS_PER_DESTINATION: u64 = 2;
 /// One run in so many has a crowd of idle clients.
 const CROWD_EVERY: u64 = 4;
 /// One run in so many has an endpoint that drains and returns again and again.
 const TOGGLING_EVERY: u64 = 7;
+/// One endpoint in so many that leave the list is removed, the others drain.
+const REMOVED_EVERY: u64 = 3;
 /// The processes of a run: one, or in some runs several that share the endpoints.
 const PROCESSES: [usize; 5] = [1, 1, 3, 1, 2];
 
@@ -59,7 +62,7 @@
     config["discovery"] = json!(discovery_at);
     config["settings"]["Shapes"] = json!(["m", "bulk"]);
     config["settings"]["FamilyInfo"]["Workers"] = 24.into();
-    config["settings"]["FamilyInfo"]["BatchByKind"] = json!([1, 8]);
+    config["settings"]["FamilyInfo"]["BatchByKind"] = json!([1, MOST_IN_BULK]);
     std::fs::write(file, config.to_string()).unwrap();
 }
 
@@ -90,7 +93,7 @@
 fn fault_surroundings(seed: u64, world: &World, random: &mut Random) -> String {
     if seed.is_multiple_of(TOGGLING_EVERY) {
         sleep(random.millis(1_500, 3_000));
-        return format!("{:?} {}", Instant::now(), world.listing.toggle(0));
+        return format!("{:?} {}", Instant::now(), world.listing.toggle(0, random.one_in(REMOVED_EVERY)));
     }
     sleep(random.millis(300, 1_500));
     if random.one_in(6) {
@@ -104,7 +107,7 @@
         world.hang(endpoint, span);
         return format!("{:?} endpoint {endpoint} hangs for {span:?}", Instant::now());
     }
-    format!("{:?} {}", Instant::now(), world.listing.toggle(endpoint))
+    format!("{:?} {}", Instant::now(), world.listing.toggle(endpoint, random.one_in(REMOVED_EVERY)))
 }
 
 /// Plays clients and faults until the end of the run's span. Returns all messages, and the faults of endpoints
@@ -147,6 +150,26 @@
     (all.into_inner().unwrap(), faults)
 }
 
+/// The waits that the messages' answers told their processes.
+fn told_waits(all: &[Submitted], trails: &HashMap<String, Trail>) -> Vec<Wait> {
+    let of_message = |message: &Submitted| {
+        let (process, dest) = (message.process, message.dest);
+        let told = trails
+            .get(&message.id)
+            .into_iter()
+            .flat_map(|trail| trail.waits.iter().map(|(told, until)| (*told, *until, trail.steps.clone())));
+        told.map(move |(told, until, steps)| Wait { process, dest, told, until, steps })
+    };
+    all.iter().flat_map(of_message).collect()
+}
+
+/// Calls and notices of messages that no client has submitted.
+fn unknown_messages(all: &[Submitted], trails: &HashMap<String, Trail>) -> Vec<String> {
+    let known: HashSet<&str> = all.iter().map(|message| message.id.as_str()).collect();
+    let unknown = trails.iter().filter(|(id, _)| !known.contains(id.as_str()));
+    unknown.map(|(id, trail)| format!("{id} was never submitted: {:#?}", trail.steps)).collect()
+}
+
 /// Plays one seed.
 pub fn play(seed: u64) -> Outcome {
     let world = Arc::new(World::default());
@@ -157,13 +180,20 @@
     let drains = world.listing.drains();
     let mut broken: Vec<String> =
         members.iter_mut().flat_map(|member| std::mem::take(&mut member.broken)).collect();
-    for message in &all {
-        let trail = trails.get(&message.id).cloned().unwrap_or_default();
-        let Member { downs, pauses, .. } = &members[message.process];
-        broken.extend(judge_runs(message, &trail, pauses));
-        broken.extend(judge_end(message, &trail, downs, pauses));
-        broken.extend(judge_drains(message, &trail, &drains, downs, pauses));
-    }
+    members[0].history.has_crowd = seed.is_multiple_of(CROWD_EVERY);
+    let waits = told_waits(&all, &trails);
+    let unseen = Trail::default();
+    let case = |message| Case {
+        message,
+        trail: trails.get(&message.id).unwrap_or(&unseen),
+        process: &members[message.process].history,
+        waits: &waits,
+        drains: &drains,
+    };
+    let cases: Vec<Case<'_>> = all.iter().map(case).collect();
+    broken.extend(cases.iter().flat_map(judge));
+    broken.extend(judge_run(&cases));
+    broken.extend(unknown_messages(&all, &trails));
     world.over.store(true, Ordering::Relaxed);
     if !broken.is_empty() {
         println!("seed {seed}: faults of endpoints and discovery: {faults:#?}");
@@ -172,5 +202,5 @@
             println!("process {process}: faults, and the program's log in {log:?}: {:#?}", member.faults);
         }
     }
-    Outcome { broken, accepted: all.iter().filter(|message| message.accepted).count() }
+    Outcome { broken, accepted: all.iter().filter(|message| message.is_accepted()).count() }
 }
--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -45,16 +45,28 @@
     pub runs: Vec<Instant>,
     /// When it last ran, or may have run, by a call whose connection the process had not closed before it was read.
     pub last_open_run: Option<Instant>,
-    /// The endpoint of each call with it, and when its first octet came.
+    /// The endpoint of each call with it that was read whole, and when its first octet came.
     pub calls: Vec<(usize, Instant)>,
+    /// What is wrong with one of those calls by itself.
+    pub malformed: Vec<String>,
+    /// When an answer that ends it had reached the process: 410, 504, or their states in a list.
+    pub ended: Option<Instant>,
+    /// Each wait that was told with an answer to it: from when, until when.
+    pub waits: Vec<(Instant, Instant)>,
     /// When a call with it came while an earlier one was out on a connection that the process had not closed.
     pub overlaps: Vec<Instant>,
     /// When a 200 was written for it.
     pub delivered: Option<Instant>,
     /// When its first notice came.
     pub noticed: Option<Instant>,
-    /// Whether a notice said that it surely did not run.
+    /// Whether a further call came on the connection of one with it before that was answered.
+    pub has_call_behind: bool,
+    /// Whether a notice said that submitting it again is harmless.
     pub returned: bool,
+    /// Whether a notice said that it failed.
+    pub failed: bool,
+    /// Notices that can't be read.
+    pub bad_notices: Vec<String>,
     /// All that was seen of it, in words.
     pub steps: Vec<String>,
 }
