A call that was decided before the process was held up waits until what arrived is read

What endpoints could see: a call some milliseconds after SIGCONT, within a wait that they had told while the process was stopped.

Cause: the process was stopped between its decision and the write (as a signal takes effect where a system call returns, that is most of a turn), and wrote before it read.

Cost: a wait of zero length behind each wait for events of over 50 ms.

--- a/crates/cli/tests/unread_answers.rs
+++ b/crates/cli/tests/unread_answers.rs
@@ -1,4 +1,4 @@
-//! Answers that arrive while the process is stopped, for longer than it waits for them.
+//! Answers that arrive while the process is stopped: for longer than it waits for them, or before it sends a call.
 
 mod alone;
 
@@ -6,7 +6,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long the process stays stopped after its call has timed out.
 const STOPPED_LONGER: Duration = Duration::from_millis(50);
@@ -81,3 +81,61 @@
     let again: Vec<&str> = answers.into_iter().filter(|answer| is_called_again(answer)).collect();
     assert!(again.is_empty(), "sent again behind {again:?}");
 }
+
+/// How long the process is stopped: longer than the time within which calls are let through after a wait was told.
+const STOPPED_FOR: Duration = Duration::from_millis(200);
+/// What was decided before a stop is sent within this after it.
+const SENT_WITHIN: Duration = Duration::from_millis(300);
+const TRIES: u32 = 60;
+/// Processes at once.
+const AT_ONCE: u32 = 4;
+/// The moments of the stop, behind a request, are so far apart.
+const MOMENT: Duration = Duration::from_micros(40);
+
+/// Whether a message is called within a wait that was told while the process was stopped, soon after it got the message.
+fn ignores_a_wait(number: u32) -> bool {
+    let sender = start(&format!("stopped-{number}"));
+    let mut client = sender.client();
+    assert_eq!(client.asks(&out_add("first")), "+OK");
+    let (mut stream, _) = sender.call();
+    client.write(&out_add("second"));
+    sleep(number % 30 * MOMENT);
+    assert!(sender.hold());
+    if sender.is_called(MS) {
+        return false;
+    }
+    stream.write_all(b"HTTP/1.1 429 No\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n").unwrap();
+    sleep(STOPPED_FOR);
+    sender.go_on();
+    is_sent_a_call(&sender, SENT_WITHIN)
+}
+
+/// Whether bytes of a call come within a span. A connection alone is none.
+fn is_sent_a_call(sender: &Sender, span: Duration) -> bool {
+    let end = Instant::now() + span;
+    let mut streams: Vec<TcpStream> = Vec::new();
+    sender.endpoint.set_nonblocking(true).unwrap();
+    while Instant::now() < end {
+        if let Ok((stream, _)) = sender.endpoint.accept() {
+            stream.set_nonblocking(true).unwrap();
+            streams.push(stream);
+        }
+        if streams.iter().any(|stream| stream.peek(&mut [0]).is_ok_and(|length| length > 0)) {
+            return true;
+        }
+        sleep(MS);
+    }
+    false
+}
+
+/// Guards against a call that leaves within a wait because it was decided before the process was held up.
+#[test]
+fn a_call_that_was_decided_before_a_stop_heeds_a_wait_that_is_told_meanwhile() {
+    let ignored: u32 = std::thread::scope(|threads| {
+        let play =
+            |first: u32| (first..TRIES).step_by(AT_ONCE as usize).filter(|n| ignores_a_wait(*n)).count();
+        let all: Vec<_> = (0..AT_ONCE).map(|first| threads.spawn(move || play(first) as u32)).collect();
+        all.into_iter().map(|thread| thread.join().unwrap()).sum()
+    });
+    assert_eq!(ignored, 0, "of {TRIES} stops");
+}
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -8,8 +8,9 @@
 use heronroute::{EndpointId, Event};
 use heronroute_journal::Usage;
 
-/// A round of the decision library, which may give calls up, waits for input that may have arrived so long ago.
-const MAX_INPUT_AGE: Micros = 5_000;
+/// Nothing is decided or sent while input that arrived longer ago may be unhandled. Half of the time within which the
+/// protocol lets calls through after a wait was told.
+const MAX_INPUT_AGE: Micros = 50_000;
 
 impl Node {
     /// Records that all input that arrived until a time has been passed to the node. Guards against a timer
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -62,6 +62,8 @@
     closing: ClosingConns,
     /// Connections that may have more to read.
     ready: BTreeSet<ConnId>,
+    /// Connections with a call that waits until what has arrived is read.
+    deferred_writes: BTreeSet<ConnId>,
     command_queue: Receiver<Command>,
     /// The file for the directory's list.
     list_path: Option<PathBuf>,
@@ -102,6 +104,7 @@
             sockets: BTreeMap::new(),
             closing: ClosingConns::default(),
             ready: BTreeSet::new(),
+            deferred_writes: BTreeSet::new(),
             command_queue,
             list_path,
             journal,
@@ -152,7 +155,7 @@
 
     /// Returns the maximum time to wait for the next event.
     fn poll_timeout(&self) -> Option<Duration> {
-        if !self.ready.is_empty() {
+        if !self.ready.is_empty() || !self.deferred_writes.is_empty() {
             return Some(Duration::ZERO);
         }
         // Waiting clients are accepted at once, or a little later if descriptors ran out.
@@ -184,6 +187,7 @@
             self.read_again_if_late(&mut events)?;
             self.retry_journal();
             self.node.settle(self.clock.now());
+            self.write_deferred();
             self.stop_listening_if_refused();
             self.execute_outputs();
             self.handle_closing();
@@ -304,6 +308,10 @@
             self.sockets.get_mut(&conn).into_iter().for_each(|s| s.readable = true);
             self.read(conn);
         }
+        if self.node.reads_first(conn) && self.node.needs_inputs(self.clock.now()) {
+            self.deferred_writes.insert(conn);
+            return;
+        }
         // Guards against sending, after a pause of this process, bytes from before it: another process may
         // have taken over.
         let now = self.clock.now();
--- a/crates/net/src/reactor/inputs.rs
+++ b/crates/net/src/reactor/inputs.rs
@@ -1,10 +1,14 @@
-//! What has arrived is read before timers run: a call whose answer lies unread must not be given up.
+//! What has arrived is read before timers run and calls are written: a call whose answer lies unread must not be given up,
+//! and a call that was decided before this process was held up must not leave within a wait that was told meanwhile.
 
 use super::Reactor;
 use mio::Events;
 use std::io;
 use std::time::Duration;
 
+/// How often a turn reads again what has arrived meanwhile.
+const MAX_READS_AGAIN: usize = 3;
+
 impl Reactor {
     /// Waits for events. Returns the time until which all that arrived is known, or `None` if a signal
     /// interrupted the wait, as it does where the process was stopped.
@@ -13,13 +17,24 @@
         events: &mut Events,
         timeout: Option<Duration>,
     ) -> io::Result<Option<i64>> {
+        // Before the wait: a signal that stops the process takes effect as the system call returns.
+        let began = self.clock.now();
         match self.poll.poll(events, timeout) {
-            Ok(()) => Ok(Some(self.clock.now())),
+            Ok(()) => {}
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {
                 events.clear();
-                Ok(None)
+                return Ok(None);
             }
-            Err(e) => Err(e),
+            Err(e) => return Err(e),
+        }
+        let waited = timeout.filter(|_| events.is_empty()).unwrap_or_default();
+        Ok(Some(self.clock.now().min(began + waited.as_micros() as i64)))
+    }
+
+    /// Writes the calls that waited until what has arrived was read, if they are still to be written.
+    pub(super) fn write_deferred(&mut self) {
+        if !self.node.needs_inputs(self.clock.now()) {
+            std::mem::take(&mut self.deferred_writes).into_iter().for_each(|conn| self.write(conn));
         }
     }
 
@@ -33,18 +48,19 @@
         }
     }
 
-    /// Reads once more what has arrived meanwhile, if this turn has taken long. Under a load under which each
-    /// turn takes long, that is enough.
+    /// Reads once more what has arrived meanwhile, if the wait or this turn has taken long. A load under which
+    /// even that takes long is no reason to decide nothing.
     pub(super) fn read_again_if_late(&mut self, events: &mut Events) -> io::Result<()> {
-        if !self.node.needs_inputs(self.clock.now())
-            || self.wait_for_events(events, Some(Duration::ZERO))?.is_none()
-        {
-            return Ok(());
+        for _ in 0..MAX_READS_AGAIN {
+            if !self.node.needs_inputs(self.clock.now()) {
+                return Ok(());
+            }
+            let Some(until) = self.wait_for_events(events, Some(Duration::ZERO))? else { return Ok(()) };
+            self.handle_events(events);
+            self.handle_signals();
+            self.handle_commands();
+            self.read_ready(Some(until));
         }
-        self.handle_events(events);
-        self.handle_signals();
-        self.handle_commands();
-        self.read_ready(None);
         self.node.inputs_handled(self.clock.now());
         Ok(())
     }
