Contracts of links: an answer that lies unread at a close ends its messages

The read before a close had tests of the platform's sender alone; a link of another kind could drop what it finds. The clause "what ends a message says so where it lay unread" holds for every link whose protocol ends messages; its planted fault, a link that forgets what it read then, is found by it and by no other clause.

--- a/crates/contracts/src/link/clauses.rs
+++ b/crates/contracts/src/link/clauses.rs
@@ -25,6 +25,7 @@
     Clause { name: "what ends a message says so", run: ends::certain },
     Clause { name: "what ends a message says so in doubt too", run: ends::in_doubt },
     Clause { name: "what ends a message says so where it breaks off", run: ends::broken_off },
+    Clause { name: "what ends a message says so where it lay unread", run: ends::unread },
     Clause { name: "a wait is announced whoever's answer it comes with", run: ends::late_wait },
     Clause { name: "an answer to nothing answers nothing", run: unrequested_answer },
     Clause { name: "an answer of another kind is no delivery", run: mismatch },
--- a/crates/contracts/src/link/ends.rs
+++ b/crates/contracts/src/link/ends.rs
@@ -71,6 +71,20 @@
     Ok(())
 }
 
+/// The same where the answer lies unread as this side closes the connection.
+pub fn unread(r: &dyn Receiver) -> Result<(), String> {
+    for (how, wanted) in ENDS.into_iter().filter(|_| r.can_end_messages()) {
+        for messages in [1, r.batch()] {
+            let mut connection = Connection::ready(r)?;
+            connection.call(1, messages);
+            let answer = r.answers(&connection.flush(), how).concat();
+            let found = connection.link.read_unhandled(&answer).map(|answers| answers.finality);
+            ensure!(found == Some(wanted), "{wanted:?} is read as {found:?} where it lay unread");
+        }
+    }
+    Ok(())
+}
+
 /// A copy was taken for a call's answer, and its own announces a wait.
 pub fn late_wait(r: &dyn Receiver) -> Result<(), String> {
     const WAIT: Micros = 2_000_000;
--- a/crates/contracts/src/link/faulty.rs
+++ b/crates/contracts/src/link/faulty.rs
@@ -2,7 +2,7 @@
 
 use super::{CallOutcome, Receiver};
 use heronroute::{Finality, Outcome};
-use heronroute_engine::link::{Link, LinkEvent, OutboundMessage, Reply};
+use heronroute_engine::link::{LateAnswers, Link, LinkEvent, OutboundMessage, Reply};
 use heronroute_engine::{Micros, Stream};
 
 /// The planted fault.
@@ -42,6 +42,8 @@
     ForgetsEndsInDoubt,
     /// The same only where the answer breaks off.
     ForgetsHeads,
+    /// The same only where the answer lies unread as this side closes the connection.
+    ForgetsUnread,
     /// A wait in an answer to an earlier call is lost.
     NoLateWait,
     /// The link panics at the byte 0xFD.
@@ -187,6 +189,13 @@
     fn finality_so_far(&self, part: usize) -> Finality {
         if self.is(Fault::ForgetsHeads) { Finality::Open } else { self.inner.finality_so_far(part) }
     }
+    fn read_unhandled(&mut self, bytes: &[u8]) -> Option<LateAnswers> {
+        let mut answers = self.inner.read_unhandled(bytes)?;
+        if self.is(Fault::ForgetsUnread) {
+            answers.finality = Finality::Open;
+        }
+        Some(answers)
+    }
     fn finality_of_earlier(&self) -> Finality {
         self.inner.finality_of_earlier()
     }
--- a/crates/contracts/tests/link.rs
+++ b/crates/contracts/tests/link.rs
@@ -64,6 +64,7 @@
         (Fault::ForgetsEnds, "what ends a message says so"),
         (Fault::ForgetsEndsInDoubt, "what ends a message says so in doubt too"),
         (Fault::ForgetsHeads, "what ends a message says so where it breaks off"),
+        (Fault::ForgetsUnread, "what ends a message says so where it lay unread"),
         (Fault::NoLateWait, "a wait is announced whoever's answer it comes with"),
     ] {
         let wrong = FaultyReceiver(&Platform, fault);
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -15,7 +15,7 @@
 use crate::stream::Stream;
 use heronroute::{Finality, LimitReport, Outcome};
 use heronroute_config::{KindConfig, Protocol};
-use heronroute_platform::call::LateAnswers;
+pub use heronroute_platform::call::LateAnswers;
 use heronroute_smpp::server::Limits;
 use heronroute_smpp::submission::Submission;
 
