Soak: notices before a kill are not acknowledged, none slowly; a kill takes time

- nine messages "lost": their notices came 0.75 to 0.97 s after their time, behind acknowledgements that took up to 0.8 s each.
Now only those of the last 20 to 150 ms before a SIGKILL are not acknowledged, which the process can't tell.
- one "sent again though an endpoint had ended it": its answer had arrived 0.15 ms after the time that was noted for the SIGKILL, which takes effect later.
A kill is a span now, from before the signal until the process is dead.

--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -412,9 +412,6 @@
         }
 }
 
-/// One acknowledgement of notices in so many is slow, so that a process may be killed before it comes.
-const SLOW_ACKNOWLEDGEMENT_EVERY: u64 = 3;
-
 /// A process's discovery: a watch of the list, and notices. At times the connection ends in place of taking them.
 pub fn discovery(process: usize, stream: TcpStream, seed: u64, world: &World) {
     let mut random = Random::new(seed);
@@ -436,9 +433,7 @@
                 t.steps.push(format!("{:?} notice {line}", Instant::now()));
             });
         }
-        if random.one_in(SLOW_ACKNOWLEDGEMENT_EVERY) {
-            sleep(random.millis(50, 800));
-        }
+        world.wait_while_acknowledgements_are_held(process);
         _ = connection.write("HTTP/1.1 204 No Content\r\n\r\n");
     }
 }
--- a/crates/cli/tests/soak/judge.rs
+++ b/crates/cli/tests/soak/judge.rs
@@ -33,8 +33,8 @@
 pub struct ProcessHistory {
     /// When it was ending, down or starting.
     pub downs: Spans,
-    /// When it was killed.
-    pub kills: Vec<Instant>,
+    /// From when it was killed until it was dead.
+    pub kills: Spans,
     /// When it was stopped for long.
     pub pauses: Spans,
     /// When it was stopped, or its folder or its calls for the network failed.
@@ -56,7 +56,7 @@
         let due = self.disturbed.iter().fold(at + MACHINE_SLACK, |due, (began, over)| {
             if *began <= due && *over >= at { due.max(*over + MACHINE_SLACK) } else { due }
         });
-        self.kills.iter().any(|kill| at <= *kill && *kill <= due)
+        self.kills.iter().any(|(since, dead)| at <= *dead && *since <= due)
     }
 
     fn was_down_between(&self, from: Instant, to: Instant) -> bool {
--- a/crates/cli/tests/soak/member.rs
+++ b/crates/cli/tests/soak/member.rs
@@ -191,10 +191,14 @@
 
     /// SIGKILL, and a start after a while, with another wall clock. The process was ending since `began`.
     fn kill(&mut self, began: Instant, random: &mut Random) {
+        self.world.hold_acknowledgements(self.process, true);
+        sleep(random.millis(20, 150));
         self.note("SIGKILL");
-        self.history.kills.push(Instant::now());
+        let killed_since = Instant::now();
         _ = self.sender.child.kill();
         self.sender.child.wait().unwrap();
+        self.history.kills.push((killed_since, Instant::now()));
+        self.world.hold_acknowledgements(self.process, false);
         let step = [0, 2, -2, 60, -60, 3_600, -3_600][random.below(7) as usize];
         self.note(&format!("the wall clock is {step} s off"));
         self.control.step_wall_clock(step * 1_000_000).unwrap();
--- a/crates/cli/tests/soak/planted.rs
+++ b/crates/cli/tests/soak/planted.rs
@@ -202,9 +202,9 @@
     let mut planted = Planted::new();
     planted.trail.ended = Some(planted.at(20));
     planted.call_at(1_500);
-    planted.process.kills.push(planted.at(100));
+    planted.process.kills.push((planted.at(100), planted.at(101)));
     assert!(planted.broken().is_empty());
-    planted.process.kills[0] = planted.at(900);
+    planted.process.kills[0] = (planted.at(900), planted.at(901));
     planted.process.failed_reads.push((planted.at(0), planted.at(60)));
     assert!(planted.broken().is_empty(), "its read failed");
     planted.process.failed_reads.clear();
--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -2,7 +2,7 @@
 
 use crate::connection::Connection;
 use crate::listing::Listing;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -80,6 +80,8 @@
     calls_out: Mutex<HashMap<String, Vec<Arc<Connection>>>>,
     /// The ends of the spans in which endpoints hang, by the endpoint's number.
     hung_until: Mutex<HashMap<usize, Instant>>,
+    /// The processes whose notices are not acknowledged, as they are about to be killed.
+    held_acknowledgements: Mutex<HashSet<usize>>,
     pub over: AtomicBool,
 }
 
@@ -99,6 +101,22 @@
         self.over.load(Ordering::Relaxed)
     }
 
+    /// Lets discovery read a process's notices without acknowledging them, from just before it is killed until it is.
+    pub fn hold_acknowledgements(&self, process: usize, held: bool) {
+        let mut all = self.held_acknowledgements.lock().unwrap();
+        if held {
+            all.insert(process);
+        } else {
+            all.remove(&process);
+        }
+    }
+
+    pub fn wait_while_acknowledgements_are_held(&self, process: usize) {
+        while !self.is_over() && self.held_acknowledgements.lock().unwrap().contains(&process) {
+            sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Lets an endpoint hang for a span: it neither runs nor answers calls.
     pub fn hang(&self, endpoint: usize, span: Duration) {
         self.hung_until.lock().unwrap().insert(endpoint, Instant::now() + span);
