--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -20,7 +20,7 @@
         self.inputs_until = until;
     }
 
-    /// Returns whether input that arrived longer ago than a round may ignore can be unhandled.
+    /// Returns whether input may be unhandled that arrived too long ago to decide or to send a call without it.
     pub fn needs_inputs(&self, now: Micros) -> bool {
         now.saturating_sub(self.inputs_until) > MAX_INPUT_AGE
     }
