--- a/crates/cli/tests/soak/judge.rs
+++ b/crates/cli/tests/soak/judge.rs
@@ -1,5 +1,5 @@
 //! The rules that a run is judged by, from what crossed the sockets. They are read from the users' protocol page and their
-//! page of the standing test, not from the program: each names its sentence. docs/platform.md lists the rules that
+//! page of the standing test, not from the program: each names its sentence. docs/soak.md lists the rules that
 //! other tests play.
 
 use crate::clients::{ANSWER_TIMEOUT, MESSAGE_TIME, Response, Submitted};
