--- a/crates/cli/tests/alone/mod.rs
+++ b/crates/cli/tests/alone/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)] // not every test file uses all of it
 
 use heronroute_reserved_port::ReservedPort;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -99,6 +99,14 @@
     Sender { child, folder, listen: at, _port: port, endpoint, discovery }
 }
 
+/// Changes the settings of a sender that is set up.
+pub fn change_config(sender: &Sender, change: impl FnOnce(&mut Value)) {
+    let file = sender.folder.join("config.json");
+    let mut config: Value = serde_json::from_str(&std::fs::read_to_string(&file).unwrap()).unwrap();
+    change(&mut config);
+    std::fs::write(file, config.to_string()).unwrap();
+}
+
 pub fn spawn(folder: &std::path::Path, descriptors: usize) -> Child {
     command(folder, descriptors).spawn().unwrap()
 }
@@ -183,6 +191,13 @@
         self.signal("-CONT");
     }
 
+    /// The most memory that the process has had resident so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1_024
+    }
+
     pub fn descriptors(&self, limit: usize) -> usize {
         let all = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().flatten();
         let number = |f: std::fs::DirEntry| f.file_name().to_string_lossy().parse::<usize>();
--- a/crates/config/src/check/types.rs
+++ b/crates/config/src/check/types.rs
@@ -82,6 +82,8 @@
 pub struct PlatformConfig {
     /// The maximum number of client connections.
     pub sessions: usize,
+    /// The memory that the process may use, in bytes.
+    pub memory: u64,
     /// The address from which lists are fetched and to which notices are sent.
     pub discovery: SocketAddr,
 }
--- a/crates/contracts/src/directory/watched.rs
+++ b/crates/contracts/src/directory/watched.rs
@@ -6,6 +6,9 @@
 use heronroute_engine::directory::{self, Directory};
 use serde_json::{Value, json};
 
+/// The size of a list that the directory may send, in bytes.
+const MAX_LIST_BYTES: usize = 4 << 20;
+
 /// A watch.
 pub struct Watched;
 
@@ -15,7 +18,7 @@
 
 impl Catalog for Watched {
     fn directory(&self, now: Micros) -> Box<dyn Directory> {
-        Box::new(directory::Watched::new(now, HERE))
+        Box::new(directory::Watched::new(now, HERE, MAX_LIST_BYTES))
     }
     fn head(&self) -> Vec<u8> {
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec()
--- a/crates/engine/src/acceptance.rs
+++ b/crates/engine/src/acceptance.rs
@@ -6,11 +6,12 @@
 //! retry delay.
 
 use crate::Micros;
-use crate::admission::RejectReason;
+use crate::admission::{RejectReason, message_bytes};
 use crate::entry_codec::to_entry;
 use crate::failover::Suspension;
 use crate::front::Speaks;
 use crate::ids::ConnId;
+use crate::memory::MemoryUse;
 use crate::node::{ConnRole, Effect, Message, Node};
 use crate::outbox::ReplyAddress;
 use heronroute::{Action, DestId, Effect as Repeats, Event, MsgId};
@@ -35,8 +36,12 @@
         let max_open = self.cfg.settings.max_open as usize;
         let round_full = self.submitted.len() >= max_open;
         let submitted_bytes = self.submitted_bytes + add.body.len();
-        if self.frozen || round_full || self.ledger.refuses(self.now, self.messages.len(), submitted_bytes) {
+        let has_memory = message_bytes(add.body.len()) <= self.memory.room(MemoryUse::Messages);
+        let has_journal_room = !self.ledger.refuses(self.now, self.messages.len(), submitted_bytes);
+        if self.frozen || round_full || !has_memory || !has_journal_room {
+            tracing::debug!(id = add.id, round_full, has_memory, has_journal_room, "refused a message");
             self.stats.refused_room += 1;
+            self.stats.refused_memory += u64::from(!has_memory);
             let retry_after = self.cfg.settings.max_retry_after;
             self.respond(conn, token, MsgId(0), Answer::Rejected { retry_after });
             return;
@@ -81,6 +86,7 @@
             trail: None,
             answer_for: 0,
             still: Suspension::No,
+            counted_bytes: 0,
         };
         self.add_open_message(id, message);
         self.submitted.push((id, add.dest));
--- a/crates/engine/src/admission/fronts.rs
+++ b/crates/engine/src/admission/fronts.rs
@@ -4,6 +4,7 @@
 use crate::front::{ClientRequest, Front, MqttFront, RejectReason, RespFront, SmppFront, Speaks};
 use crate::ids::ConnId;
 use crate::mailboxes::MailboxId;
+use crate::memory::MemoryUse;
 use crate::node::{ConnRole, Node, TimerKey};
 
 /// The pause after a client refused a receipt, before it is sent again.
@@ -77,19 +78,28 @@
             let wake = front.wake();
             self.timers.set(TimerKey::Conn(conn), wake);
         }
+        self.count_memory(conn);
         self.flush(conn);
     }
 
     /// Handles bytes received from a client.
     pub(crate) fn client_received(&mut self, conn: ConnId, bytes: &[u8]) {
         let (now, wall) = (self.now, self.wall());
-        self.with_front(conn, |f, out, requests| f.receive(now, wall, bytes, out, requests));
+        let room = self.memory.room(MemoryUse::Clients);
+        self.with_front(conn, |f, out, requests| {
+            f.set_input_room(room);
+            f.receive(now, wall, bytes, out, requests);
+        });
     }
 
     /// Handles the timer of a client connection.
     pub(crate) fn client_tick(&mut self, conn: ConnId) {
         let now = self.now;
-        self.with_front(conn, |f, out, requests| f.tick(now, out, requests));
+        let room = self.memory.room(MemoryUse::Clients);
+        self.with_front(conn, |f, out, requests| {
+            f.set_input_room(room);
+            f.tick(now, out, requests);
+        });
     }
 
     /// Returns the front of a connection and its output buffer.
--- a/crates/engine/src/admission/mod.rs
+++ b/crates/engine/src/admission/mod.rs
@@ -14,6 +14,7 @@
 use crate::mailboxes::MailboxId;
 use crate::rule_tables::rules::RuleTerms;
 use heronroute::DestId;
+pub(crate) use open_messages::message_bytes;
 
 /// Where a message comes from.
 #[derive(Clone, Copy, Debug)]
--- a/crates/engine/src/admission/open_messages.rs
+++ b/crates/engine/src/admission/open_messages.rs
@@ -6,12 +6,25 @@
 use crate::failover::Suspension;
 use crate::front::{Speaks, SubmissionContext};
 use crate::ids::ID_SENDER_BITS;
+use crate::memory::MemoryUse;
 use crate::node::{ConnRole, Message, Node};
 use heronroute::MsgId;
 use heronroute_held::Trail;
 use heronroute_journal::entry::{Accepted, What};
 use heronroute_smpp::submission::Submission;
 
+/// The places that may hold the body of an open message at once: the message, the journal's state, and a call or an
+/// entry that is being written.
+const COPIES_OF_A_BODY: usize = 3;
+/// What an open message takes beside its body, in bytes: its records here, in the decision library and in the
+/// journal's state.
+const MESSAGE_BYTES: usize = 1_536;
+
+/// Returns how many bytes of memory an open message with a body of this size takes.
+pub(crate) fn message_bytes(body_bytes: usize) -> usize {
+    MESSAGE_BYTES + COPIES_OF_A_BODY * body_bytes
+}
+
 impl Node {
     /// Returns a new message id.
     pub(crate) fn new_id(&mut self) -> MsgId {
@@ -72,12 +85,15 @@
             may_have_run_since: None,
             answer_for: 0,
             still: Suspension::No,
+            counted_bytes: 0,
             trail: self.records_trail(from.client).then(|| Box::new(Trail::new(self.wall(), 0))),
         }
     }
 
     /// Adds an open message, and counts it against every shared limit.
-    pub(crate) fn add_open_message(&mut self, id: MsgId, message: Message) {
+    pub(crate) fn add_open_message(&mut self, id: MsgId, mut message: Message) {
+        message.counted_bytes = message_bytes(message.submission.body.len());
+        self.memory.replace(MemoryUse::Messages, 0, message.counted_bytes);
         self.clients[message.client].open += 1;
         self.open_by_front[message.speaks as usize] += 1;
         if let Some(m) = self.mailboxes.get_mut(message.mailbox) {
@@ -91,6 +107,7 @@
 
     /// Removes a message that is no longer open from the counts of every shared limit.
     pub(crate) fn remove_open_message(&mut self, message: &Message) {
+        self.memory.replace(MemoryUse::Messages, message.counted_bytes, 0);
         self.clients[message.client].open -= 1;
         self.open_by_front[message.speaks as usize] -= 1;
         if let Some(m) = self.mailboxes.get_mut(message.mailbox) {
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -69,6 +69,12 @@
     pub(crate) fn link_received(&mut self, conn: ConnId, bytes: &[u8]) {
         let now = self.now;
         self.with_link(conn, |link, stream, events| link.receive(now, bytes, stream, events));
+        self.count_memory(conn);
+        if self.exceeds_memory(conn) {
+            tracing::warn!(conn, "closing a connection to a receiver: no memory is left for its answer");
+            self.stats.answers_without_memory += 1;
+            self.end_link(conn);
+        }
     }
 
     /// Runs the timers of a link.
--- a/crates/engine/src/directory/watched.rs
+++ b/crates/engine/src/directory/watched.rs
@@ -35,8 +35,6 @@
 const SILENCE_TIMEOUT: Micros = 2_600_000;
 /// The maximum time from the first to the last byte of a list, against a list that trickles in.
 const LIST_TIMEOUT: Micros = 1_000_000;
-/// The maximum size in bytes of a whole list that is requested separately.
-const MAX_WHOLE_LIST_BYTES: usize = 4 << 20;
 
 #[derive(Clone, Copy, Debug)]
 enum State {
@@ -75,18 +73,21 @@
     use_long_timeout: bool,
     versions: Versions,
     request: Request,
+    /// The maximum size of a list, in bytes.
+    max_list_bytes: usize,
 }
 
 impl Watched {
-    /// Creates a client that connects at once.
-    pub fn new(now: Micros, address: SocketAddr) -> Self {
+    /// Creates a client that connects at once, and reads lists of up to `max_list_bytes`.
+    pub fn new(now: Micros, address: SocketAddr, max_list_bytes: usize) -> Self {
         Watched {
             address,
             state: State::Due(now),
             backoff: FIRST_RETRY_DELAY,
             use_long_timeout: false,
             versions: Versions::default(),
-            request: Request::Watch(Watch::default()),
+            request: Request::Watch(Watch::new(max_list_bytes)),
+            max_list_bytes,
         }
     }
 
@@ -124,7 +125,7 @@
 
     fn start_watch(&mut self, now: Micros, version: u64, stream: &mut Stream) {
         tracing::debug!(now, version, "starting a watch on the list");
-        self.request = Request::Watch(Watch::default());
+        self.request = Request::Watch(Watch::new(self.max_list_bytes));
         watch::write_watch_request(version, &self.address.to_string(), &mut stream.out);
     }
 
@@ -266,7 +267,7 @@
         self.state = State::Asked { until, since: now, answered: false };
         match self.versions.next_request(now) {
             ListRequest::Whole => {
-                self.request = Request::Whole(Reader::new(Side::Responses, MAX_WHOLE_LIST_BYTES));
+                self.request = Request::Whole(Reader::new(Side::Responses, self.max_list_bytes));
                 watch::write_list_request(&self.address.to_string(), &mut stream.out);
             }
             ListRequest::ChangesSince(version) => self.start_watch(now, version, stream),
--- a/crates/engine/src/front/resp.rs
+++ b/crates/engine/src/front/resp.rs
@@ -1,65 +1,76 @@
 //! The front for platform clients: RESP2, one message per `OUT.ADD`, answered in the order of the requests.
 //!
 //! Guards against clients that send malformed commands, half a command, or nothing: each receives an error
-//! line or its connection is closed within [`REQUEST_TIMEOUT`].
-//!
-//! Also guards against a client that pipelines hundreds of commands: at most [`MAX_PIPELINED`] are unanswered
-//! at a time.
+//! line or its connection is closed within [`REQUEST_TIMEOUT`]. Also guards against a client that pipelines hundreds of
+//! commands: at most [`MAX_PIPELINED`] are unanswered at a time, and none is processed while
+//! [`MAX_UNREAD_REPLY_BYTES`] of replies are unread. A large request for which there is no memory is discarded as it arrives, and refused; a small one always fits.
 
+use super::reply_queue::ReplyQueue;
+use super::resp_errors::{BUSY, NOT_READ, UNFINISHED, UNKNOWN_COMMAND, error_text};
 use super::{AdmittedSession, ClientRequest, Delivery, Denied, Front, RejectReason};
 use crate::Micros;
 use crate::outbox::OwedAnswer;
 use bytes::BytesMut;
 use heronroute_platform::add::{self, Add};
 use heronroute_platform::notice::busy_reply;
-use heronroute_resp::{Command, Limits, Reader, write_error, write_simple_string};
+use heronroute_resp::{Command, Limits, Reader, Request, write_error, write_simple_string};
 use heronroute_smpp::receipt::Answer;
 use rusmpp_core::values::MessageState;
-use std::collections::VecDeque;
 
 /// Room for a body of 64 KiB and the arguments before it.
-const LIMITS: Limits = Limits { args: 8, bytes: 66 * 1024 };
+const LIMITS: Limits = Limits { args: 8, bytes: 66 * 1024, always_kept: 2 * 1024 };
+/// The most bytes read at once, unless the rest of a large argument is awaited.
+const READ_BYTES: usize = 4 * 1024;
+/// The most bytes of unread replies; no further requests are processed beyond.
+const MAX_UNREAD_REPLY_BYTES: usize = 4 * 1024;
+/// The memory that a connection takes whose client sends small requests, in bytes.
+pub const SMALL_CLIENT_BYTES: usize = READ_BYTES + LIMITS.always_kept;
 /// The most requests of a connection that are processed before the first is answered.
 const MAX_PIPELINED: usize = 32;
 /// The time within which a first request, or the rest of a request that has begun, has to arrive.
 const REQUEST_TIMEOUT: Micros = 2_000_000;
+/// The same while the sender shuts down: shorter than the time that the sender waits for its last calls.
+const SHUTDOWN_TIMEOUT: Micros = 400_000;
 /// The time after which a connection without requests is closed.
 const IDLE_TIMEOUT: Micros = 8_000_000;
-/// The time within which the rest of a request that has begun has to arrive while the sender shuts down. It
-/// is shorter than the time that the sender waits for its last calls.
-const SHUTDOWN_TIMEOUT: Micros = 400_000;
+/// How long a client waits for its answer. It may have left where its request may have been unread for longer.
+const CLIENT_PATIENCE: Micros = 400_000;
 
 /// The connection of a platform client.
 #[derive(Debug)]
 pub struct RespFront {
     reader: Reader,
-    /// Requests whose reply was not written yet, in order, each with its reply once there is one.
-    replies: VecDeque<Option<BytesMut>>,
-    /// The token of the first of these requests.
-    first_token: u32,
+    replies: ReplyQueue,
     /// When the last request was completed, or the next one began.
     last_activity: Micros,
     /// Whether a complete request has been processed.
     served: bool,
-    /// Processing stopped at [`MAX_PIPELINED`]: more complete requests may be buffered.
+    /// Processing stopped at [`MAX_PIPELINED`] or for unread replies: more complete requests may be buffered.
     batch_limited: bool,
+    /// The client has to read its replies first.
+    output_full: bool,
+    /// How many bytes the arguments of a further request may take.
+    input_room: usize,
+    /// Since when bytes of the client have been unread all the time, if they have.
+    unread_since: Option<Micros>,
     /// Nothing more is read; the connection ends once all requests are answered.
     closing: bool,
-    /// Set while the sender shuts down: the connection ends once it is idle, or at this time.
+    /// While the sender shuts down: the connection ends once idle, or at this time.
     shutdown_deadline: Option<Micros>,
 }
 
 impl RespFront {
-    /// Creates the front for a new connection.
+    /// Creates a front.
     pub fn new(now: Micros) -> Self {
-        let (reader, replies) = (Reader::new(LIMITS), VecDeque::new());
         RespFront {
-            reader,
-            replies,
-            first_token: 0,
+            reader: Reader::new(LIMITS),
+            replies: ReplyQueue::default(),
             last_activity: now,
             served: false,
             batch_limited: false,
+            output_full: false,
+            input_room: usize::MAX,
+            unread_since: None,
             closing: false,
             shutdown_deadline: None,
         }
@@ -68,19 +79,20 @@
     /// Processes buffered requests, as far as there is room, and writes the replies that are ready.
     fn process_commands(&mut self, now: Micros, out: &mut BytesMut, requests: &mut Vec<ClientRequest>) {
         self.batch_limited = true;
-        while !self.closing && self.replies.len() < MAX_PIPELINED {
-            match self.reader.next_command() {
-                Ok(Some(command)) => {
+        while !self.closing && self.replies.len() < MAX_PIPELINED && out.len() < MAX_UNREAD_REPLY_BYTES {
+            match self.reader.next_command(self.input_room) {
+                Ok(Some(request)) => {
                     self.served = true;
                     self.last_activity = now;
-                    self.handle_command(command, requests);
+                    self.handle_request(now, request, requests);
+                    self.replies.flush(out);
                 }
                 Ok(None) => {
                     self.batch_limited = false;
                     break;
                 }
                 Err(e) => {
-                    self.queue_reply(|out| write_error(&format!("ERR {}", e.0), out));
+                    self.replies.push_reply(|out| write_error(&format!("ERR {}", e.0), out));
                     self.closing = true;
                 }
             }
@@ -88,83 +100,76 @@
         if self.shutdown_deadline.is_some_and(|at| now >= at) {
             self.refuse_unfinished();
         }
-        self.flush_replies(out);
+        self.replies.flush(out);
+        self.output_full = out.len() >= MAX_UNREAD_REPLY_BYTES;
         if self.is_finished() {
             self.closing = true;
             requests.push(ClientRequest::Over(None));
         }
     }
 
-    /// Returns whether more complete requests may be buffered and there is room to process them. Guards
-    /// against buffered requests that are never processed although all requests before them are answered.
-    /// Nothing is processed once the connection is closing, which guards against a thread that wakes up in an
-    /// endless loop.
+    /// Returns whether more complete requests may be buffered and there is room to process them. Nothing is processed
+    /// once the connection is closing, which guards against a thread that wakes up in an endless loop.
     fn may_continue(&self) -> bool {
-        self.batch_limited && !self.closing && self.replies.len() < MAX_PIPELINED
+        self.batch_limited && !self.closing && !self.output_full && self.replies.len() < MAX_PIPELINED
     }
 
-    /// Returns whether no reply is owed on the connection and nothing more is read from it.
+    /// Returns whether no reply is owed and nothing more is read.
     fn is_finished(&self) -> bool {
         self.replies.is_empty()
             && (self.closing || self.shutdown_deadline.is_some() && !self.reader.has_partial_command())
     }
 
-    /// Refuses the request that has begun, as the sender can't wait for the rest of it. Guards against
-    /// closing the connection without an answer while the request's last byte is in transit.
+    /// Refuses the request that has begun. Guards against a close while the request's last byte is in transit.
     fn refuse_unfinished(&mut self) {
         if !self.closing && self.reader.has_partial_command() {
-            self.queue_reply(|out| write_error("BUSY", out));
+            self.replies.push_reply(|out| write_error(BUSY, out));
         }
         self.closing = true;
     }
 
-    fn handle_command(&mut self, mut command: Command, requests: &mut Vec<ClientRequest>) {
+    fn handle_request(&mut self, now: Micros, request: Request, requests: &mut Vec<ClientRequest>) {
+        match request {
+            Request::Command(command) => self.handle_command(now, command, requests),
+            Request::Discarded => self.refuse_at_once(now, "", "there is no memory for it"),
+        }
+    }
+
+    fn refuse_at_once(&mut self, now: Micros, id: &str, why: &str) {
+        tracing::debug!(now, id, why, "refused a request");
+        self.replies.push_reply(|out| write_error(BUSY, out));
+    }
+
+    /// Returns whether a request that is read now may have arrived so long ago that its client has given it up.
+    fn may_be_given_up(&self, now: Micros) -> bool {
+        self.unread_since.is_some_and(|since| now - since > CLIENT_PATIENCE)
+    }
+
+    fn handle_command(&mut self, now: Micros, mut command: Command, requests: &mut Vec<ClientRequest>) {
         let name = command.remove(0);
         if name.eq_ignore_ascii_case(add::NAME) {
             match Add::read(command) {
+                Ok(add) if self.may_be_given_up(now) => {
+                    self.refuse_at_once(now, &add.id, "it was unread for long");
+                }
                 Ok(add) => {
-                    requests.push(ClientRequest::SubmitForTenant {
-                        token: self.first_token + self.replies.len() as u32,
-                        add: Box::new(add),
-                    });
-                    self.replies.push_back(None);
+                    let token = self.replies.push_open();
+                    requests.push(ClientRequest::SubmitForTenant { token, add: Box::new(add) });
                 }
-                Err(e) => self.queue_reply(|out| write_error(&format!("ERR {e}"), out)),
+                Err(e) => self.replies.push_reply(|out| write_error(&format!("ERR {e}"), out)),
             }
         } else if name.eq_ignore_ascii_case(b"PING") && command.is_empty() {
-            self.queue_reply(|out| write_simple_string("PONG", out));
+            self.replies.push_reply(|out| write_simple_string("PONG", out));
         } else {
-            self.queue_reply(|out| write_error("ERR unknown command", out));
-        }
-    }
-
-    /// Adds a request whose reply is known.
-    fn queue_reply(&mut self, write: impl FnOnce(&mut BytesMut)) {
-        let mut text = BytesMut::new();
-        write(&mut text);
-        self.replies.push_back(Some(text));
-    }
-
-    /// Writes the replies that are ready, in the order of the requests.
-    fn flush_replies(&mut self, out: &mut BytesMut) {
-        while let Some(Some(text)) = self.replies.front() {
-            out.extend_from_slice(text);
-            self.replies.pop_front();
-            self.first_token = self.first_token.wrapping_add(1);
+            self.replies.push_reply(|out| write_error(UNKNOWN_COMMAND, out));
         }
     }
 
-    /// Sets the reply to a request, and writes the replies that are ready. Returns false if the request is
-    /// not open.
+    /// Sets the reply to a request, and writes those that are ready. Returns false if the request is not open.
     fn write_reply(&mut self, token: u32, text: impl FnOnce(&mut BytesMut), out: &mut BytesMut) -> bool {
-        let Some(reply) = self.replies.get_mut(token.wrapping_sub(self.first_token) as usize) else {
-            return false;
-        };
-        let mut line = BytesMut::new();
-        text(&mut line);
-        *reply = Some(line);
-        self.flush_replies(out);
-        true
+        let was_open = self.replies.set_reply(token, text);
+        self.replies.flush(out);
+        was_open
     }
 }
 
@@ -192,6 +197,7 @@
             // An answer is pending, and the front can do nothing until it comes.
             (false, _) => Micros::MAX,
             (true, Some(at)) => at,
+            (true, None) if self.output_full => self.last_activity + IDLE_TIMEOUT,
             (true, None) if self.reader.has_partial_command() || !self.served => {
                 self.last_activity + REQUEST_TIMEOUT
             }
@@ -202,8 +208,10 @@
     fn tick(&mut self, now: Micros, out: &mut BytesMut, requests: &mut Vec<ClientRequest>) {
         self.process_commands(now, out, requests);
         if self.replies.is_empty() && !self.closing && !self.may_continue() && now >= self.wake() {
-            if self.reader.has_partial_command() {
-                write_error("ERR a request that was not finished", out);
+            if self.output_full {
+                write_error(NOT_READ, out);
+            } else if self.reader.has_partial_command() {
+                write_error(UNFINISHED, out);
             }
             requests.push(ClientRequest::Over(None));
         }
@@ -224,16 +232,7 @@
     }
 
     fn refused(&mut self, token: u32, reason: RejectReason, out: &mut BytesMut) {
-        let text = match reason {
-            RejectReason::NotEntered => "ERR unknown tenant",
-            RejectReason::Class => "ERR unknown class",
-            RejectReason::Address => "ERR unknown destination",
-            RejectReason::Time => "ERR no time left",
-            RejectReason::Message => "ERR the id is open already",
-            RejectReason::TooLate => "ERR an idempotency key is wanted in this class",
-            RejectReason::Rate | RejectReason::Share | RejectReason::Room | RejectReason::Unsure => "BUSY",
-        };
-        self.write_reply(token, |out| write_error(text, out), out);
+        self.write_reply(token, |out| write_error(error_text(reason), out), out);
     }
 
     fn answered(&mut self, token: u32, _: &str, answer: Answer, out: &mut BytesMut) -> bool {
@@ -267,8 +266,32 @@
         let may_read = self.shutdown_deadline.is_none() || self.reader.has_partial_command();
         !self.closing
             && may_read
+            && !self.output_full
             && self.replies.len() < MAX_PIPELINED
-            && self.reader.buffered_bytes() < 2 * LIMITS.bytes
+            && self.reader.buffered_bytes() < READ_BYTES
+    }
+
+    fn read_quota(&self) -> usize {
+        self.reader.missing_bytes().max(READ_BYTES)
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.reader.held_bytes() + self.replies.held_bytes()
+    }
+
+    fn set_input_room(&mut self, bytes: usize) {
+        self.input_room = bytes;
+    }
+
+    fn set_unread_since(&mut self, since: Option<Micros>) {
+        self.unread_since = since;
+    }
+
+    fn output_written(&mut self, now: Micros, unwritten: usize) -> bool {
+        if self.output_full {
+            self.last_activity = now;
+        }
+        std::mem::replace(&mut self.output_full, unwritten >= MAX_UNREAD_REPLY_BYTES) && !self.output_full
     }
 
     fn idle_since(&self) -> Option<Micros> {
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -186,6 +186,11 @@
         (!self.handed_over.is_empty()).then(|| self.uptime.next_update())
     }
 
+    /// Returns the number of entries that are not durable.
+    pub fn unwritten_entries(&self) -> u64 {
+        self.written - self.durable
+    }
+
     /// Returns whether all entries written are durable and no effect is held.
     pub fn settled(&self) -> bool {
         self.held.is_empty() && self.held_both.is_empty() && self.durable == self.written
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`read_budget`]: how much is read from each connection in a turn
 //! - [`resume`]: what happens to a message after a restart
 //! - [`takeover`]: what is known of a message taken over from a dead member
+//! - `memory`: the budget for what peers make a sender hold
 //! - [`ledger`]: what waits for the journal, and for how long while the node ran (`uptime`)
 //! - `rule_tables`, `client_rules`: how a client's own rules change all this, on a node of a fleet
 //! - `region`: what continues while a partner in another region may finish it
@@ -48,6 +49,7 @@
 pub mod limits;
 pub mod link;
 pub mod mailboxes;
+mod memory;
 mod node;
 mod notices;
 pub mod outbox;
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -143,6 +143,10 @@
     /// Discards unsent bytes as far as the protocol allows stopping in the middle of a request. It is called
     /// when all calls on the connection have ended and it is about to be closed.
     fn discard_unsent(&mut self, _stream: &mut Stream) {}
+    /// Returns how many bytes of memory the connection holds of what was received.
+    fn held_bytes(&self) -> usize {
+        0
+    }
     /// Returns the time at which [`Link::tick`] must be called next.
     fn wake(&self) -> Micros;
     /// Handles the protocol's own timers.
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -275,6 +275,10 @@
         self.answer_history.unconfirmed_until()
     }
 
+    fn held_bytes(&self) -> usize {
+        self.answer_reader.held_bytes()
+    }
+
     fn wake(&self) -> Micros {
         self.answer_end_deadline.unwrap_or(Micros::MAX)
     }
--- a/crates/engine/src/node/connections.rs
+++ b/crates/engine/src/node/connections.rs
@@ -3,12 +3,18 @@
 use super::Node;
 use super::api::Output;
 use super::state::{Conn, ConnRole, TimerKey};
+use crate::Micros;
 use crate::ids::ConnId;
+use crate::memory::MemoryUse;
 use crate::read_budget;
 use crate::stream::Stream;
 
 /// The most bytes that may wait for a client that does not read; beyond that nothing more is read from it.
 const CLIENT_BACKLOG: usize = 256 * 1024;
+/// What a connection takes beside its buffers, in bytes: its records here and at the owner of the sockets.
+const CONNECTION_BYTES: usize = 1_024;
+/// The size up to which an endpoint's answer is read whatever memory is left, in bytes.
+const SMALL_ANSWER_BYTES: usize = 4 * 1024;
 
 impl Node {
     /// Returns the bytes to be written on a connection.
@@ -42,6 +48,7 @@
             Some(ConnRole::Client { owner: Some((client, _)), .. }) => {
                 self.read_budgets.bytes_per_turn(*client)
             }
+            Some(ConnRole::Client { front, .. }) => front.read_quota().min(read_budget::MAX_READ),
             _ => read_budget::MAX_READ,
         }
     }
@@ -53,16 +60,56 @@
         c.stream.wrote(n);
         c.write_requested = !c.stream.out.is_empty();
         if !c.write_requested && matches!(c.role, ConnRole::Finishing) {
-            self.conns.remove(&conn);
+            self.remove_conn(conn);
             return true;
         }
+        if let ConnRole::Client { front, .. } = &mut c.role
+            && front.output_written(self.now, c.stream.out.len())
+        {
+            let wake = front.wake();
+            self.timers.set(TimerKey::Conn(conn), wake);
+        }
+        self.count_memory(conn);
         false
     }
 
+    /// Tells the front of a client's connection since when bytes of the client have been unread all the time.
+    pub fn unread_since(&mut self, conn: ConnId, since: Option<Micros>) {
+        if let Some((front, _)) = self.front(conn) {
+            front.set_unread_since(since);
+        }
+    }
+
+    /// Counts the memory that a connection holds.
+    pub(crate) fn count_memory(&mut self, conn: ConnId) {
+        let Some(c) = self.conns.get_mut(&conn) else { return };
+        let (held, before) = (c.held_bytes(), c.counted_bytes);
+        if held != before {
+            c.counted_bytes = held;
+            self.memory.replace(c.memory_use(), before, held);
+        }
+    }
+
+    /// Returns whether a connection to an endpoint holds more than there is memory for. It is closed then: an answer
+    /// that can't be held is none.
+    pub(crate) fn exceeds_memory(&self, conn: ConnId) -> bool {
+        let held = self.conns.get(&conn).map_or(0, |c| c.counted_bytes);
+        held > CONNECTION_BYTES + SMALL_ANSWER_BYTES && self.memory.room(MemoryUse::Endpoints) == 0
+    }
+
+    /// Removes a connection's state, and returns whether there was any.
+    fn remove_conn(&mut self, conn: ConnId) -> bool {
+        let Some(c) = self.conns.remove(&conn) else { return false };
+        self.memory.replace(c.memory_use(), c.counted_bytes, 0);
+        true
+    }
+
     /// Adds a connection with a role, and returns its number.
     pub(crate) fn add_conn(&mut self, role: ConnRole) -> ConnId {
         self.next_conn += 1;
-        self.conns.insert(self.next_conn, Conn { stream: Stream::default(), role, write_requested: false });
+        let conn = Conn { stream: Stream::default(), role, write_requested: false, counted_bytes: 0 };
+        self.conns.insert(self.next_conn, conn);
+        self.count_memory(self.next_conn);
         self.next_conn
     }
 
@@ -80,12 +127,15 @@
     /// Closes a connection once all is written. Its role is dropped at once.
     pub(crate) fn finish(&mut self, conn: ConnId) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
-        c.role = ConnRole::Finishing;
+        self.memory.replace(c.memory_use(), c.counted_bytes, 0);
+        (c.role, c.counted_bytes) = (ConnRole::Finishing, 0);
+        self.count_memory(conn);
+        let Some(c) = self.conns.get_mut(&conn) else { return };
         self.timers.clear(TimerKey::Conn(conn));
         self.timers.clear(TimerKey::Idle(conn));
         self.timers.clear(TimerKey::Connect(conn));
         if c.stream.out.is_empty() {
-            self.conns.remove(&conn);
+            self.remove_conn(conn);
             self.outputs.push(Output::Drop(conn));
         } else {
             self.outputs.push(Output::Finish(conn));
@@ -94,7 +144,7 @@
 
     /// Closes a connection at once.
     pub(crate) fn drop_conn(&mut self, conn: ConnId) {
-        if self.conns.remove(&conn).is_some() {
+        if self.remove_conn(conn) {
             for key in [TimerKey::Conn(conn), TimerKey::Idle(conn), TimerKey::Connect(conn)] {
                 self.timers.clear(key);
             }
@@ -102,3 +152,24 @@
         }
     }
 }
+
+impl Conn {
+    /// Returns the use that the connection's memory is counted as.
+    fn memory_use(&self) -> MemoryUse {
+        match self.role {
+            ConnRole::Receiver { .. } | ConnRole::Directory | ConnRole::Notices => MemoryUse::Endpoints,
+            ConnRole::Client { .. } | ConnRole::Finishing => MemoryUse::Clients,
+        }
+    }
+
+    /// Returns how many bytes the connection holds. What is written to endpoints counts with its messages.
+    fn held_bytes(&self) -> usize {
+        CONNECTION_BYTES
+            + match &self.role {
+                ConnRole::Client { front, .. } => front.held_bytes() + self.stream.out.capacity(),
+                ConnRole::Receiver { link, .. } => link.held_bytes(),
+                ConnRole::Finishing => self.stream.out.capacity(),
+                ConnRole::Directory | ConnRole::Notices => 0,
+            }
+    }
+}
--- a/crates/engine/src/node/endpoints.rs
+++ b/crates/engine/src/node/endpoints.rs
@@ -6,13 +6,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::{Index, IndexMut};
 
-/// The most destinations that are remembered as listed. Beyond these, a destination is removed with its last
-/// endpoint.
-const MAX_LISTED_DESTS: usize = 1 << 16;
-
 /// The table of endpoints, by number, by name and by destination.
 #[derive(Debug)]
 pub(crate) struct EndpointTable {
+    /// The maximum number of endpoints, and of destinations that are remembered as listed. Beyond these, a
+    /// destination is removed with its last endpoint.
+    max_endpoints: usize,
     /// Endpoints by number.
     all: BTreeMap<EndpointId, Endpoint>,
     /// The numbers of endpoints by name.
@@ -30,14 +29,6 @@
     placeholder: Endpoint,
 }
 
-impl Default for EndpointTable {
-    fn default() -> Self {
-        let placeholder = Endpoint::new("", (Ipv4Addr::LOCALHOST, 0).into(), 0, DestId::default());
-        let (names, by_dest, unlisted) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
-        EndpointTable { all: BTreeMap::new(), names, by_dest, unlisted, next_number: 0, placeholder }
-    }
-}
-
 impl Index<EndpointId> for EndpointTable {
     type Output = Endpoint;
 
@@ -55,6 +46,20 @@
 }
 
 impl EndpointTable {
+    /// Creates an empty table.
+    pub fn new(max_endpoints: usize) -> Self {
+        let placeholder = Endpoint::new("", (Ipv4Addr::LOCALHOST, 0).into(), 0, DestId::default());
+        EndpointTable {
+            max_endpoints,
+            all: BTreeMap::new(),
+            names: BTreeMap::new(),
+            by_dest: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
+            next_number: 0,
+            placeholder,
+        }
+    }
+
     /// Returns an endpoint.
     pub fn get(&self, endpoint: EndpointId) -> Option<&Endpoint> {
         self.all.get(&endpoint)
@@ -81,14 +86,17 @@
     }
 
     /// Adds or updates an endpoint from a directory entry. Returns its number, and whether its address has
-    /// changed.
+    /// changed. `None` if there is no room for another endpoint.
     pub fn upsert(
         &mut self,
         name: &str,
         address: SocketAddr,
         kind: usize,
         dest: DestId,
-    ) -> (EndpointId, bool) {
+    ) -> Option<(EndpointId, bool)> {
+        if self.all.len() >= self.max_endpoints && !self.names.contains_key(name) {
+            return None;
+        }
         let next_number = EndpointId(self.next_number);
         let endpoint = *self.names.entry(name.to_string()).or_insert(next_number);
         if endpoint == next_number {
@@ -101,7 +109,7 @@
             self.by_dest.entry(before).or_default().remove(&endpoint);
         }
         self.by_dest.entry(dest).or_default().insert(endpoint);
-        (endpoint, moved)
+        Some((endpoint, moved))
     }
 
     /// Records whether the directory lists an endpoint.
@@ -131,7 +139,7 @@
         self.names.remove(&removed.name);
         if let Some(of) = self.by_dest.get_mut(&removed.dest) {
             of.remove(&endpoint);
-            if of.is_empty() && self.by_dest.len() > MAX_LISTED_DESTS {
+            if of.is_empty() && self.by_dest.len() > self.max_endpoints {
                 self.by_dest.remove(&removed.dest);
             }
         }
--- a/crates/engine/src/node/listing.rs
+++ b/crates/engine/src/node/listing.rs
@@ -8,6 +8,9 @@
 use heronroute_config::Listing;
 use std::collections::BTreeSet;
 
+/// The most zones that are told apart.
+const MAX_ZONES: usize = 64;
+
 impl Node {
     /// Subscribes to the directory's lists.
     pub(crate) fn subscribe(&mut self) {
@@ -44,7 +47,7 @@
     /// Applies a directory list: updates the endpoint table and passes the list to the decision library.
     /// Entries of an unknown kind are skipped.
     pub(crate) fn apply_listing(&mut self, listing: &Listing) {
-        let mut entries = Vec::new();
+        let (mut entries, mut without_room) = (Vec::new(), 0);
         for e in &listing.endpoints {
             let Some(kind) = self.cfg.kinds.iter().position(|k| k.name == e.kind) else {
                 tracing::warn!(
@@ -55,7 +58,10 @@
                 continue;
             };
             let (dest, status) = (DestId(e.destination), e.status);
-            let (endpoint, moved) = self.endpoints.upsert(&e.name, e.address, kind, dest);
+            let Some((endpoint, moved)) = self.endpoints.upsert(&e.name, e.address, kind, dest) else {
+                without_room += 1;
+                continue;
+            };
             if self.held.is_some() {
                 self.endpoints[endpoint].number = self.trail_number(&e.name);
             }
@@ -63,15 +69,18 @@
             if moved {
                 self.close_idle_connections(endpoint);
             }
-            let zone = self.zones.iter().position(|z| *z == e.zone).unwrap_or_else(|| {
-                self.zones.push(e.zone.clone());
-                self.zones.len() - 1
-            });
+            let zone = self.zone_number(&e.zone);
             entries.push(EndpointEntry { endpoint, dest, status, kind, zone, weight: e.weight });
             if status == Status::Removed {
                 self.close_idle_connections(endpoint);
             }
         }
+        if without_room > 0 {
+            tracing::warn!(
+                without_room,
+                "there is no memory for further endpoints of the list; they are not used"
+            );
+        }
         let mut down: Vec<EndpointId> =
             entries.iter().filter(|e| e.status != Status::Up).map(|e| e.endpoint).collect();
         if listing.whole {
@@ -90,4 +99,15 @@
         self.events.push(Event::DirectoryUpdate { whole: listing.whole, entries });
         down.into_iter().for_each(|e| self.cancel_unsent_calls(e));
     }
+
+    /// Returns the number of a zone. Beyond [`MAX_ZONES`], zones share the last number.
+    fn zone_number(&mut self, name: &str) -> usize {
+        let known = self.zones.iter().position(|zone| zone == name);
+        known.unwrap_or_else(|| {
+            if self.zones.len() < MAX_ZONES {
+                self.zones.push(name.to_string());
+            }
+            self.zones.len() - 1
+        })
+    }
 }
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -30,6 +30,7 @@
 use crate::ledger::Ledger;
 use crate::limits::Limits;
 use crate::mailboxes::Mailboxes;
+use crate::memory::MemoryBudget;
 use crate::read_budget::ReadBudgets;
 use crate::routes::Trie;
 use crate::rule_tables::RuleTables;
@@ -75,6 +76,8 @@
     /// The names that clients gave their messages, with the messages' ids.
     pub(crate) seen: Option<SeenNames>,
     pub(crate) read_budgets: ReadBudgets,
+    /// The memory that peers make this sender hold.
+    pub(crate) memory: MemoryBudget,
     /// Messages held for clients, and trails.
     pub(crate) held: Option<Store>,
     /// Held messages whose answer was not acknowledged yet.
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -5,6 +5,7 @@
 use super::state::{ConnRole, Effect, TimerKey};
 use crate::Micros;
 use crate::directory::ConnectionAction;
+use crate::memory::MemoryUse;
 use heronroute::{EndpointId, Event};
 use heronroute_journal::Usage;
 
@@ -12,6 +13,9 @@
 /// protocol lets calls through after a wait was told.
 const MAX_INPUT_AGE: Micros = 50_000;
 
+/// What an entry of the journal takes until it is written, in bytes. A body in it counts with its message.
+const ENTRY_BYTES: usize = 256;
+
 impl Node {
     /// Records that all input that arrived until a time has been passed to the node. Guards against a timer
     /// that gives a call up although its answer has arrived, as after a pause of the process or a slow write
@@ -50,6 +54,7 @@
         if self.leaving {
             self.continue_leaving();
         }
+        self.memory.set(MemoryUse::Journal, self.ledger.unwritten_entries() as usize * ENTRY_BYTES);
         let entries = self.ledger.take_entries(self.now);
         if !entries.is_empty() {
             self.outputs.push(Output::Journal(entries));
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -15,6 +15,7 @@
 use crate::ledger::Ledger;
 use crate::limits::{ClientLimits, Limits};
 use crate::mailboxes::Mailboxes;
+use crate::memory::MemoryBudget;
 use crate::read_budget::ReadBudgets;
 use crate::routes::Trie;
 use crate::rule_tables::RuleTables;
@@ -41,6 +42,27 @@
     cfg.clients.iter().map(|c| ClientLimits { rate: c.rate, burst: c.burst, weight: c.weight }).collect()
 }
 
+/// The part of the memory budget that one list of the directory may take, as a divisor.
+const BUDGET_PER_LIST: usize = 8;
+/// The part of the memory budget for endpoints, as a divisor.
+const BUDGET_PER_ENDPOINTS: usize = 4;
+/// What an endpoint takes, in bytes: its records here and in the decision library.
+const ENDPOINT_BYTES: usize = 1_024;
+/// The number of endpoints that are always taken.
+const MIN_ENDPOINTS: usize = 1_024;
+/// The size of a list that is always read, in bytes.
+const MIN_LIST_BYTES: usize = 512 * 1024;
+
+/// Returns the maximum size of a list of the directory, in bytes.
+fn max_list_bytes(memory: &MemoryBudget) -> usize {
+    (memory.limit() / BUDGET_PER_LIST).max(MIN_LIST_BYTES)
+}
+
+/// Returns the maximum number of endpoints in the table.
+fn max_endpoints(memory: &MemoryBudget) -> usize {
+    (memory.limit() / BUDGET_PER_ENDPOINTS / ENDPOINT_BYTES).max(MIN_ENDPOINTS)
+}
+
 impl Node {
     /// Creates a sender.
     ///
@@ -65,10 +87,11 @@
             max_packet: m.max_packet,
         });
         let now = start.now;
+        let memory = MemoryBudget::new(cfg.platform.map(|p| p.memory));
         let dispatcher = Dispatcher::new(now, start.seed, cfg.settings.clone())?;
         let push = cfg.settings.discovery == Discovery::Push;
         let directory: Box<dyn Directory> = match cfg.platform {
-            Some(p) => Box::new(Watched::new(now, p.discovery)),
+            Some(p) => Box::new(Watched::new(now, p.discovery, max_list_bytes(&memory))),
             None => Box::new(Polled::new(now, cfg.directory.address, cfg.directory.poll, push)),
         };
         let limits = Limits::new(
@@ -97,6 +120,8 @@
             mailboxes: Mailboxes::default(),
             seen: cfg.mqtt.as_ref().map(|m| SeenNames::new(m.remembered, start.wall, start.seed)),
             read_budgets: ReadBudgets::new(now),
+            endpoints: EndpointTable::new(max_endpoints(&memory)),
+            memory,
             held: cfg.held.map(|h| {
                 let trails = Room { age: i64::MAX, count: h.trails, octets: u64::MAX };
                 Store::new(trails, Room { age: h.age, count: h.count, octets: h.octets })
@@ -116,7 +141,6 @@
             closing_links: ClosingLinks::default(),
             delayed_calls: BTreeMap::new(),
             unconfirmed: UnconfirmedOutcomes::default(),
-            endpoints: EndpointTable::default(),
             prune_at: now,
             zones: cfg.zones.clone(),
             clients: Vec::new(),
--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -115,6 +115,8 @@
     pub role: ConnRole,
     /// Whether a write has been requested for it.
     pub write_requested: bool,
+    /// The bytes of memory that are counted for it.
+    pub counted_bytes: usize,
 }
 
 /// An accepted message without a final answer.
@@ -149,6 +151,8 @@
     pub answer_for: Micros,
     /// Whether it is suspended.
     pub still: Suspension,
+    /// The bytes of memory that are counted for it while it is open.
+    pub counted_bytes: usize,
 }
 
 /// A finished message, kept for queries.
--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -2,11 +2,15 @@
 
 use crate::Micros;
 use crate::ids::ConnId;
+use crate::memory::MemoryUse;
 use crate::node::{ConnRole, Node, Output, TimerKey};
 use heronroute::MsgId;
 use heronroute_platform::notice::{NoticeAction, UndeliveredEnd};
 use heronroute_smpp::receipt::Answer;
 
+/// What a pending notice takes, in bytes: its text, and the journal's record of its message.
+const NOTICE_BYTES: usize = 1_024;
+
 impl Node {
     /// Adds a notice that reports a message's end.
     pub(crate) fn owe_notice(&mut self, id: MsgId, identity: &str, answer: Answer) {
@@ -18,6 +22,8 @@
     }
 
     fn schedule_notices(&mut self) {
+        let pending = self.notices.as_ref().map_or(0, |n| n.pending_count());
+        self.memory.set(MemoryUse::Notices, pending * NOTICE_BYTES);
         let wake = self.notices.as_ref().map_or(Micros::MAX, |n| n.wake());
         self.timers.set(TimerKey::Notices, wake);
     }
--- a/crates/engine/src/platform.rs
+++ b/crates/engine/src/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::Micros;
 use crate::directory::listing;
+use crate::front::SMALL_CLIENT_BYTES;
 use heronroute_config::{
     ClientConfig, Config, DirectoryConfig, JournalConfig, KindConfig, PlatformConfig, Protocol,
     ServiceConfig, SmppConfig,
@@ -13,6 +14,8 @@
 /// idle or silent. The rest is for endpoints, discovery and files, and for accepting connections that are
 /// then closed.
 const CLIENT_DESCRIPTOR_SHARE: f64 = 0.6;
+/// The part of the memory for connections of clients that send small requests.
+const CLIENT_MEMORY_SHARE: f64 = 1.0 / 6.0;
 /// The part of the disk for the log and its snapshot. While a new snapshot is written both exist, and the
 /// snapshot is no larger than what it replaces.
 const JOURNAL_DISK_SHARE: f64 = 0.45;
@@ -26,6 +29,9 @@
 /// turned off.
 pub fn config(start_up: &StartUp) -> Config {
     let disk = start_up.limits.disk_mb * 1e6;
+    let memory = start_up.limits.memory_mb * 1e6;
+    let clients_by_descriptors = start_up.limits.sockets as f64 * CLIENT_DESCRIPTOR_SHARE;
+    let clients_by_memory = memory * CLIENT_MEMORY_SHARE / SMALL_CLIENT_BYTES as f64;
     let client = |name: &String| ClientConfig {
         system_id: name.clone(),
         password: String::new(),
@@ -67,7 +73,8 @@
         mqtt: None,
         held: None,
         platform: Some(PlatformConfig {
-            sessions: ((start_up.limits.sockets as f64 * CLIENT_DESCRIPTOR_SHARE) as usize).max(1),
+            sessions: (clients_by_descriptors.min(clients_by_memory) as usize).max(1),
+            memory: memory as u64,
             discovery: start_up.discovery,
         }),
         directory: DirectoryConfig { address: Some(start_up.discovery), poll: 0, keep: None },
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -191,6 +191,7 @@
             trail: None,
             answer_for: accepted.answer_for,
             still: Suspension::No,
+            counted_bytes: 0,
         };
         if let Some(identity) = message.submission.identity.clone().filter(|_| self.cfg.platform.is_some()) {
             self.by_identity.insert(identity, MsgId(accepted.id));
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -54,6 +54,10 @@
     pub entries: u64,
     /// Syncs that made them durable.
     pub syncs: u64,
+    /// Messages refused because there was no memory for them.
+    pub refused_memory: u64,
+    /// Connections to receivers closed because there was no memory for an answer.
+    pub answers_without_memory: u64,
     /// Periods in which the journal's storage failed.
     pub storage_failures: u64,
 }
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -3,6 +3,9 @@
 
 use bytes::{Buf, BytesMut};
 
+/// The size of the buffer that a connection with nothing to send keeps, in bytes.
+const KEPT_BUFFER_BYTES: usize = 1_024;
+
 /// The outgoing side of one connection.
 #[derive(Debug, Default)]
 pub struct Stream {
@@ -23,6 +26,9 @@
         let n = n.min(self.out.len());
         self.out.advance(n);
         self.sent += n as u64;
+        if self.out.is_empty() && self.out.capacity() > KEPT_BUFFER_BYTES {
+            self.out = BytesMut::new();
+        }
     }
 
     /// Removes a range of unsent bytes. Returns whether that was possible.
--- a/crates/engine/tests/watch_orders.rs
+++ b/crates/engine/tests/watch_orders.rs
@@ -165,7 +165,7 @@
     fn new() -> Self {
         let catalogue = BTreeMap::from([("a".to_string(), (Status::Up, 1))]);
         Harness {
-            watch: Watched::new(0, at(2)),
+            watch: Watched::new(0, at(2), 4 << 20),
             stream: Stream::default(),
             now: 0,
             connection: Connection::None,
--- a/crates/http/src/read.rs
+++ b/crates/http/src/read.rs
@@ -58,6 +58,12 @@
         (seconds.is_finite() && seconds >= 0.0).then(|| seconds.min(1e6))
     }
 
+    /// Returns how many bytes of memory the message holds.
+    fn held_bytes(&self) -> usize {
+        let fields = self.fields.iter().map(|(name, value)| FIELD_BYTES + name.capacity() + value.capacity());
+        self.body.capacity() + fields.sum::<usize>()
+    }
+
     /// Returns the status of a response, or 0 for a request.
     pub fn status(&self) -> u16 {
         if let Start::Response { status } = self.start { status } else { 0 }
@@ -96,6 +102,11 @@
     Wait(State),
 }
 
+/// The size of the buffer that a reader between two messages keeps, in bytes.
+const KEPT_BUFFER_BYTES: usize = 1_024;
+/// What a header field takes beside its text, in bytes.
+const FIELD_BYTES: usize = size_of::<(String, String)>();
+
 /// Splits a stream into messages.
 #[derive(Debug)]
 pub struct Reader {
@@ -154,14 +165,7 @@
 
     /// Returns the part of the current message's body that has been parsed.
     pub fn body_so_far(&self) -> &[u8] {
-        match &self.state {
-            State::Head => &[],
-            State::FixedLength { head, .. }
-            | State::ChunkSize { head }
-            | State::Chunk { head, .. }
-            | State::Trailer { head }
-            | State::UntilClose { head } => &head.body,
-        }
+        self.head_so_far().map_or(&[], |head| &head.body)
     }
 
     /// Returns the wait in the current response, in seconds, as soon as its head has arrived, even if its
@@ -179,9 +183,29 @@
         if matches!(next, Ok(Some(_))) {
             (self.status, self.retry_after_in_head) = (None, None);
         }
+        if self.buffer.is_empty() && self.buffer.capacity() > KEPT_BUFFER_BYTES {
+            self.buffer = BytesMut::new();
+        }
         next
     }
 
+    /// Returns how many bytes of memory the reader holds.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity() + self.head_so_far().map_or(0, Message::held_bytes)
+    }
+
+    /// Returns the current message as far as it has been parsed, once its head has.
+    fn head_so_far(&self) -> Option<&Message> {
+        match &self.state {
+            State::Head => None,
+            State::FixedLength { head, .. }
+            | State::ChunkSize { head }
+            | State::Chunk { head, .. }
+            | State::Trailer { head }
+            | State::UntilClose { head } => Some(head),
+        }
+    }
+
     fn parse_next(&mut self) -> Result<Option<Message>, ParseError> {
         loop {
             let step = match std::mem::replace(&mut self.state, State::Head) {
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -11,8 +11,15 @@
 use crate::frame::{self, FrameError};
 use crate::repair::Damage;
 use crate::state::JournalState;
+use prost::Message as _;
 use std::io;
 
+/// The most entries in a part of a snapshot, and the size in bytes at which a part is written before.
+const MAX_PART_ENTRIES: usize = 1_024;
+const MAX_PART_BYTES: usize = 256 * 1024;
+/// The size of the encoding buffer that is kept between two commits, in bytes.
+const KEPT_BUFFER_BYTES: usize = 256 * 1024;
+
 /// The limits of a journal's files.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -308,6 +315,8 @@
         self.append(entries)?;
         self.apply(entries);
         self.compact_if_due();
+        self.out.clear();
+        self.out.shrink_to(KEPT_BUFFER_BYTES);
         Ok(self.next)
     }
 
@@ -375,20 +384,31 @@
 
     fn write_snapshot(&mut self) -> Result<(), JournalError> {
         self.storage.create("new")?;
-        let (mut first, mut size) = (0, 0);
+        // Taken for as long as its entries are written, so that they are not all copied first.
+        let state = std::mem::take(&mut self.state);
+        let written = self.write_entries(&state);
+        self.state = state;
+        let (entries, size) = written?;
+        self.finish(entries, size)
+    }
+
+    /// Writes the entries of a state to the snapshot, in parts of bounded size. Returns their number and size.
+    fn write_entries(&mut self, state: &JournalState) -> Result<(u64, u64), JournalError> {
+        let (mut first, mut size, mut part_bytes) = (0, 0, 0);
         let mut part: Vec<Entry> = Vec::new();
-        let chained = self.chain.iter().map(|c| What::Chain(c.to_entry()).into());
-        let entries: Vec<Entry> = chained.chain(self.state.entries()).collect();
-        for e in entries {
-            part.push(e);
-            if part.len() >= 1_024 {
+        let chained: Option<Entry> = self.chain.as_ref().map(|chain| What::Chain(chain.to_entry()).into());
+        for entry in chained.into_iter().chain(state.entries()) {
+            part_bytes += entry.encoded_len();
+            part.push(entry);
+            if part.len() >= MAX_PART_ENTRIES || part_bytes >= MAX_PART_BYTES {
                 size += self.write_part(first, &part)?;
                 first += part.len() as u64;
                 part.clear();
+                part_bytes = 0;
             }
         }
         size += self.write_part(first, &part)?;
-        self.finish(first + part.len() as u64, size)
+        Ok((first + part.len() as u64, size))
     }
 
     /// Completes the snapshot being written, which has `entries` entries, and makes it replace everything
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -49,6 +49,8 @@
     readable: bool,
     /// The peer has closed its side: read until the end of the stream.
     peer_closed: bool,
+    /// Since when there have been unread bytes all the time, if there have.
+    unread_since: Option<i64>,
     /// Not read any more: closed once its output is written.
     closes_when_written: bool,
 }
@@ -232,6 +234,7 @@
                 connecting,
                 readable: false,
                 peer_closed: false,
+                unread_since: None,
                 closes_when_written: false,
             },
         );
@@ -274,18 +277,22 @@
         // Not read: a connection that is closed once its output is written, and a connection whose peer does
         // not read. The latter is read again once its peer has read (see `write`).
         if socket.closes_when_written || !self.node.wants_read(conn) {
+            socket.unread_since.get_or_insert(self.clock.now());
             return;
         }
         // A client that floods is read in smaller pieces, so that it does not delay the others.
+        let is_client = socket.accepted;
         let read_quota = self.node.read_quota(conn).min(self.buffer.len());
         let progress = read_some(&mut socket.stream, &mut self.buffer[..read_quota], socket.peer_closed);
         let now = self.clock.now();
+        let unread_since = socket.unread_since;
         let (n, close_reason) = match progress {
             Progress::Blocked(n) => {
-                (socket.readable, socket.peer_closed) = (false, false);
+                (socket.readable, socket.peer_closed, socket.unread_since) = (false, false, None);
                 (n, None)
             }
             Progress::More(n) => {
+                socket.unread_since.get_or_insert(now);
                 self.ready.insert(conn);
                 (n, None)
             }
@@ -293,6 +300,9 @@
             Progress::Broken => (0, Some(CloseReason::Broken)),
         };
         if n > 0 {
+            if is_client {
+                self.node.unread_since(conn, unread_since);
+            }
             self.node.received(now, conn, &self.buffer[..n]);
         }
         if let Some(close_reason) = close_reason {
--- a/crates/platform/src/call/answers.rs
+++ b/crates/platform/src/call/answers.rs
@@ -121,6 +121,11 @@
         self.in_flight = None;
     }
 
+    /// Returns how many bytes of memory are held of what was received.
+    pub fn held_bytes(&self) -> usize {
+        self.reader.held_bytes()
+    }
+
     /// Returns whether a call or a probe is in flight.
     pub fn awaits_answer(&self) -> bool {
         self.in_flight.is_some()
--- a/crates/platform/src/catalog.rs
+++ b/crates/platform/src/catalog.rs
@@ -1,9 +1,14 @@
 //! The lists of endpoints that the platform's discovery sends.
 
 use heronroute::Status;
+use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
+/// The maximum length of an id, a zone or a kind, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
 /// One endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -58,43 +63,72 @@
 }
 
 impl List {
-    /// Parses a list. An unreadable entry is skipped; the others are still valid.
+    /// Parses a list. An unreadable entry is skipped; the others are still valid. Entries are parsed one by one, so
+    /// that a long list takes little more memory than its entries.
     ///
     /// # Errors
     /// If the document is not a list.
     pub fn read(text: &[u8]) -> Result<Self, ListError> {
-        Self::from_json(&serde_json::from_slice(text).map_err(ListError::Json)?)
-    }
-
-    /// Converts a list from parsed JSON.
-    ///
-    /// # Errors
-    /// As [`List::read`].
-    pub fn from_json(value: &Value) -> Result<Self, ListError> {
-        let version = value["version"].as_u64().ok_or(invalid_field("version", "a whole number"))?;
-        let full = value["full"].as_bool().ok_or(invalid_field("full", "true or false"))?;
-        let values = value["servers"].as_array().ok_or(invalid_field("servers", "a list"))?;
-        let entries: Vec<Entry> = values.iter().filter_map(parse_entry).collect();
+        let raw: RawList<'_> = serde_json::from_slice(text).map_err(ListError::Json)?;
+        let version = parse_field(raw.version, "version", "a whole number")?;
+        let full = parse_field(raw.full, "full", "true or false")?;
+        let values: Vec<&RawValue> = parse_field(raw.servers, "servers", "a list")?;
+        let entries: Vec<Entry> = values.iter().filter_map(|value| parse_entry(value)).collect();
         let unreadable_entries = values.len() - entries.len();
         Ok(List { version, full, entries, unreadable_entries })
     }
 }
 
-fn parse_entry(value: &Value) -> Option<Entry> {
-    let text = |name: &str| value[name].as_str().map(str::to_string);
-    let status = match value["state"].as_str()? {
+/// A list whose fields are not parsed yet.
+#[derive(Deserialize)]
+struct RawList<'a> {
+    #[serde(borrow)]
+    version: Option<&'a RawValue>,
+    #[serde(borrow)]
+    full: Option<&'a RawValue>,
+    #[serde(borrow)]
+    servers: Option<&'a RawValue>,
+}
+
+/// An entry as it is written. A weight or a start of another type counts as not stated.
+#[derive(Deserialize)]
+struct RawEntry {
+    id: String,
+    addr: String,
+    zone: String,
+    kind: String,
+    cell: i64,
+    state: String,
+    weight: Option<Value>,
+}
+
+fn parse_field<'a, T: Deserialize<'a>>(
+    value: Option<&'a RawValue>,
+    name: &'static str,
+    expected: &'static str,
+) -> Result<T, ListError> {
+    let parsed = value.and_then(|value| serde_json::from_str(value.get()).ok());
+    parsed.ok_or(invalid_field(name, expected))
+}
+
+fn parse_entry(value: &RawValue) -> Option<Entry> {
+    let raw: RawEntry = serde_json::from_str(value.get()).ok()?;
+    let status = match raw.state.as_str() {
         "SERVING" => Status::Up,
         "DRAINING" => Status::Draining,
         "DELETED" => Status::Removed,
         _ => return None,
     };
+    if [&raw.id, &raw.zone, &raw.kind].iter().any(|name| name.len() > MAX_NAME_BYTES) {
+        return None;
+    }
     Some(Entry {
-        id: text("id")?,
-        addr: value["addr"].as_str()?.parse().ok()?,
-        zone: text("zone")?,
-        kind: text("kind")?,
-        destination: value["cell"].as_i64()?,
+        id: raw.id,
+        addr: raw.addr.parse().ok()?,
+        zone: raw.zone,
+        kind: raw.kind,
+        destination: raw.cell,
         status,
-        weight: value["weight"].as_f64(),
+        weight: raw.weight.and_then(|weight| weight.as_f64()),
     })
 }
--- a/crates/platform/src/objects.rs
+++ b/crates/platform/src/objects.rs
@@ -4,7 +4,7 @@
 //! The end of an object is found by its nesting, not by lines: an object may be on one line or indented over
 //! several, and may arrive in pieces of any size. Only its extent is determined here; the caller parses it.
 
-/// The maximum size of an object, in bytes.
+/// The maximum size of an object whatever the caller allows, in bytes.
 pub const MAX_OBJECT_BYTES: usize = 4 << 20;
 
 /// An element of a stream.
@@ -22,9 +22,9 @@
     /// A byte other than white space between two objects.
     #[error("unexpected byte {0:#04x} between two objects")]
     UnexpectedByte(u8),
-    /// An object of more than [`MAX_OBJECT_BYTES`] bytes.
-    #[error("an object of more than {MAX_OBJECT_BYTES} bytes")]
-    TooLong,
+    /// An object of more than this many bytes.
+    #[error("an object of more than {0} bytes")]
+    TooLong(usize),
 }
 
 /// The position of the parser within an object.
@@ -40,8 +40,10 @@
 }
 
 /// Splits a stream into objects.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ObjectSplitter {
+    /// The maximum size of an object, in bytes.
+    max_bytes: usize,
     /// The bytes of the incomplete object.
     object: Vec<u8>,
     /// The depth of nesting, 0 between two objects.
@@ -49,7 +51,19 @@
     position: Position,
 }
 
+impl Default for ObjectSplitter {
+    fn default() -> Self {
+        ObjectSplitter::new(MAX_OBJECT_BYTES)
+    }
+}
+
 impl ObjectSplitter {
+    /// Creates a splitter for objects of up to `max_bytes`, but no more than [`MAX_OBJECT_BYTES`].
+    pub fn new(max_bytes: usize) -> Self {
+        let max_bytes = max_bytes.min(MAX_OBJECT_BYTES);
+        ObjectSplitter { max_bytes, object: Vec::new(), depth: 0, position: Position::default() }
+    }
+
     /// Returns whether an object is incomplete.
     pub fn has_begun(&self) -> bool {
         self.depth > 0
@@ -67,8 +81,8 @@
         if self.depth == 0 {
             return self.process_outside_object(byte, elements);
         }
-        if self.object.len() == MAX_OBJECT_BYTES {
-            return Err(StreamError::TooLong);
+        if self.object.len() == self.max_bytes {
+            return Err(StreamError::TooLong(self.max_bytes));
         }
         self.object.push(byte);
         self.position = match (self.position, byte) {
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -4,6 +4,7 @@
 use crate::settings::{Names, PlatformSettings};
 use heronroute::{Settings, SettingsError};
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
 /// The limits on a sender's resources.
@@ -46,7 +47,7 @@
     discovery: SocketAddr,
     seed: String,
     limits: Limits,
-    known: Option<serde_json::Value>,
+    known: Option<Box<RawValue>>,
     settings: PlatformSettings,
 }
 
@@ -80,7 +81,12 @@
 pub fn read(text: &str) -> Result<StartUp, StartUpError> {
     let raw: Raw = serde_json::from_str(text)?;
     let seed = u64::from_str_radix(&raw.seed, 16).map_err(|_| StartUpError::Seed)?;
-    let known = raw.known.as_ref().map(List::from_json).transpose().map_err(StartUpError::Known)?;
+    let known = raw
+        .known
+        .as_ref()
+        .map(|known| List::read(known.get().as_bytes()))
+        .transpose()
+        .map_err(StartUpError::Known)?;
     let names = raw.settings.names();
     let settings = raw.settings.settings();
     settings.validate()?;
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -5,7 +5,7 @@
 //! [`crate::objects`]). Without I/O and without a clock: timeouts are up to the caller.
 
 use crate::catalog::{List, ListError};
-use crate::objects::{ObjectSplitter, StreamElement, StreamError};
+use crate::objects::{MAX_OBJECT_BYTES, ObjectSplitter, StreamElement, StreamError};
 use bytes::{Buf, BytesMut};
 
 /// The maximum size of a head, in bytes.
@@ -83,11 +83,17 @@
 
 impl Default for Watch {
     fn default() -> Self {
-        Watch { state: State::Head, buffer: BytesMut::new(), splitter: ObjectSplitter::default() }
+        Watch::new(MAX_OBJECT_BYTES)
     }
 }
 
 impl Watch {
+    /// Creates a watch whose lists have at most `max_list_bytes` each.
+    pub fn new(max_list_bytes: usize) -> Self {
+        let splitter = ObjectSplitter::new(max_list_bytes);
+        Watch { state: State::Head, buffer: BytesMut::new(), splitter }
+    }
+
     /// Returns whether a list is incomplete.
     pub fn has_begun_list(&self) -> bool {
         self.splitter.has_begun()
--- a/crates/platform/tests/objects.rs
+++ b/crates/platform/tests/objects.rs
@@ -53,7 +53,7 @@
     text[0] = b'{';
     assert!(matches!(split(&text, 4096), (p, Ok(()), true) if p.is_empty()), "the maximum size");
     text.push(b'}');
-    assert_eq!(split(&text, 4096).1, Err(StreamError::TooLong));
+    assert_eq!(split(&text, 4096).1, Err(StreamError::TooLong(MAX_OBJECT_BYTES)));
     text.remove(1);
     assert!(matches!(split(&text, 4096), (p, Ok(()), false) if p.len() == 1));
     // White space between objects is not buffered.
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -13,7 +13,7 @@
 
 mod read;
 
-pub use read::{Command, Limits, ParseError, Reader};
+pub use read::{Command, Limits, ParseError, Reader, Request};
 
 use bytes::BytesMut;
 use std::fmt::Write;
--- a/crates/resp/tests/read.rs
+++ b/crates/resp/tests/read.rs
@@ -1,17 +1,18 @@
 //! Tests of the parser: limits on declared lengths and counts, and streams that are split anywhere.
 
-use heronroute_resp::{Command, Limits, Reader};
+use heronroute_resp::{Command, Limits, Reader, Request};
 use proptest::prelude::*;
 
-const LIMITS: Limits = Limits { args: 5, bytes: 100 };
+const LIMITS: Limits = Limits { args: 5, bytes: 100, always_kept: 20 };
 
 fn read_all(pieces: &[&[u8]]) -> (Vec<Command>, Option<&'static str>) {
     let (mut reader, mut read) = (Reader::new(LIMITS), Vec::new());
     for piece in pieces {
         reader.push(piece);
         loop {
-            match reader.next_command() {
-                Ok(Some(command)) => read.push(command),
+            match reader.next_command(usize::MAX) {
+                Ok(Some(Request::Command(command))) => read.push(command),
+                Ok(Some(Request::Discarded)) => unreachable!("there is room for all"),
                 Ok(None) => break,
                 Err(e) => return (read, Some(e.0)),
             }
@@ -44,6 +45,28 @@
     }
 }
 
+/// Guards against a command that is held though there is no room for it, and against one that follows it being lost.
+#[test]
+fn a_command_without_room_is_discarded_as_it_arrives() {
+    let small = b"*1\r\n$4\r\nPING\r\n".as_slice();
+    let large = [b"*2\r\n$4\r\nSEND\r\n$50\r\n".as_slice(), &[b'x'; 50], b"\r\n"].concat();
+    let mut reader = Reader::new(LIMITS);
+    let mut read = Vec::new();
+    for piece in [small, &large, small].concat().chunks(7) {
+        reader.push(piece);
+        while let Some(request) = reader.next_command(0).unwrap() {
+            read.push(request);
+        }
+        assert!(reader.held_bytes() <= LIMITS.always_kept + 64, "{} bytes held", reader.held_bytes());
+    }
+    let ping = Request::Command(vec![b"PING".to_vec()]);
+    assert_eq!(read, [ping.clone(), Request::Discarded, ping]);
+    // The same command is kept where there is room.
+    reader.push(&large);
+    assert!(matches!(reader.next_command(50), Ok(Some(Request::Command(command))) if command[1].len() == 50));
+    assert_eq!(reader.held_bytes(), reader.buffered_bytes());
+}
+
 proptest! {
     #[test]
     fn commands_are_the_same_however_the_stream_is_split(
