Nothing is sent on for a client that has left, and no id runs twice

What callers saw: a client closed or reset its connection with much still unread, and its requests were sent on; an id that came again after its end was accepted and called again, once-only too, over a restart too.

Cause: a connection was read piece by piece, and the requests of each piece were decided before its end was found; ids were known for open messages alone.

Change: a platform client that the system says has closed its side is dropped with all that is unread, also where that shows between the read and the decision (`check_departures`). An id that was refused may come again.

Why it works: the system reports the end with the readiness, before any read.

--- a/crates/config/src/check/types.rs
+++ b/crates/config/src/check/types.rs
@@ -84,6 +84,8 @@
     pub sessions: usize,
     /// The memory that the process may use, in bytes.
     pub memory: u64,
+    /// The number of message ids that are remembered after their messages have ended.
+    pub remembered_ids: usize,
     /// The address from which lists are fetched and to which notices are sent.
     pub discovery: SocketAddr,
 }
--- a/crates/engine/src/acceptance.rs
+++ b/crates/engine/src/acceptance.rs
@@ -10,6 +10,7 @@
 use crate::entry_codec::to_entry;
 use crate::failover::Suspension;
 use crate::front::Speaks;
+use crate::identities::Owner;
 use crate::ids::ConnId;
 use crate::memory::MemoryUse;
 use crate::node::{ConnRole, Effect, Message, Node};
@@ -27,6 +28,7 @@
             Ok(known) => known,
             Err(reason) => {
                 self.stats.refused_other += 1;
+                tracing::debug!(now = self.now, id = add.id, ?reason, "refused a message");
                 return self.send_refusal(conn, token, reason);
             }
         };
@@ -60,7 +62,7 @@
             time_left,
             again: add.again,
         });
-        self.by_identity.insert(add.id.clone(), id);
+        self.identities.open(add.id.clone(), id);
         let submission = Submission {
             service: add.class,
             key: add.key,
@@ -99,8 +101,10 @@
         if !self.endpoints.is_known_destination(DestId(add.dest)) {
             return Err(RejectReason::Address);
         }
-        if self.by_identity.contains_key(&add.id) {
-            return Err(RejectReason::Message);
+        match self.identities.owner(self.wall(), &add.id) {
+            Owner::Nobody => {}
+            Owner::Open(_) => return Err(RejectReason::Message),
+            Owner::Ended => return Err(RejectReason::Used),
         }
         let needs_key = self.cfg.settings.classes[class].effect == Repeats::Guarded;
         if needs_key && add.key.is_none() {
@@ -138,6 +142,8 @@
             let s = &m.submission;
             let client = self.cfg.clients.get(m.client).map_or("", |c| c.system_id.as_str());
             let deadline = wall + (m.deadline - now);
+            let named =
+                s.identity.as_ref().map(|identity| self.identities.accept(wall, identity, id, deadline));
             self.ledger.write(|| {
                 let rest = Accepted {
                     id: id.0,
@@ -147,6 +153,7 @@
                     deadline,
                     again: s.again,
                     identity: s.identity.clone().unwrap_or_default(),
+                    named,
                     ..Accepted::default()
                 };
                 What::Accepted(to_entry(client, "", s, &m.reply_to, rest))
@@ -206,6 +213,11 @@
             id = m.submission.identity,
             "abandoned a message whose client disconnected before the acceptance was sent"
         );
+        if m.attempts == 0
+            && let Some(identity) = &m.submission.identity
+        {
+            self.identities.withdraw(self.now + self.wall, identity);
+        }
         if let Some((call, part)) = m.out {
             self.cancel_or_abandon(call, part);
         }
@@ -224,7 +236,7 @@
 
     fn forget_identity(&mut self, m: &Message) {
         if let Some(identity) = &m.submission.identity {
-            self.by_identity.remove(identity);
+            self.identities.close(identity);
         }
     }
 
--- a/crates/engine/src/front/mqtt.rs
+++ b/crates/engine/src/front/mqtt.rs
@@ -207,7 +207,11 @@
         }
         let code = match reason {
             RejectReason::NotEntered => 0x87,
-            RejectReason::Rate | RejectReason::Share | RejectReason::Room | RejectReason::Unsure => 0x97,
+            RejectReason::Rate
+            | RejectReason::Share
+            | RejectReason::Room
+            | RejectReason::Unsure
+            | RejectReason::Used => 0x97,
             RejectReason::Class | RejectReason::Address => 0x90,
             RejectReason::Time | RejectReason::TooLate | RejectReason::Message => 0x83,
         };
--- a/crates/engine/src/front/request.rs
+++ b/crates/engine/src/front/request.rs
@@ -156,6 +156,8 @@
     TooLate,
     /// The message may have been submitted before, but the record that would show it is gone.
     Unsure,
+    /// The message's id was used for an earlier message.
+    Used,
 }
 
 /// Why a client is not admitted.
--- a/crates/engine/src/front/resp_errors.rs
+++ b/crates/engine/src/front/resp_errors.rs
@@ -19,6 +19,7 @@
         RejectReason::Address => "ERR unknown destination",
         RejectReason::Time => "ERR no time left",
         RejectReason::Message => "ERR the id is open already",
+        RejectReason::Used => "ERR the id was used before",
         RejectReason::TooLate => "ERR an idempotency key is wanted in this class",
         RejectReason::Rate | RejectReason::Share | RejectReason::Room | RejectReason::Unsure => BUSY,
     }
--- a/crates/engine/src/front/smpp.rs
+++ b/crates/engine/src/front/smpp.rs
@@ -107,7 +107,7 @@
         let status = match reason {
             RejectReason::NotEntered => CommandStatus::EsmeRinvbndsts,
             RejectReason::Rate | RejectReason::Share => CommandStatus::EsmeRthrottled,
-            RejectReason::Room | RejectReason::Unsure => CommandStatus::EsmeRmsgqful,
+            RejectReason::Room | RejectReason::Unsure | RejectReason::Used => CommandStatus::EsmeRmsgqful,
             RejectReason::Class => CommandStatus::EsmeRinvsertyp,
             RejectReason::Address => CommandStatus::EsmeRinvdstadr,
             RejectReason::Time => CommandStatus::EsmeRinvexpiry,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`read_budget`]: how much is read from each connection in a turn
 //! - [`resume`]: what happens to a message after a restart
 //! - [`takeover`]: what is known of a message taken over from a dead member
+//! - `identities`: whose an id is that a platform client gave a message
 //! - `memory`: the budget for what peers make a sender hold
 //! - [`ledger`]: what waits for the journal, and for how long while the node ran (`uptime`)
 //! - `rule_tables`, `client_rules`: how a client's own rules change all this, on a node of a fleet
@@ -41,6 +42,7 @@
 mod entry_codec;
 pub mod front;
 mod held;
+mod identities;
 pub mod takeover;
 pub use heronroute_rules::home;
 mod failover;
--- a/crates/engine/src/node/connections.rs
+++ b/crates/engine/src/node/connections.rs
@@ -4,6 +4,7 @@
 use super::api::Output;
 use super::state::{Conn, ConnRole, TimerKey};
 use crate::Micros;
+use crate::front::Speaks;
 use crate::ids::ConnId;
 use crate::memory::MemoryUse;
 use crate::read_budget;
@@ -73,6 +74,17 @@
         false
     }
 
+    /// Returns whether unread bytes of a connection are discarded once its peer has closed its side: those of a
+    /// platform client, which waits for no answer then.
+    pub fn discards_unread(&self, conn: ConnId) -> bool {
+        self.speaks(conn) == Some(Speaks::Resp)
+    }
+
+    /// Returns whether messages were submitted that were not decided yet.
+    pub fn has_submissions(&self) -> bool {
+        !self.submitted.is_empty()
+    }
+
     /// Tells the front of a client's connection since when bytes of the client have been unread all the time.
     pub fn unread_since(&mut self, conn: ConnId, since: Option<Micros>) {
         if let Some((front, _)) = self.front(conn) {
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -26,6 +26,7 @@
 use crate::directory::Directory;
 use crate::failover::Failover;
 use crate::front::FRONT_COUNT;
+use crate::identities::Identities;
 use crate::ids::ConnId;
 use crate::ledger::Ledger;
 use crate::limits::Limits;
@@ -120,8 +121,8 @@
     pub(crate) submitted: Vec<(MsgId, i64)>,
     /// The total size of their bodies.
     pub(crate) submitted_bytes: usize,
-    /// Open messages by the identity that the client gave them.
-    pub(crate) by_identity: BTreeMap<String, MsgId>,
+    /// The ids that platform clients gave their messages.
+    pub(crate) identities: Identities,
     /// Set while the sender shuts down: no decisions are made any more, and it only waits for calls in
     /// flight.
     pub(crate) frozen: bool,
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -11,6 +11,7 @@
 use crate::directory::{Directory, Polled, Watched};
 use crate::failover::Failover;
 use crate::front::FRONT_COUNT;
+use crate::identities::Identities;
 use crate::ids::ID_SENDER_BITS;
 use crate::ledger::Ledger;
 use crate::limits::{ClientLimits, Limits};
@@ -154,7 +155,7 @@
             notices_conn: None,
             submitted: Vec::new(),
             submitted_bytes: 0,
-            by_identity: BTreeMap::new(),
+            identities: Identities::new(cfg.platform.map_or(1, |p| p.remembered_ids), start.wall, start.seed),
             frozen: false,
             rule_tables: start.fleet.then(|| {
                 let names = cfg.mqtt.as_ref().map_or(0, |m| m.remembered);
--- a/crates/engine/src/platform.rs
+++ b/crates/engine/src/platform.rs
@@ -21,6 +21,13 @@
 const JOURNAL_DISK_SHARE: f64 = 0.45;
 /// The part of the disk for the log, at which a snapshot is due.
 const SEGMENT_DISK_SHARE: f64 = 0.15;
+/// The part of the memory for the ids of messages that have ended, and what an id takes there, in bytes: in the table,
+/// and in the journal's state.
+const ID_MEMORY_SHARE: f64 = 1.0 / 64.0;
+const ID_MEMORY_BYTES: f64 = 68.0;
+/// The part of the disk for the same, and what an id takes in a snapshot, in bytes.
+const ID_DISK_SHARE: f64 = 0.05;
+const ID_DISK_BYTES: f64 = 48.0;
 /// How long a sender continues after SIGTERM before it accepts nothing more and waits for its calls. It is
 /// killed 3.7 s after the signal at the earliest.
 const DRAIN_DELAY: Micros = 2_900_000;
@@ -31,6 +38,8 @@
     let disk = start_up.limits.disk_mb * 1e6;
     let memory = start_up.limits.memory_mb * 1e6;
     let clients_by_descriptors = start_up.limits.sockets as f64 * CLIENT_DESCRIPTOR_SHARE;
+    let ids_by_memory = memory * ID_MEMORY_SHARE / ID_MEMORY_BYTES;
+    let ids_by_disk = disk * ID_DISK_SHARE / ID_DISK_BYTES;
     let clients_by_memory = memory * CLIENT_MEMORY_SHARE / SMALL_CLIENT_BYTES as f64;
     let client = |name: &String| ClientConfig {
         system_id: name.clone(),
@@ -75,6 +84,7 @@
         platform: Some(PlatformConfig {
             sessions: (clients_by_descriptors.min(clients_by_memory) as usize).max(1),
             memory: memory as u64,
+            remembered_ids: (ids_by_memory.min(ids_by_disk) as usize).max(1),
             discovery: start_up.discovery,
         }),
         directory: DirectoryConfig { address: Some(start_up.discovery), poll: 0, keep: None },
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -57,6 +57,7 @@
         // These come first, as they say where the rest belongs.
         self.restore_rules(&state);
         self.restore_sessions(&state);
+        state.names.iter().for_each(|named| self.identities.restore(wall, named));
         self.restore_held(&state);
         self.restore_answers(&state);
         for open in state.open.into_values() {
@@ -194,7 +195,7 @@
             counted_bytes: 0,
         };
         if let Some(identity) = message.submission.identity.clone().filter(|_| self.cfg.platform.is_some()) {
-            self.by_identity.insert(identity, MsgId(accepted.id));
+            self.identities.open(identity, MsgId(accepted.id));
         }
         self.add_open_message(MsgId(accepted.id), message);
         self.restore_trail(open);
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -248,6 +248,11 @@
         Ok(journal)
     }
 
+    /// Limits the number of client-given names that are kept.
+    pub fn limit_names(&mut self, max_names: usize) {
+        self.state.limit_names(max_names);
+    }
+
     /// Returns the state that the entries add up to.
     pub fn state(&self) -> &JournalState {
         &self.state
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -56,6 +56,8 @@
     pub applied: BTreeMap<String, Applied>,
     /// The takeovers of dead members' messages.
     pub takeovers: Takeovers,
+    /// The number of names kept at most, if it is lower than usual.
+    max_names: Option<usize>,
 }
 
 /// A session that survives the loss of its connection.
@@ -160,6 +162,12 @@
         }
     }
 
+    /// Limits the number of names that are kept.
+    pub fn limit_names(&mut self, max_names: usize) {
+        self.max_names = Some(max_names.min(MAX_NAMES));
+        self.drop_names(i64::MIN);
+    }
+
     /// Records a session's new state, or its end.
     fn update_session(&mut self, s: &Session) {
         let key = (s.client.clone(), s.name.clone());
@@ -182,8 +190,14 @@
             return;
         }
         self.names.push_back(named);
+        self.drop_names(now);
+    }
+
+    /// Drops names that have expired, and those beyond the maximum.
+    fn drop_names(&mut self, now: i64) {
+        let max_names = self.max_names.unwrap_or(MAX_NAMES);
         while let Some(first) = self.names.front().copied() {
-            if self.names.len() > MAX_NAMES {
+            if self.names.len() > max_names {
                 self.forgot = self.forgot.max(first.until);
             } else if first.until >= now {
                 break;
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -187,6 +187,7 @@
             }
             self.read_ready(inputs_until);
             self.read_again_if_late(&mut events)?;
+            self.check_departures(&mut events)?;
             self.retry_journal();
             self.node.settle(self.clock.now());
             self.write_deferred();
@@ -260,6 +261,9 @@
                 }
             }
         }
+        if peer_closed && self.node.discards_unread(conn) {
+            return self.client_left(conn);
+        }
         if readable && let Some(socket) = self.sockets.get_mut(&conn) {
             socket.readable = true;
             socket.peer_closed |= peer_closed;
--- a/crates/net/src/reactor/accepting.rs
+++ b/crates/net/src/reactor/accepting.rs
@@ -63,10 +63,9 @@
         }
         for stream in streams {
             if let Some(conn) = self.node.accepted(self.clock.now(), Speaks::Resp, &[]) {
+                // What has arrived with the connection is read once the system has told whether its client has
+                // left already.
                 self.register(conn, stream, false);
-                // Reads in this turn what has arrived with the connection, up to the end of the stream.
-                // Guards against accepting and sending requests of a client that has already disconnected.
-                self.on_ready(conn, true, true, false);
             }
         }
         self.closing.close_excess(self.node.max_lingering_conns());
--- a/crates/net/src/reactor/inputs.rs
+++ b/crates/net/src/reactor/inputs.rs
@@ -48,6 +48,17 @@
         }
     }
 
+    /// Looks whether clients have left since their requests were read, before these are decided: nothing is sent on for a
+    /// client that has left.
+    pub(super) fn check_departures(&mut self, events: &mut Events) -> io::Result<()> {
+        if self.node.has_submissions() && self.wait_for_events(events, Some(Duration::ZERO))?.is_some() {
+            self.handle_events(events);
+            // The pipe was emptied with the events.
+            self.handle_signals();
+        }
+        Ok(())
+    }
+
     /// Reads once more what has arrived meanwhile, if the wait or this turn has taken long. A load under which
     /// even that takes long is no reason to decide nothing.
     pub(super) fn read_again_if_late(&mut self, events: &mut Events) -> io::Result<()> {
--- a/crates/net/src/reactor/teardown.rs
+++ b/crates/net/src/reactor/teardown.rs
@@ -21,6 +21,17 @@
         }
     }
 
+    /// Ends the connection of a client that has closed its side. What it has sent and was not read is discarded: nobody
+    /// waits for it.
+    pub(super) fn client_left(&mut self, conn: ConnId) {
+        let now = self.clock.now();
+        if let Some(socket) = self.sockets.remove(&conn) {
+            self.node.closed(now, conn, CloseReason::Ended);
+            self.closing.half_close(conn, socket.stream, now);
+            self.closing.close_excess(self.node.max_lingering_conns());
+        }
+    }
+
     /// Reads what has arrived on a connection whose last call this side gives up: its answer may lie there.
     fn read_before_close(&mut self, conn: ConnId) {
         if !self.node.reads_before_drop(conn) {
--- a/crates/net/src/standalone.rs
+++ b/crates/net/src/standalone.rs
@@ -53,8 +53,9 @@
         let cfg = Arc::new(config(start_up));
         let clock = Clock::start();
         let storage_failed = |error: &JournalError| matches!(error, JournalError::Storage(_));
-        let (journal, clock) =
+        let (mut journal, clock) =
             retry.run(&signals, storage_failed, || open_journal(folder, cfg.journal.limits, clock))?;
+        journal.limit_names(cfg.platform.map_or(0, |platform| platform.remembered_ids));
         let start = Start {
             index: 0,
             seed: start_up.seed,
