An id or address that changed hands takes no connection of the one before with it

What callers saw: where the list gave an id another address, calls still went over connections that were opened to the old one, to whom had it by then; a process that had started anew was taken for the old one; `started_ms` was read nowhere.

Cause: only connections that were idle at that moment were closed; one with a call out, or still being opened, went back to the id's pool. Two ids could use one address. An id that was given to another destination stayed in the old one's list.

Change: whose an address is, is decided in `node/address_claims.rs` (who came to it last), and which process runs as an id in the endpoint table (address, `started_ms`). All connections to an earlier process are retired, unsent calls are decided anew, an endpoint whose address is another's is removed until the list says otherwise, and an id with another destination or kind is another endpoint. The library hears `EndpointReplaced`, so that a keyed message whose key only that endpoint knew is not repeated at the process that took over.

--- a/crates/config/src/check/receivers.rs
+++ b/crates/config/src/check/receivers.rs
@@ -116,6 +116,7 @@
         zone: e.zone.clone(),
         weight: (weight > 0.0).then_some(weight),
         status,
+        started_ms: 0,
     })
 }
 
--- a/crates/config/src/check/types.rs
+++ b/crates/config/src/check/types.rs
@@ -310,6 +310,8 @@
     pub weight: Option<f64>,
     /// Its status.
     pub status: Status,
+    /// When it last started, in milliseconds since 1970 UTC; 0 for long ago.
+    pub started_ms: u64,
 }
 
 /// The answer of a directory.
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -18,6 +18,17 @@
         }
     }
 
+    /// Ends the use of all connections to an endpoint, because another process runs as it or at its address: those without
+    /// a call are closed now, the others once their call ends. Calls that are not sent are decided anew.
+    pub(crate) fn retire_connections(&mut self, endpoint: EndpointId) {
+        self.cancel_unsent_calls(endpoint);
+        self.close_idle_connections(endpoint);
+        let pool = &mut self.endpoints[endpoint].pool;
+        let connecting = pool.connecting();
+        pool.connections().into_iter().for_each(|conn| pool.retire(conn));
+        connecting.into_iter().for_each(|conn| self.drop_link(conn));
+    }
+
     /// Closes a connection whose idle timeout has expired, if it carries no calls.
     pub(crate) fn close_if_idle(&mut self, conn: ConnId) {
         let Some(ConnRole::Receiver { endpoint, .. }) = self.conns.get(&conn).map(|c| &c.role) else {
--- a/crates/engine/src/directory/listing.rs
+++ b/crates/engine/src/directory/listing.rs
@@ -13,6 +13,7 @@
         zone: e.zone.clone(),
         weight: e.weight,
         status: e.status,
+        started_ms: e.started_ms,
     };
     Listing {
         version: list.version,
--- a/crates/engine/src/node/endpoints.rs
+++ b/crates/engine/src/node/endpoints.rs
@@ -1,11 +1,41 @@
 //! The table of endpoints, by number, by name and by destination.
 
+use super::address_claims::AddressClaims;
 use super::state::Endpoint;
 use heronroute::{DestId, EndpointId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::ops::{Index, IndexMut};
 
+/// What a directory entry says of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EntryEffect {
+    /// It was not known.
+    Added,
+    /// The process that was known runs as it.
+    Same,
+    /// Another process runs as it: at another address, or started later.
+    Replaced,
+}
+
+/// A directory entry, as far as the table needs it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DirectoryEntry {
+    pub address: SocketAddr,
+    pub kind: usize,
+    pub dest: DestId,
+    pub started_ms: u64,
+}
+
+/// The endpoint that a directory entry was applied to.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Upserted {
+    pub endpoint: EndpointId,
+    pub effect: EntryEffect,
+    /// The endpoint that had the name before, for another destination or of another kind.
+    pub former: Option<EndpointId>,
+}
+
 /// The table of endpoints, by number, by name and by destination.
 #[derive(Debug)]
 pub(crate) struct EndpointTable {
@@ -21,6 +51,8 @@
     by_dest: BTreeMap<DestId, BTreeSet<EndpointId>>,
     /// Endpoints that are no longer listed.
     unlisted: BTreeSet<EndpointId>,
+    /// Whose an address is.
+    pub claims: AddressClaims,
     /// The next number. No number is used twice: the decision library may still know it as that of an earlier
     /// endpoint.
     next_number: u32,
@@ -55,6 +87,7 @@
             names: BTreeMap::new(),
             by_dest: BTreeMap::new(),
             unlisted: BTreeSet::new(),
+            claims: AddressClaims::default(),
             next_number: 0,
             placeholder,
         }
@@ -85,31 +118,32 @@
         self.by_dest.contains_key(&dest)
     }
 
-    /// Adds or updates an endpoint from a directory entry. Returns its number, and whether its address has
-    /// changed. `None` if there is no room for another endpoint.
-    pub fn upsert(
-        &mut self,
-        name: &str,
-        address: SocketAddr,
-        kind: usize,
-        dest: DestId,
-    ) -> Option<(EndpointId, bool)> {
-        if self.all.len() >= self.max_endpoints && !self.names.contains_key(name) {
-            return None;
-        }
-        let next_number = EndpointId(self.next_number);
-        let endpoint = *self.names.entry(name.to_string()).or_insert(next_number);
-        if endpoint == next_number {
-            self.next_number += 1;
+    /// Adds or updates an endpoint from a directory entry. `None` if there is no room for another endpoint.
+    pub fn upsert(&mut self, name: &str, entry: DirectoryEntry) -> Option<Upserted> {
+        let mut former = None;
+        if let Some(known) = self.named(name) {
+            let endpoint = &mut self[known];
+            if (endpoint.kind, endpoint.dest) == (entry.kind, entry.dest) {
+                // A start "long ago" says nothing new of a process whose start is known.
+                let is_replaced = endpoint.address != entry.address || entry.started_ms > endpoint.started_ms;
+                endpoint.started_ms = endpoint.started_ms.max(entry.started_ms);
+                endpoint.address = entry.address;
+                let effect = if is_replaced { EntryEffect::Replaced } else { EntryEffect::Same };
+                return Some(Upserted { endpoint: known, effect, former: None });
+            }
+            former = Some(known);
         }
-        let entry = self.all.entry(endpoint).or_insert_with(|| Endpoint::new(name, address, kind, dest));
-        let (moved, before) = (entry.address != address, entry.dest);
-        (entry.address, entry.kind, entry.dest) = (address, kind, dest);
-        if before != dest {
-            self.by_dest.entry(before).or_default().remove(&endpoint);
+        if self.all.len() >= self.max_endpoints {
+            return None;
         }
-        self.by_dest.entry(dest).or_default().insert(endpoint);
-        Some((endpoint, moved))
+        let number = EndpointId(self.next_number);
+        self.next_number += 1;
+        let mut endpoint = Endpoint::new(name, entry.address, entry.kind, entry.dest);
+        endpoint.started_ms = entry.started_ms;
+        self.all.insert(number, endpoint);
+        self.names.insert(name.to_string(), number);
+        self.by_dest.entry(entry.dest).or_default().insert(number);
+        Some(Upserted { endpoint: number, effect: EntryEffect::Added, former })
     }
 
     /// Records whether the directory lists an endpoint.
@@ -135,8 +169,11 @@
     /// Removes an endpoint.
     pub fn remove(&mut self, endpoint: EndpointId) -> Option<Endpoint> {
         self.unlisted.remove(&endpoint);
+        self.claims.withdraw(endpoint);
         let removed = self.all.remove(&endpoint)?;
-        self.names.remove(&removed.name);
+        if self.named(&removed.name) == Some(endpoint) {
+            self.names.remove(&removed.name);
+        }
         if let Some(of) = self.by_dest.get_mut(&removed.dest) {
             of.remove(&endpoint);
             if of.is_empty() && self.by_dest.len() > self.max_endpoints {
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The core of a sender: its state, its inputs and its outputs. `admission` implements the client side,
 //! `carry` the receiver side, and `held` the messages held for clients.
 
+mod address_claims;
 mod answer;
 mod api;
 mod connections;
@@ -107,6 +108,8 @@
     /// When to check next for endpoints to remove.
     prune_at: Micros,
     zones: Vec<String>,
+    /// The number of directory lists applied.
+    lists_applied: u64,
     pub(crate) clients: Vec<Client>,
     pub(crate) client_names: BTreeMap<String, usize>,
     pub(crate) class_names: BTreeMap<String, usize>,
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -144,6 +144,7 @@
             unconfirmed: UnconfirmedOutcomes::default(),
             prune_at: now,
             zones: cfg.zones.clone(),
+            lists_applied: 0,
             clients: Vec::new(),
             client_names: BTreeMap::new(),
             class_names: cfg.class_names.iter().enumerate().map(|(i, n)| (n.clone(), i)).collect(),
--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -9,7 +9,7 @@
 use crate::outbox::ReplyAddress;
 use crate::pool::Pool;
 use crate::stream::Stream;
-use heronroute::{DestId, EndpointId, MsgId};
+use heronroute::{DestId, EndpointEntry, EndpointId, MsgId};
 use heronroute_held::{Release, Trail};
 use heronroute_journal::entry;
 use heronroute_rules::seam::Apply;
@@ -178,6 +178,12 @@
     /// What the journal records of it.
     pub place: entry::Place,
     pub pool: Pool,
+    /// When the process that runs as it started, in milliseconds since 1970 UTC; 0 for long ago.
+    pub started_ms: u64,
+    /// What the directory last said of it.
+    pub listed_as: Option<EndpointEntry>,
+    /// Whether another endpoint has its address now.
+    pub displaced: bool,
     /// The connection with a probe in flight.
     pub probe: Option<ConnId>,
     /// Whether a probe is under way.
@@ -196,6 +202,9 @@
             dest,
             cancelled_up_to: 0,
             place,
+            started_ms: 0,
+            listed_as: None,
+            displaced: false,
             pool: Pool::default(),
             probe: None,
             probing: false,
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -191,6 +191,11 @@
         self.connections.iter().filter(|c| c.ready && c.calls == 0).map(|c| c.conn).collect()
     }
 
+    /// Returns the connections that are being opened.
+    pub fn connecting(&self) -> Vec<ConnNumber> {
+        self.connections.iter().filter(|c| !c.ready).map(|c| c.conn).collect()
+    }
+
     /// Returns a connection that can carry a probe.
     pub fn probe_connection(&self, window: usize) -> Option<ConnNumber> {
         let usable = |c: &&PooledConnection| c.is_open() && (window > 1 || c.calls == 0);
--- a/crates/engine/src/stats.rs
+++ b/crates/engine/src/stats.rs
@@ -58,6 +58,8 @@
     pub refused_memory: u64,
     /// Connections to receivers closed because there was no memory for an answer.
     pub answers_without_memory: u64,
+    /// Endpoints as which another process came to run.
+    pub endpoints_replaced: u64,
     /// Periods in which the journal's storage failed.
     pub storage_failures: u64,
 }
--- a/crates/platform/src/catalog.rs
+++ b/crates/platform/src/catalog.rs
@@ -26,6 +26,8 @@
     pub status: Status,
     /// Its weight, if the list states one.
     pub weight: Option<f64>,
+    /// When it last started, in milliseconds since 1970 UTC; 0 for long ago.
+    pub started_ms: u64,
 }
 
 /// A full list, or changes to an earlier one.
@@ -100,6 +102,7 @@
     cell: i64,
     state: String,
     weight: Option<Value>,
+    started_ms: Option<Value>,
 }
 
 fn parse_field<'a, T: Deserialize<'a>>(
@@ -130,5 +133,6 @@
         destination: raw.cell,
         status,
         weight: raw.weight.and_then(|weight| weight.as_f64()),
+        started_ms: raw.started_ms.and_then(|started_ms| started_ms.as_u64()).unwrap_or(0),
     })
 }
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -273,7 +273,7 @@
             let number = fields.int(3)?;
             let rows = tables.get(&number).ok_or_else(|| format!("Announce: no Table {number}"))?;
             let to_entry =
-                |r: &TableRow| EndpointEntry { endpoint: instance.endpoint_id(&r.name), ..r.entry.clone() };
+                |r: &TableRow| EndpointEntry { endpoint: instance.endpoint_id(&r.name), ..r.entry };
             Event::DirectoryUpdate { whole, entries: rows.iter().map(to_entry).collect() }
         }
         "Inbound" => Event::Message {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -289,7 +289,7 @@
 }
 
 /// One entry of the directory.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndpointEntry {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -386,6 +386,14 @@
         /// The endpoint and the age of the first attempt that may have been executed, if there was one.
         may_run: Option<(EndpointId, Micros)>,
     },
+    /// Another process runs as a listed endpoint, and may not have the memory by which duplicates are dropped of the one
+    /// before.
+    EndpointReplaced {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How long ago the process started.
+        ago: Micros,
+    },
     /// After a restart: what was known of a listed endpoint before.
     EndpointRestored {
         /// The endpoint.
--- a/src/policy/choose.rs
+++ b/src/policy/choose.rs
@@ -226,7 +226,7 @@
             return false;
         }
         let may_run = message.may_run.filter(|_| class.effect == Effect::Guarded);
-        may_run.is_none_or(|(_, first)| self.drops_duplicates(class.group, first, endpoint))
+        may_run.is_none_or(|may_run| self.drops_duplicates(class.group, may_run, endpoint))
     }
 
     /// Returns the worth that a message would earn if delivered `ahead` microseconds from now.
--- a/src/policy/events.rs
+++ b/src/policy/events.rs
@@ -60,6 +60,7 @@
                 self.attempt_ended(*id, *attempt, *message_closed, result, out);
             }
             Event::Resumed { id, attempts, may_run } => self.resume_message(*id, *attempts, *may_run),
+            Event::EndpointReplaced { endpoint, ago } => self.replace_endpoint(*endpoint, *ago),
             Event::EndpointRestored { endpoint, .. } => self.restore_endpoint(*endpoint, event),
             Event::Withdrawn { id } => self.close(*id),
             Event::Probed { endpoint, outcome, report } => {
--- a/src/policy/message.rs
+++ b/src/policy/message.rs
@@ -41,8 +41,9 @@
         match (class.effect, message.may_run) {
             (Effect::Free, _) | (_, None) => true,
             (Effect::Guarded, Some((first, at))) => {
-                let any =
-                    |d: &Destination| d.endpoints.iter().any(|e| self.drops_duplicates(class.group, at, *e));
+                let any = |d: &Destination| {
+                    d.endpoints.iter().any(|e| self.drops_duplicates(class.group, (first, at), *e))
+                };
                 let any =
                     class.group == DedupScope::All || self.destinations.get(&message.dest).is_some_and(any);
                 self.now < first + class.window && any
@@ -51,17 +52,32 @@
         }
     }
 
-    /// Returns whether `other` is listed and drops duplicates of a message that may have been executed at
-    /// `first`, another endpoint of its destination.
-    pub(super) fn drops_duplicates(&self, group: DedupScope, first: EndpointId, other: EndpointId) -> bool {
+    /// Returns whether `other` is listed and drops duplicates of a message that may have been executed since a time, first
+    /// at an endpoint of its destination.
+    pub(super) fn drops_duplicates(
+        &self,
+        group: DedupScope,
+        (since, first): (Micros, EndpointId),
+        other: EndpointId,
+    ) -> bool {
         let Some(endpoint) = self.endpoints.get(&other).filter(|e| e.listed) else { return false };
         match group {
             DedupScope::All => true,
             DedupScope::Zone => self.endpoints.get(&first).is_some_and(|f| f.zone == endpoint.zone),
-            DedupScope::Endpoint => first == other,
+            DedupScope::Endpoint => first == other && endpoint.replaced_at.is_none_or(|at| at <= since),
         }
     }
 
+    /// Records that another process runs as an endpoint. Messages that may have been executed there before are checked in
+    /// this round: it may not drop their duplicates.
+    pub(super) fn replace_endpoint(&mut self, endpoint: EndpointId, ago: Micros) {
+        let now = self.now;
+        let Some(replaced) = self.endpoints.get_mut(&endpoint) else { return };
+        replaced.replaced_at = Some(now - ago.clamp(0, MAX_DURATION));
+        let concerned = self.messages.iter().filter(|(_, m)| m.may_run.is_some_and(|(_, at)| at == endpoint));
+        self.schedule.extend(concerned.map(|(id, _)| (now, Task::CheckMessage(*id))));
+    }
+
     /// Returns whether the client may be told that submitting the message again does no harm.
     pub(super) fn may_refuse(&self, message: &Message) -> bool {
         let may_have_run = !message.in_flight.is_empty() || message.may_run.is_some();
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,6 +143,8 @@
     /// When a connection was last refused although other calls succeeded.
     pub(crate) connection_refused_at: Option<Micros>,
     pub(crate) last_success: Micros,
+    /// When the process that runs as the endpoint took over from another one.
+    pub(crate) replaced_at: Option<Micros>,
     /// The time of the first failure or refusal since the last success.
     pub(crate) failing_since: Option<Micros>,
     /// Moving average of failures, from 0 to 1.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -214,7 +214,7 @@
     // The last endpoint of its zone drains while the message is in flight: it is answered with the outcome.
     let (mut sender, attempt) = bound_to_one_zone(false);
     let draining = EndpointEntry { status: Status::Draining, ..entry(1, 1, 0) };
-    sender.round(&[Event::DirectoryUpdate { whole: false, entries: vec![draining.clone()] }]);
+    sender.round(&[Event::DirectoryUpdate { whole: false, entries: vec![draining] }]);
     sender.finish_attempt(&attempt, Outcome::Reset);
     assert_eq!((sender.failed.as_slice(), sender.refused.len()), (&[1][..], 0));
     // The endpoint drains while the message is pending: it is answered with the directory update.
@@ -228,6 +228,22 @@
     assert_eq!(sender.failed, [1]);
 }
 
+/// Guards against a guarded message that runs twice, because another process runs as the endpoint that knew it.
+#[test]
+fn a_message_bound_to_an_endpoint_is_not_repeated_at_a_process_that_replaced_it() {
+    for (ago, is_repeated) in [(0, false), (5 * S, true)] {
+        let mut settings = settings();
+        settings.classes[GUARDED].group = DedupScope::Endpoint;
+        let mut sender = TestSender::new(settings, vec![entry(1, 1, 0)]);
+        let sent = sender.round(&[message(1, GUARDED, 1)]);
+        sender.advance(50 * MS);
+        sender.round(&[Event::EndpointReplaced { endpoint: EndpointId(1), ago }]);
+        let mut again = sender.finish_attempt(&sent[0], Outcome::Reset);
+        again.extend(sender.advance(S));
+        assert_eq!((!again.is_empty(), sender.failed.is_empty()), (is_repeated, is_repeated), "{ago}");
+    }
+}
+
 #[test]
 fn a_message_without_attempts_left_is_answered_in_the_same_round() {
     let mut sender = TestSender::new(Settings { max_attempts: 1, ..settings() }, vec![entry(1, 1, 0)]);
