A crowd that floods does not delay answers and timers: clients are read for 10 ms a turn

Cause: a turn read every connection that had bytes, 4 KiB each, before any timer ran.

Change: what this side opened (endpoints, discovery, notices) is read whole in each turn; clients for 10 ms, in turn from where the last one ended.

--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -64,6 +64,8 @@
     closing: ClosingConns,
     /// Connections that may have more to read.
     ready: BTreeSet<ConnId>,
+    /// The client's connection with which reading goes on in the next turn.
+    next_client: ConnId,
     /// Connections with a call that waits until what has arrived is read.
     deferred_writes: BTreeSet<ConnId>,
     command_queue: Receiver<Command>,
@@ -106,6 +108,7 @@
             sockets: BTreeMap::new(),
             closing: ClosingConns::default(),
             ready: BTreeSet::new(),
+            next_client: 0,
             deferred_writes: BTreeSet::new(),
             command_queue,
             list_path,
--- a/crates/net/src/reactor/inputs.rs
+++ b/crates/net/src/reactor/inputs.rs
@@ -2,10 +2,15 @@
 //! and a call that was decided before this process was held up must not leave within a wait that was told meanwhile.
 
 use super::Reactor;
+use heronroute_engine::ConnId;
 use mio::Events;
+use std::collections::BTreeSet;
 use std::io;
 use std::time::Duration;
 
+/// How long the connections of clients are read in a turn, in microseconds. Guards against answers and timers that wait
+/// for a crowd of clients that send as fast as they can.
+const MAX_CLIENT_READ_TIME: i64 = 10_000;
 /// How often a turn reads again what has arrived meanwhile.
 const MAX_READS_AGAIN: usize = 3;
 
@@ -38,16 +43,37 @@
         }
     }
 
-    /// Reads all connections that may have more to read.
+    /// Reads the connections that may have more to read: all that this side opened, which have the answers that timers
+    /// wait for, and those of clients for a bounded time. The rest is read in the next turn.
     pub(super) fn read_ready(&mut self, inputs_until: Option<i64>) {
-        for conn in std::mem::take(&mut self.ready) {
-            self.read(conn);
-        }
+        let is_client = |conn: &ConnId| self.sockets.get(conn).is_some_and(|socket| socket.accepted);
+        let (clients, others): (BTreeSet<ConnId>, BTreeSet<ConnId>) =
+            std::mem::take(&mut self.ready).into_iter().partition(is_client);
+        others.into_iter().for_each(|conn| self.read(conn));
+        self.read_clients(&clients);
         if let Some(until) = inputs_until {
             self.node.inputs_handled(until);
         }
     }
 
+    /// Reads connections of clients in turn, from where the last turn ended.
+    fn read_clients(&mut self, clients: &BTreeSet<ConnId>) {
+        let until = self.clock.now() + MAX_CLIENT_READ_TIME;
+        let next_client = self.next_client;
+        let mut in_turn = clients.range(next_client..).chain(clients.range(..next_client)).copied();
+        for conn in in_turn.by_ref() {
+            self.read(conn);
+            if self.clock.now() >= until {
+                break;
+            }
+        }
+        if let Some(next) = in_turn.next() {
+            self.next_client = next;
+            self.ready.insert(next);
+            self.ready.extend(in_turn);
+        }
+    }
+
     /// Looks whether clients have left since their requests were read, before these are decided: nothing is sent on for a
     /// client that has left.
     pub(super) fn check_departures(&mut self, events: &mut Events) -> io::Result<()> {
