An answer that has begun behind others is awaited: it may end a message or tell a wait

Behind a copy and another answer, both in doubt, a message was called again though its own 410 had begun to arrive; a wait that was told slowly there, or late behind a copy, did not bind.

Cause: bytes that are no whole answer counted as a repeat of the answer before, or closed the connection at once; 0.4 s later the message was released by the doubtful answer alone, and the rest of its own was never read.

Change: where answers may be shifted, an answer that has begun with no call out is awaited for up to 1 s (`LinkEvent::AwaitRest`): the connection takes no calls, messages in doubt wait with it, and what has arrived by then says whether they may be sent again. Where no copy can have come, such bytes close the connection at once, as before.

--- a/crates/cli/tests/alone/mod.rs
+++ b/crates/cli/tests/alone/mod.rs
@@ -250,6 +250,17 @@
         String::from_utf8_lossy(&text).into_owned()
     }
 
+    /// What has come so far to the endpoint on connections that were not taken yet, of a sender that lives.
+    pub fn calls_till_now(&self) -> String {
+        self.endpoint.set_nonblocking(true).unwrap();
+        let mut text = Vec::new();
+        while let Ok((mut stream, _)) = self.endpoint.accept() {
+            stream.set_nonblocking(true).unwrap();
+            _ = stream.read_to_end(&mut text);
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
     /// Whether a call, or a connection for one, comes within a span.
     pub fn is_called(&self, span: Duration) -> bool {
         self.endpoint.set_nonblocking(true).unwrap();
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -120,6 +120,7 @@
                     self.assign_calls(endpoint);
                 }
                 LinkEvent::PauseUntilConfirmed => self.pause_until_confirmed(endpoint, conn),
+                LinkEvent::AwaitRest(until) => self.await_rest(endpoint, conn, until),
                 LinkEvent::NoMoreCalls => self.endpoints[endpoint].pool.retire(conn),
                 LinkEvent::RefusalsUnproven => self.endpoints[endpoint].pool.mark_ambiguous(conn),
                 LinkEvent::Unusable(why) => {
@@ -149,6 +150,7 @@
             LinkEvent::Ready
             | LinkEvent::PauseUntilConfirmed
             | LinkEvent::NoMoreCalls
+            | LinkEvent::AwaitRest(_)
             | LinkEvent::RefusalsUnproven
             | LinkEvent::Unusable(_) => {}
         }
--- a/crates/engine/src/delivery/unconfirmed.rs
+++ b/crates/engine/src/delivery/unconfirmed.rs
@@ -146,18 +146,12 @@
         self.timers.set(TimerKey::Confirm(conn), self.now + CONFIRMATION_DELAY);
     }
 
-    /// Handles the unconfirmed answers of a connection that nothing has followed for a while, which proves
-    /// nothing.
+    /// Handles unconfirmed answers that nothing has followed for a while, which proves nothing.
     pub(crate) fn confirm_due(&mut self, conn: ConnId) {
-        for outcome in self.unconfirmed.take_due(conn, self.now) {
-            match outcome {
-                UnconfirmedOutcome::Refused { call, part, reply } => {
-                    self.release_unproven(conn, call, part, reply);
-                }
-                UnconfirmedOutcome::Delivered { message, began, .. } => {
-                    self.report_possibly_run(message, began);
-                }
-            }
+        // The beginning of a further answer may be that of one of their own.
+        match self.finality_of_rest(conn) {
+            Finality::Open => self.release_due(conn),
+            finality => self.handle_contradiction(conn, finality),
         }
         let receiver = self.conns.get(&conn).and_then(|c| match &c.role {
             ConnRole::Receiver { endpoint, link } => Some((*endpoint, link.unconfirmed_until())),
@@ -176,6 +170,36 @@
         self.assign_calls(endpoint);
     }
 
+    /// Releases the messages whose unconfirmed answers nothing has followed in time.
+    fn release_due(&mut self, conn: ConnId) {
+        for outcome in self.unconfirmed.take_due(conn, self.now) {
+            match outcome {
+                UnconfirmedOutcome::Refused { call, part, reply } => {
+                    self.release_unproven(conn, call, part, reply);
+                }
+                UnconfirmedOutcome::Delivered { message, began, .. } => {
+                    self.report_possibly_run(message, began);
+                }
+            }
+        }
+    }
+
+    /// Returns whether messages of a connection's earlier calls may be sent again, by the answer that has begun there.
+    fn finality_of_rest(&self, conn: ConnId) -> Finality {
+        match self.conns.get(&conn).map(|c| &c.role) {
+            Some(ConnRole::Receiver { link, .. }) => link.finality_of_earlier(),
+            _ => Finality::Open,
+        }
+    }
+
+    /// Keeps a connection, without further calls, until the answer that has begun on it has arrived.
+    pub(crate) fn await_rest(&mut self, endpoint: EndpointId, conn: ConnId, until: Micros) {
+        self.endpoints[endpoint].pool.retire(conn);
+        self.unconfirmed.extend(conn, until);
+        let next = self.unconfirmed.next(conn).unwrap_or(until);
+        self.timers.set(TimerKey::Confirm(conn), next.min(until));
+    }
+
     /// Accepts the unconfirmed deliveries of a connection on which a later answer certainly was its call's own:
     /// answers arrive in the order of the calls.
     pub(crate) fn confirm_deliveries(&mut self, conn: ConnId) {
@@ -239,10 +263,7 @@
     /// Handles a connection that the endpoint ended. Its unconfirmed answers count as contradicted, because
     /// one of them may be a copy that was taken for the answer of a call which gets none of its own.
     pub(crate) fn link_closed(&mut self, conn: ConnId, gone: CloseReason) {
-        let finality = match self.conns.get(&conn).map(|c| &c.role) {
-            Some(ConnRole::Receiver { link, .. }) => link.finality_of_earlier(),
-            _ => Finality::Open,
-        };
+        let finality = self.finality_of_rest(conn);
         self.remove_link(conn, gone);
         self.handle_contradiction(conn, finality);
         self.start_delayed_calls(conn);
--- a/crates/engine/src/link/attribution.rs
+++ b/crates/engine/src/link/attribution.rs
@@ -12,6 +12,9 @@
 
 /// The time without further bytes after which an unconfirmed delivery is reported. It proves nothing.
 pub const CONFIRMATION_DELAY: Micros = 400_000;
+/// The maximum time for the rest of an answer that has begun and belongs to no open call. It may end an earlier call's message,
+/// or tell a wait.
+const REST_TIMEOUT: Micros = 1_000_000;
 /// The maximum number of different answers remembered for each connection. It takes no calls after that.
 const MAX_DIGESTS: usize = 512;
 
@@ -42,6 +45,8 @@
     unconfirmed_until: Option<Micros>,
     /// Whether the unconfirmed answers differ from one another.
     answers_differ: bool,
+    /// The time until which the rest of an answer is awaited that belongs to no open call.
+    rest_until: Option<Micros>,
 }
 
 impl AnswerHistory {
@@ -73,6 +78,17 @@
         if differs { Certainty::Shifted } else { Certainty::Unconfirmed }
     }
 
+    /// Records that an answer has begun which belongs to no open call. If it may be an earlier call's own, returns the time
+    /// until which its rest is awaited, and until which it may tell which calls the unconfirmed answers belonged to.
+    pub fn await_rest(&mut self, now: Micros) -> Option<Micros> {
+        if !self.may_be_shifted {
+            return None;
+        }
+        let until = *self.rest_until.get_or_insert(now + REST_TIMEOUT);
+        self.unconfirmed_until = self.unconfirmed_until.max(Some(until));
+        Some(until)
+    }
+
     /// Returns whether no further answer can be remembered.
     pub fn is_full(&self) -> bool {
         self.digests.len() >= MAX_DIGESTS
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -81,6 +81,9 @@
     /// Each unconfirmed answer, including the one whose event follows, may belong to the call before its own.
     /// The connection takes no calls until they are confirmed.
     PauseUntilConfirmed,
+    /// An answer has begun that belongs to no open call. The connection takes no more calls, and is kept until the answer
+    /// has arrived or this time has come.
+    AwaitRest(Micros),
     /// An answer that has not arrived completely announces a wait.
     WaitAnnounced(Micros),
     /// The connection takes no more calls. Answers to the calls on it are still accepted.
--- a/crates/engine/src/link/platform.rs
+++ b/crates/engine/src/link/platform.rs
@@ -127,6 +127,10 @@
         if late.retry_after > 0 {
             events.push(LinkEvent::WaitAnnounced(late.retry_after));
         }
+        let has_begun = late.readable && late.digests.is_empty() && self.answer_reader.has_late_bytes();
+        if has_begun && let Some(until) = self.answer_history.await_rest(now) {
+            return events.push(LinkEvent::AwaitRest(until));
+        }
         if !self.answer_history.has_unconfirmed(now) {
             return events.push(LinkEvent::Unusable("received bytes without an open request"));
         }
