A read that returns fewer bytes than there are is followed by another

Cause: a short read counted as proof that the socket was empty, which saved a call; no further event tells of the rest.

Change: each read goes on until the socket would block.

--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -47,8 +47,6 @@
     accepted: bool,
     connecting: bool,
     readable: bool,
-    /// The peer has closed its side: read until the end of the stream.
-    peer_closed: bool,
     /// Since when there have been unread bytes all the time, if there have.
     unread_since: Option<i64>,
     /// Not read any more: closed once its output is written.
@@ -237,7 +235,6 @@
                 accepted: !connecting,
                 connecting,
                 readable: false,
-                peer_closed: false,
                 unread_since: None,
                 closes_when_written: false,
             },
@@ -269,7 +266,6 @@
         }
         if readable && let Some(socket) = self.sockets.get_mut(&conn) {
             socket.readable = true;
-            socket.peer_closed |= peer_closed;
             self.ready.insert(conn);
         }
         if writable {
@@ -290,12 +286,13 @@
         // A client that floods is read in smaller pieces, so that it does not delay the others.
         let is_client = socket.accepted;
         let read_quota = self.node.read_quota(conn).min(self.buffer.len());
-        let progress = read_some(&mut socket.stream, &mut self.buffer[..read_quota], socket.peer_closed);
+        // To the end of what is there: a read may return less, and no further event tells of the rest.
+        let progress = read_some(&mut socket.stream, &mut self.buffer[..read_quota], true);
         let now = self.clock.now();
         let unread_since = socket.unread_since;
         let (n, close_reason) = match progress {
             Progress::Blocked(n) => {
-                (socket.readable, socket.peer_closed, socket.unread_since) = (false, false, None);
+                (socket.readable, socket.unread_since) = (false, None);
                 (n, None)
             }
             Progress::More(n) => {
--- a/crates/net/src/reactor/teardown.rs
+++ b/crates/net/src/reactor/teardown.rs
@@ -39,7 +39,7 @@
         }
         let Some(socket) = self.sockets.get_mut(&conn) else { return };
         let (Progress::Blocked(length) | Progress::More(length) | Progress::Ended(length)) =
-            read_some(&mut socket.stream, &mut self.buffer, socket.peer_closed)
+            read_some(&mut socket.stream, &mut self.buffer, true)
         else {
             return;
         };
