--- a/crates/cli/tests/soak/run.rs
+++ b/crates/cli/tests/soak/run.rs
@@ -29,6 +29,8 @@
 const SOCKETS: usize = 128;
 /// One run in so many has an endpoint that drains and returns again and again.
 const TOGGLING_EVERY: u64 = 7;
+/// In one run of so many an endpoint changes its address again and again.
+const MOVING_EVERY: u64 = 4;
 /// One endpoint in so many that leave the list is removed, the others drain.
 const REMOVED_EVERY: u64 = 3;
 /// The processes of a run: one, or in some runs several that share the endpoints.
@@ -113,12 +115,16 @@
 }
 
 /// Waits, and lets one endpoint of a destination drain, return or hang, where the other one serves all the time, or
-/// discovery fall silent. In one run of so many one endpoint drains and returns again and again.
+/// discovery fall silent. In one run of so many one endpoint drains and returns, or changes its address, again and again.
 fn fault_surroundings(seed: u64, world: &World, random: &mut Random) -> String {
     if seed.is_multiple_of(TOGGLING_EVERY) {
         sleep(random.millis(1_500, 3_000));
         return format!("{:?} {}", Instant::now(), world.listing.toggle(0, random.one_in(REMOVED_EVERY)));
     }
+    if seed % MOVING_EVERY == 3 {
+        sleep(random.millis(300, 900));
+        return format!("{:?} {}", Instant::now(), world.listing.toggle_address());
+    }
     sleep(random.millis(300, 1_500));
     if random.one_in(6) {
         let span = random.millis(300, 2_500);
