A client's connection with unread bytes does not rest, and makes way for no other

What callers saw: found by the whole check, cli `descriptors` (a client in the midst of requests, beside a hundred others and few descriptors): its connection was ended between two requests.

Cause: since a client is read in pieces, the beginning of its next request may be unread when a connection is looked for that rests. Change: a connection with bytes that are known to be unread does not rest.

--- a/crates/engine/src/front/resp.rs
+++ b/crates/engine/src/front/resp.rs
@@ -51,7 +51,7 @@
     output_full: bool,
     /// How many bytes the arguments of a further request may take.
     input_room: usize,
-    /// Since when bytes of the client have been unread all the time, if they have.
+    /// Since when bytes have been unread all the time, if they have.
     unread_since: Option<Micros>,
     /// Nothing more is read; the connection ends once all requests are answered.
     closing: bool,
@@ -114,7 +114,6 @@
         self.batch_limited && !self.closing && !self.output_full && self.replies.len() < MAX_PIPELINED
     }
 
-    /// Returns whether no reply is owed and nothing more is read.
     fn is_finished(&self) -> bool {
         self.replies.is_empty()
             && (self.closing || self.shutdown_deadline.is_some() && !self.reader.has_partial_command())
@@ -295,6 +294,7 @@
     }
 
     fn idle_since(&self) -> Option<Micros> {
-        (self.replies.is_empty() && !self.reader.has_partial_command()).then_some(self.last_activity)
+        let has_begun = self.reader.has_partial_command() || self.unread_since.is_some();
+        (self.replies.is_empty() && !has_begun).then_some(self.last_activity)
     }
 }
--- a/crates/net/src/reactor.rs
+++ b/crates/net/src/reactor.rs
@@ -289,7 +289,6 @@
         // To the end of what is there: a read may return less, and no further event tells of the rest.
         let progress = read_some(&mut socket.stream, &mut self.buffer[..read_quota], true);
         let now = self.clock.now();
-        let unread_since = socket.unread_since;
         let (n, close_reason) = match progress {
             Progress::Blocked(n) => {
                 (socket.readable, socket.unread_since) = (false, None);
@@ -303,12 +302,14 @@
             Progress::Ended(n) => (n, Some(CloseReason::Ended)),
             Progress::Broken => (0, Some(CloseReason::Broken)),
         };
+        let unread_since = socket.unread_since;
         if n > 0 {
-            if is_client {
-                self.node.unread_since(conn, unread_since);
-            }
             self.node.received(now, conn, &self.buffer[..n]);
         }
+        // Behind the bytes that were read: it concerns those that were not.
+        if is_client {
+            self.node.unread_since(conn, unread_since);
+        }
         if let Some(close_reason) = close_reason {
             self.sockets.remove(&conn);
             self.node.closed(now, conn, close_reason);
