--- a/crates/cli/tests/late_answers.rs
+++ b/crates/cli/tests/late_answers.rs
@@ -87,42 +87,48 @@
     (sender, client, call)
 }
 
+/// Plays each number of copies at each moment, all at once.
+fn play_all(play: impl Fn(usize, Moment) + Sync) {
+    let play = &play;
+    std::thread::scope(|threads| {
+        for copies in [1, 2] {
+            MOMENTS.iter().for_each(|moment| _ = threads.spawn(move || play(copies, *moment)));
+        }
+    });
+}
+
 /// Guards against calls within a wait that is told late, behind copies of another answer.
 #[test]
 fn a_wait_that_is_told_late_behind_copies_binds() {
-    for copies in [1, 2] {
-        for moment in MOMENTS {
-            let name = format!("late-wait-{copies}-{moment:?}");
-            let (sender, mut client, call) = behind_copies(&name, SAFE, copies, moment, LIMITED);
-            if is_closed(&call) {
-                // The sender had given up the call before the wait was told.
-                continue;
-            }
-            let told = Instant::now();
-            sleep(WAIT_GRACE);
-            while sender.is_called(Duration::ZERO) {}
-            let said = client.asks(&out_add("m4"));
-            assert!(said == "+OK" || said.starts_with("-BUSY"), "{name}: {said}");
-            let left = WAIT.saturating_sub(told.elapsed() + WAIT_GRACE);
-            assert!(!sender.is_called(left), "{name}: called {:?} into the wait", told.elapsed());
+    play_all(|copies, moment| {
+        let name = format!("late-wait-{copies}-{moment:?}");
+        let (sender, mut client, call) = behind_copies(&name, SAFE, copies, moment, LIMITED);
+        if is_closed(&call) {
+            // The sender had given up the call before the wait was told.
+            return;
         }
-    }
+        let told = Instant::now();
+        sleep(WAIT_GRACE);
+        while sender.is_called(Duration::ZERO) {}
+        let said = client.asks(&out_add("m4"));
+        assert!(said == "+OK" || said.starts_with("-BUSY"), "{name}: {said}");
+        let left = WAIT.saturating_sub(told.elapsed() + WAIT_GRACE);
+        assert!(!sender.is_called(left), "{name}: called {:?} into the wait", told.elapsed());
+    });
 }
 
 /// Guards against a message that is called again though its own 410 came, late and behind copies of another answer.
 #[test]
 fn a_late_410_behind_copies_ends_its_message() {
-    for copies in [1, 2] {
-        for moment in MOMENTS {
-            let name = format!("late-410-{copies}-{moment:?}");
-            let (sender, _client, mut call) = behind_copies(&name, SAFE, copies, moment, GONE);
-            let on_same = next_call(&mut call, 500 * MS);
-            assert_ne!(on_same.as_deref(), Some("m2"), "{name}");
-            sleep(Duration::from_millis(1_000));
-            let calls = sender.calls_till_now();
-            assert!(!calls.contains("X-Call-Id: m2\r\n"), "{name}: called again: {calls}");
-        }
-    }
+    play_all(|copies, moment| {
+        let name = format!("late-410-{copies}-{moment:?}");
+        let (sender, _client, mut call) = behind_copies(&name, SAFE, copies, moment, GONE);
+        let on_same = next_call(&mut call, 500 * MS);
+        assert_ne!(on_same.as_deref(), Some("m2"), "{name}");
+        sleep(Duration::from_millis(1_000));
+        let calls = sender.calls_till_now();
+        assert!(!calls.contains("X-Call-Id: m2\r\n"), "{name}: called again: {calls}");
+    });
 }
 
 const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -32,7 +32,7 @@
 /// Seeds in CI.
 const SEEDS: u64 = 16;
 /// Seeds that are played at once.
-const AT_ONCE: usize = 4;
+const AT_ONCE: usize = 5;
 
 /// Guards against messages that are out twice at once, run twice or too late, or are lost, and against processes that end, in
 /// series of faults.
