A client that does not read its replies is closed after 2 s, as other bad clients are

Cause: a client whose replies were unread was given the 8 s of a connection that rests. Change: the 2 s of a request that is not finished.

--- a/crates/engine/src/front/resp.rs
+++ b/crates/engine/src/front/resp.rs
@@ -27,7 +27,7 @@
 pub const SMALL_CLIENT_BYTES: usize = READ_BYTES + LIMITS.always_kept;
 /// The most requests of a connection that are processed before the first is answered.
 const MAX_PIPELINED: usize = 32;
-/// The time within which a first request, or the rest of a request that has begun, has to arrive.
+/// The time within which a first request, or the rest of one that has begun, has to arrive, and replies have to be read.
 const REQUEST_TIMEOUT: Micros = 2_000_000;
 /// The same while the sender shuts down: shorter than the time that the sender waits for its last calls.
 const SHUTDOWN_TIMEOUT: Micros = 400_000;
@@ -196,8 +196,7 @@
             // An answer is pending, and the front can do nothing until it comes.
             (false, _) => Micros::MAX,
             (true, Some(at)) => at,
-            (true, None) if self.output_full => self.last_activity + IDLE_TIMEOUT,
-            (true, None) if self.reader.has_partial_command() || !self.served => {
+            (true, None) if self.output_full || self.reader.has_partial_command() || !self.served => {
                 self.last_activity + REQUEST_TIMEOUT
             }
             (true, None) => self.last_activity + IDLE_TIMEOUT,
