--- a/crates/drill/benches/fronts.rs
+++ b/crates/drill/benches/fronts.rs
@@ -366,6 +366,7 @@
             list: 0,
             kept: None,
             state: None,
+            journal_usage: Default::default(),
             fleet: false,
         };
         let mut node = Node::new(cfg, start).expect("node");
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -13,6 +13,7 @@
 use heronroute_journal::admission::{AdmissionControl, AdmissionLimits};
 use heronroute_journal::entry::What;
 use heronroute_journal::{Limits, Usage};
+use prost::Message as _;
 use std::collections::VecDeque;
 
 /// Bytes reserved in the journal for each open message: its attempts, outcomes and answer.
@@ -35,8 +36,11 @@
     held_both: VecDeque<(u64, H)>,
     /// The progress of the other region, if there is one.
     copied: Option<CopyState>,
-    /// When the last entries handed over were handed over, by number, on the clock of `uptime`.
-    handed_over: VecDeque<(u64, Micros)>,
+    /// The groups of entries that were handed over and are not all durable, in order.
+    handed_over: VecDeque<EntryGroup>,
+    /// The size of the entries that are not handed over yet, and of those in `handed_over`, in bytes.
+    entries_bytes: u64,
+    handed_over_bytes: u64,
     uptime: Uptime,
     usage: Usage,
     admission: AdmissionControl,
@@ -44,6 +48,17 @@
     failing: bool,
 }
 
+/// Entries that were handed over together.
+#[derive(Clone, Copy, Debug)]
+struct EntryGroup {
+    /// The number of entries written up to the last of the group.
+    last: u64,
+    /// When they were handed over, on the clock of `uptime`.
+    at: Micros,
+    /// Their encoded size, in bytes.
+    bytes: u64,
+}
+
 /// How far the copy in the other region has come.
 #[derive(Clone, Copy, Debug)]
 struct CopyState {
@@ -55,8 +70,8 @@
 
 impl<H> Ledger<H> {
     /// Returns a ledger with a journal of these limits, or without one. `lag` is how long entries may take to
-    /// become durable before nothing more is accepted.
-    pub fn new(limits: Option<Limits>, lag: Micros) -> Self {
+    /// become durable before nothing more is accepted; `usage` is what the journal takes at the start.
+    pub fn new(limits: Option<Limits>, lag: Micros, usage: Usage) -> Self {
         let most_disk = limits.map_or(u64::MAX, |l| l.most);
         Ledger {
             enabled: limits.is_some(),
@@ -67,8 +82,10 @@
             held_both: VecDeque::new(),
             copied: None,
             handed_over: VecDeque::new(),
+            entries_bytes: 0,
+            handed_over_bytes: 0,
             uptime: Uptime::new(lag / PAUSES_PER_LAG),
-            usage: Usage::default(),
+            usage,
             admission: AdmissionControl::new(AdmissionLimits {
                 most_disk,
                 reserve: RESERVED_BYTES,
@@ -81,7 +98,9 @@
     /// Writes an entry, which is built only where there is a journal.
     pub fn write(&mut self, what: impl FnOnce() -> What) {
         if self.enabled {
-            self.entries.push(what().into());
+            let entry: Entry = what().into();
+            self.entries_bytes += entry.encoded_len() as u64;
+            self.entries.push(entry);
             self.written += 1;
         }
     }
@@ -152,7 +171,9 @@
     pub fn take_entries(&mut self, now: Micros) -> Vec<Entry> {
         let uptime = self.uptime.advance(now);
         if !self.entries.is_empty() {
-            self.handed_over.push_back((self.written, uptime));
+            let bytes = std::mem::take(&mut self.entries_bytes);
+            self.handed_over_bytes += bytes;
+            self.handed_over.push_back(EntryGroup { last: self.written, at: uptime, bytes });
         }
         std::mem::take(&mut self.entries)
     }
@@ -163,8 +184,8 @@
         self.durable = self.durable.max(count).min(self.written);
         self.usage = usage;
         self.failing = false;
-        while self.handed_over.front().is_some_and(|(n, _)| *n <= self.durable) {
-            self.handed_over.pop_front();
+        while let Some(group) = self.handed_over.pop_front_if(|group| group.last <= self.durable) {
+            self.handed_over_bytes -= group.bytes;
         }
         let n = self.held.iter().take_while(|(at, _)| *at <= self.durable).count();
         let mut ready: Vec<H> = self.held.drain(..n).map(|(_, effect)| effect).collect();
@@ -172,12 +193,13 @@
         ready
     }
 
-    /// Returns whether a message must be refused because the disk is full, slow or failing. `coming` is the
-    /// number of bytes of its body and of others that were submitted and are in no entry yet.
-    pub fn refuses(&mut self, now: Micros, open: usize, pending_bytes: usize) -> bool {
+    /// Returns whether a message must be refused because the disk is full, slow or failing. `submitted_bytes` is
+    /// the number of bytes of its body and of others that were submitted and are in no entry yet.
+    pub fn refuses(&mut self, now: Micros, open: usize, submitted_bytes: usize) -> bool {
         let uptime = self.uptime.advance(now);
-        let lag = self.handed_over.front().map_or(0, |(_, at)| uptime - at);
-        self.enabled && (self.failing || self.admission.refuses(self.usage, open, pending_bytes as u64, lag))
+        let lag = self.handed_over.front().map_or(0, |group| uptime - group.at);
+        let coming = submitted_bytes as u64 + self.entries_bytes + self.handed_over_bytes;
+        self.enabled && (self.failing || self.admission.refuses(self.usage, open, coming, lag))
     }
 
     /// Returns when [`Ledger::take_entries`] is next needed though nothing happened: while entries are being
--- a/crates/engine/src/node/api.rs
+++ b/crates/engine/src/node/api.rs
@@ -2,7 +2,7 @@
 
 use crate::Micros;
 use crate::ids::ConnId;
-use heronroute_journal::{Entry, JournalState};
+use heronroute_journal::{Entry, JournalState, Usage};
 use heronroute_rules::seam::{ClientRequest, Live};
 use std::net::SocketAddr;
 
@@ -64,6 +64,8 @@
     pub kept: Option<String>,
     /// The state recovered from the journal, if there is a journal.
     pub state: Option<JournalState>,
+    /// What the journal's files take; nothing if there is no journal.
+    pub journal_usage: Usage,
     /// Whether the node belongs to a fleet. Clients then have rules of their own, and may ask about them.
     pub fleet: bool,
 }
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -165,7 +165,11 @@
             region: cfg.fleet.as_ref().and_then(|f| f.regions.as_ref()).map(|_| {
                 Failover::new(start.state.as_ref().map(|b| b.takeovers.clone()).unwrap_or_default())
             }),
-            ledger: Ledger::new(start.state.as_ref().map(|_| cfg.journal.limits), cfg.journal.most_lag),
+            ledger: Ledger::new(
+                start.state.as_ref().map(|_| cfg.journal.limits),
+                cfg.journal.most_lag,
+                start.journal_usage,
+            ),
             outputs: Vec::new(),
             stats: Stats::default(),
             leaving: false,
--- a/crates/engine/tests/attempt_starts.rs
+++ b/crates/engine/tests/attempt_starts.rs
@@ -59,6 +59,7 @@
             list: 0,
             kept: None,
             state: None,
+            journal_usage: heronroute_journal::Usage::default(),
             fleet: false,
         };
         let node = Node::new(Arc::new(parse("test", config).unwrap()), start).unwrap();
--- a/crates/engine/tests/crash.rs
+++ b/crates/engine/tests/crash.rs
@@ -69,6 +69,7 @@
         list: 0,
         kept: None,
         state: Some(journal.state().clone()),
+        journal_usage: journal.usage(),
         fleet: false,
     };
     let node = Node::new(cfg.clone(), start).unwrap();
--- a/crates/engine/tests/fleet.rs
+++ b/crates/engine/tests/fleet.rs
@@ -155,6 +155,7 @@
             list: 4,
             kept: None,
             state,
+            journal_usage: journal.usage(),
             fleet: false,
         };
         sender.node = Some(Node::new(Arc::new(config(&start)), at).unwrap());
--- a/crates/engine/tests/kept/mod.rs
+++ b/crates/engine/tests/kept/mod.rs
@@ -138,6 +138,7 @@
             list: 0,
             kept: None,
             state,
+            journal_usage: journal.usage(),
             fleet: self.fleet,
         };
         let node = Node::new(self.cfg.clone(), start).unwrap();
--- a/crates/engine/tests/mqtt.rs
+++ b/crates/engine/tests/mqtt.rs
@@ -141,6 +141,7 @@
         list: 0,
         kept: None,
         state: Some(journal.state().clone()),
+        journal_usage: journal.usage(),
         fleet: false,
     };
     let node = Node::new(cfg.clone(), start).unwrap();
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -25,6 +25,7 @@
 mod reader;
 mod repair;
 mod replacement;
+pub mod space;
 pub mod state;
 pub mod takeovers;
 pub mod timeline;
--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -30,8 +30,8 @@
     pub growth: u64,
     /// and at least this large, in bytes.
     pub least: u64,
-    /// The maximum size on disk, in bytes. A commit that would exceed it is refused and leaves the log
-    /// unchanged.
+    /// The maximum size on disk, in bytes. A commit that accepts messages and would exceed it is refused and
+    /// leaves the log unchanged.
     pub most: u64,
 }
 
@@ -110,8 +110,10 @@
     /// The damage to repair before the next write.
     pub(crate) damage: Damage,
     /// The size of closed segments since the last snapshot, and of that snapshot, in bytes.
-    log_size: u64,
-    snap_size: u64,
+    pub(crate) log_size: u64,
+    pub(crate) snap_size: u64,
+    /// The estimated size of the state when the newest snapshot was written, in bytes.
+    pub(crate) snap_estimate: u64,
     pub(crate) usage: Usage,
     /// Whether the contents could not be replaced by another journal's snapshot: nothing more is accepted.
     pub(crate) failed: bool,
@@ -162,6 +164,7 @@
             (next, snap_size) = (*at, bytes.len() as u64);
         }
         let snapshot_chain = chain.clone();
+        let snap_estimate = state.estimated_size();
         let mut logs: Vec<u64> = names.iter().filter_map(|n| file_number(n, "log-")).collect();
         logs.sort_unstable();
         let mut log_size = 0;
@@ -240,11 +243,16 @@
             damage: Damage::None,
             log_size,
             snap_size,
+            snap_estimate,
             usage,
             failed: false,
             out: Vec::new(),
         };
         journal.rotate()?;
+        // Acceptance may be refused until there is space, and then nothing else would free it.
+        if journal.is_space_reclaimable() {
+            _ = journal.snapshot();
+        }
         Ok(journal)
     }
 
@@ -303,13 +311,28 @@
         Ok(())
     }
 
-    /// Makes entries durable with one write and one sync.
+    /// Makes entries durable with one write and one sync. Only a commit that accepts messages is held to the maximum
+    /// size: the others end what was accepted before, so that refusing them would free no space.
     ///
     /// # Errors
     /// [`JournalError::Full`] where there is no space, [`JournalError::Storage`] where the storage fails:
     /// none of the entries counts, and the same commit may be retried. If the process is killed before that,
     /// the log may contain them.
     pub fn commit(&mut self, entries: &[Entry]) -> Result<u64, JournalError> {
+        let limit = if entries.iter().any(Entry::accepts) { self.limits.most } else { u64::MAX };
+        self.commit_within(entries, limit)
+    }
+
+    /// Makes entries durable as [`Journal::commit`] does, but beyond the maximum size too. For entries that can't be
+    /// refused any more and would hold up all those behind them.
+    ///
+    /// # Errors
+    /// As [`Journal::commit`]; [`JournalError::Full`] only where the disk itself is full.
+    pub fn commit_beyond_limit(&mut self, entries: &[Entry]) -> Result<u64, JournalError> {
+        self.commit_within(entries, u64::MAX)
+    }
+
+    fn commit_within(&mut self, entries: &[Entry], limit: u64) -> Result<u64, JournalError> {
         if self.failed {
             return Err(JournalError::Failed);
         }
@@ -317,7 +340,7 @@
         if entries.is_empty() {
             return Ok(self.next);
         }
-        self.append(entries)?;
+        self.append(entries, limit)?;
         self.apply(entries);
         self.compact_if_due();
         self.out.clear();
@@ -325,11 +348,11 @@
         Ok(self.next)
     }
 
-    /// Writes a frame to the segment and syncs it.
-    fn append(&mut self, entries: &[Entry]) -> Result<(), JournalError> {
+    /// Writes a frame to the segment and syncs it, unless the files would be larger than `limit` bytes.
+    fn append(&mut self, entries: &[Entry], limit: u64) -> Result<(), JournalError> {
         self.out.clear();
         frame::write(self.next, self.next, entries, &mut self.out);
-        if self.usage.octets + self.out.len() as u64 > self.limits.most {
+        if self.usage.octets + self.out.len() as u64 > limit {
             return Err(JournalError::Full);
         }
         if let Err(e) = self.storage.append(&self.segment, &self.out) {
@@ -368,7 +391,7 @@
     fn compact_if_due(&mut self) {
         let since = self.log_size + self.segment_size;
         let is_snapshot_due = since >= self.limits.least.max(self.snap_size * self.limits.growth);
-        if is_snapshot_due {
+        if is_snapshot_due || self.is_space_reclaimable() {
             _ = self.snapshot();
         } else if self.segment_size >= self.limits.segment {
             _ = self.rotate();
@@ -439,6 +462,7 @@
         self.snap = Some(self.next);
         self.snapshot_chain.clone_from(&self.chain);
         (self.snap_size, self.log_size) = (size, 0);
+        self.snap_estimate = self.state.estimated_size();
         self.usage.octets = size + self.segment_size;
         self.usage.snapshots += 1;
         Ok(())
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -5,6 +5,7 @@
     Accepted, Answer, Applied, Entry, Final, Held, Intent, Named, Place, Request, Session, Taken, What,
 };
 use crate::takeovers::Takeovers;
+use prost::Message as _;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The number of client-given message names kept at most. Beyond it the oldest are dropped, and the state
@@ -58,8 +59,15 @@
     pub takeovers: Takeovers,
     /// The number of names kept at most, if it is lower than usual.
     max_names: Option<usize>,
+    /// The encoded size of the open and the held messages, in bytes.
+    message_bytes: u64,
 }
 
+/// What a name, a kept answer and an endpoint take in a snapshot, in bytes.
+const NAME_BYTES: usize = 32;
+const FINAL_BYTES: usize = 128;
+const PLACE_BYTES: usize = 64;
+
 /// A session that survives the loss of its connection.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct KeptSession {
@@ -89,12 +97,11 @@
                 // One entry both accepts this message and removes the held one that it replaces, so that a
                 // crash can't lead to the held message being resubmitted twice.
                 if a.replaces > 0 {
-                    self.held.remove(&a.replaces);
+                    self.remove_held(a.replaces);
                 }
                 // The session's requests and the list of names hold these from here on.
                 let accepted = Accepted { packet: 0, digest: 0, named: None, replaces: 0, ..a.clone() };
-                let open = Open { accepted, attempts: 0, may_run: None, out: None, answer: None };
-                self.open.insert(a.id, open);
+                self.insert_open(Open { accepted, attempts: 0, may_run: None, out: None, answer: None });
             }
             Some(What::Intent(i)) => {
                 if let Some(o) = self.open.get_mut(&i.id) {
@@ -119,13 +126,18 @@
                 if let Some(o) = self.open.get_mut(&a.id).filter(|o| o.answer.is_none()) {
                     o.answer = Some(a.clone());
                     // The body was needed for delivery only.
+                    self.message_bytes -= o.accepted.encoded_len() as u64;
                     o.accepted.body = Vec::new();
+                    self.message_bytes += o.accepted.encoded_len() as u64;
                     if a.word == "DELIVRD" {
-                        self.held.remove(&a.id);
+                        self.remove_held(a.id);
                     }
                 }
             }
-            Some(What::Taken(Taken { id })) => _ = self.open.remove(id),
+            Some(What::Taken(Taken { id })) => {
+                let removed = self.open.remove(id);
+                self.message_bytes -= removed.map_or(0, |o| o.accepted.encoded_len() as u64);
+            }
             Some(What::Place(p)) => {
                 let unknown = Place { endpoint: p.endpoint.clone(), ..Place::default() };
                 if *p == unknown {
@@ -137,10 +149,10 @@
             Some(What::Held(h)) => {
                 if let Some(a) = &h.accepted {
                     self.next_id = self.next_id.max(a.id + 1);
-                    self.held.insert(a.id, h.clone());
+                    self.insert_held(h.clone());
                 }
             }
-            Some(What::Released(r)) => _ = self.held.remove(&r.id),
+            Some(What::Released(r)) => self.remove_held(r.id),
             Some(What::Session(s)) => self.update_session(s),
             Some(What::Named(n)) => self.add_name(*n, i64::MIN),
             Some(What::Final(f)) => self.keep_final(f),
@@ -152,16 +164,42 @@
             }
             Some(What::Inherited(step)) => {
                 let (open, held) = self.takeovers.step(step);
-                self.open.extend(open.into_iter().map(|o| (o.accepted.id, o)));
-                let held =
-                    held.into_iter().filter_map(|h| h.accepted.as_ref().map(|a| a.id).map(|id| (id, h)));
-                self.held.extend(held);
+                open.into_iter().for_each(|o| self.insert_open(o));
+                held.into_iter().for_each(|h| self.insert_held(h));
             }
             // Describes the log, not the state.
             Some(What::Chain(_)) | None => {}
         }
     }
 
+    /// Returns about how large a snapshot of this state is, in bytes, without what changes little: sessions, rules and
+    /// takeovers. Takes no longer with more in the state.
+    pub fn estimated_size(&self) -> u64 {
+        let names = self.names.len() * NAME_BYTES;
+        let finals = self.finals.len() * FINAL_BYTES;
+        let places = self.places.len() * PLACE_BYTES;
+        self.message_bytes + (names + finals + places) as u64
+    }
+
+    fn insert_open(&mut self, open: Open) {
+        self.message_bytes += open.accepted.encoded_len() as u64;
+        let before = self.open.insert(open.accepted.id, open);
+        self.message_bytes -= before.map_or(0, |o| o.accepted.encoded_len() as u64);
+    }
+
+    /// Adds a held message, unless it lacks the message itself.
+    fn insert_held(&mut self, held: Held) {
+        let Some(id) = held.accepted.as_ref().map(|a| a.id) else { return };
+        self.message_bytes += held.encoded_len() as u64;
+        let before = self.held.insert(id, held);
+        self.message_bytes -= before.map_or(0, |h| h.encoded_len() as u64);
+    }
+
+    fn remove_held(&mut self, id: u64) {
+        let removed = self.held.remove(&id);
+        self.message_bytes -= removed.map_or(0, |h| h.encoded_len() as u64);
+    }
+
     /// Limits the number of names that are kept.
     pub fn limit_names(&mut self, max_names: usize) {
         self.max_names = Some(max_names.min(MAX_NAMES));
--- a/crates/net/src/journal_writer.rs
+++ b/crates/net/src/journal_writer.rs
@@ -78,8 +78,12 @@
             Err(error) => error,
         };
         if matches!(error, JournalError::Full) {
-            // A snapshot frees the space of the log. If that is not enough, space must be freed from outside.
-            _ = journal.snapshot();
+            // A snapshot frees the space of the log. If that is not enough, the entries are written beyond the limit: their
+            // messages can't be refused any more, and all later entries wait for them.
+            let written = journal.snapshot().and_then(|()| journal.commit_beyond_limit(entries));
+            if written.is_ok() {
+                return Ok(true);
+            }
         }
         if !failing {
             tracing::error!(%error, "the journal can't be written; nothing is accepted until it can");
@@ -91,3 +95,6 @@
         std::thread::sleep(RETRY_PAUSE);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/net/src/reactor/journal.rs
+++ b/crates/net/src/reactor/journal.rs
@@ -2,6 +2,7 @@
 
 use super::Reactor;
 use heronroute_journal::dir::Dir;
+use heronroute_journal::space::remove_closed;
 use heronroute_journal::{Entry, Journal, JournalError, Usage};
 use std::sync::mpsc::Sender;
 
@@ -27,6 +28,8 @@
     pending_entries: Vec<Entry>,
     /// The number of durable entries at the start.
     durable_at_start: u64,
+    /// The number of entries that were dropped unwritten, as their messages were refused. They count as durable.
+    dropped: u64,
     /// The time since which commits have failed.
     failing_since: Option<i64>,
     retry_at: Option<i64>,
@@ -52,27 +55,39 @@
             journal,
             pending_entries: Vec::new(),
             durable_at_start,
+            dropped: 0,
             failing_since: None,
             retry_at: None,
         }
     }
 
+    /// Writes the waiting entries, as far as their messages were not refused since an earlier failure.
+    fn write_pending(&mut self) -> Result<u64, JournalError> {
+        if self.failing_since.is_some() {
+            // What was not durable at the failure was refused to its clients: it is not written any more, and the rest
+            // can't be refused.
+            self.dropped += remove_closed(&mut self.pending_entries);
+            return self.journal.commit_beyond_limit(&self.pending_entries);
+        }
+        match self.journal.commit(&self.pending_entries) {
+            // A snapshot frees the space of the log.
+            Err(JournalError::Full) => {
+                self.journal.snapshot().and_then(|()| self.journal.commit(&self.pending_entries))
+            }
+            result => result,
+        }
+    }
+
     /// Commits all waiting entries.
     fn commit(&mut self, now: i64) -> Commit {
-        let mut result = self.journal.commit(&self.pending_entries);
-        if matches!(result, Err(JournalError::Full)) {
-            // A snapshot frees the space of the log. Acceptance has stopped long before, which leaves room
-            // for the entries that end open messages.
-            result = self.journal.snapshot().and_then(|()| self.journal.commit(&self.pending_entries));
-        }
-        match result {
+        match self.write_pending() {
             Ok(count) => {
                 self.pending_entries.clear();
                 self.retry_at = None;
                 if let Some(since) = self.failing_since.take() {
                     tracing::info!(failed_for_ms = (now - since) / 1_000, "the journal can be written again");
                 }
-                Commit::Durable(count - self.durable_at_start, self.journal.usage())
+                Commit::Durable(count - self.durable_at_start + self.dropped, self.journal.usage())
             }
             Err(JournalError::Failed) => Commit::Unusable,
             Err(error) => {
@@ -131,3 +146,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/net/src/reactor/tests.rs
+++ b/crates/net/src/reactor/tests.rs
@@ -72,6 +72,7 @@
         list: 4,
         kept: None,
         state: Some(journal.state().clone()),
+        journal_usage: journal.usage(),
         fleet: false,
     };
     let (commands, command_queue) = channel();
--- a/crates/net/src/service/launch.rs
+++ b/crates/net/src/service/launch.rs
@@ -82,6 +82,7 @@
             list: 0,
             kept: self.saved_list.clone(),
             state: journal.map(|j| j.state().clone()),
+            journal_usage: journal.map(Journal::usage).unwrap_or_default(),
             fleet: self.member.is_some(),
         }
     }
--- a/crates/net/src/standalone.rs
+++ b/crates/net/src/standalone.rs
@@ -64,6 +64,7 @@
             list: start_up.known.version,
             kept: None,
             state: Some(journal.state().clone()),
+            journal_usage: journal.usage(),
             fleet: false,
         };
         let node = Node::new(cfg, start)?;
