Attempts since a hand-in are known after a kill, and so is the hand-in

Cause: a start rebuilds the trail of such a message from two records, the held one (up to the hand-in) and the open one (since). Where there was a held one, the open one's attempt that may have run was left out.

Change: each record counts; the attempt that a hand-in carries over is listed once, by its time. On the same path: that the message was handed in again is recorded with its acceptance (`resubmitted`, field 27; older entries lack it, there a held record tells) and restored, as it keeps a message held whatever its end. A take-over now marks a held message that is open as under way; it could be handed in beside itself (read, not run; regions are not in `run`).

--- a/crates/engine/src/held/resubmit.rs
+++ b/crates/engine/src/held/resubmit.rs
@@ -75,7 +75,7 @@
         if self.admit(&from, class, false).is_err() {
             return reply("BUSY");
         }
-        let party = self.trail_number(&format!("client {}", a.client));
+        let party = self.client_party(&a.client);
         let begun = self.held.as_mut().map(|s| s.begin(now, id, party, decision));
         if !matches!(begun, Some(Ok(_))) {
             return reply("UNDERWAY");
@@ -106,6 +106,7 @@
             dest: dest.0,
             deadline: leave_by,
             replaces: if as_new { id } else { 0 },
+            resubmitted: true,
             ..Accepted::default()
         };
         let answer_for = if as_new { 0 } else { self.answer_for(client, class, id, &submission) };
--- a/crates/engine/src/held/trail.rs
+++ b/crates/engine/src/held/trail.rs
@@ -47,13 +47,23 @@
 
     /// Restores the trail of an open message after a restart. Attempts that had no effect are not known one
     /// by one any more.
+    ///
+    /// A message that was handed in again has two records: the held one, with all steps up to the hand-in, and the open one,
+    /// with the attempts since. Each counts, as a later hand-in is decided by what may have run before.
     pub(crate) fn restore_trail(&mut self, open: &Open) {
-        let id = MsgId(open.accepted.id);
+        let accepted = &open.accepted;
+        let id = MsgId(accepted.id);
         let client = self.messages.get(&id).map_or(0, |m| m.client);
         let Some(store) = self.held.as_ref().filter(|_| self.records_trail(client)) else { return };
         let before = store.get(id.0).and_then(|f| Trail::read(&f.trail));
-        let mut trail = before.clone().unwrap_or_else(|| Trail::new(open.accepted.taken, 0));
-        if let Some(ran) = open.may_run.as_ref().filter(|_| before.is_none()) {
+        let is_held = before.is_some();
+        let mut trail = before.unwrap_or_else(|| Trail::new(accepted.taken, 0));
+        // Entries of earlier versions don't say that a message was handed in again.
+        if accepted.resubmitted || is_held {
+            let party = self.client_party(&accepted.client);
+            trail.add(accepted.taken, What::Resubmitted(party), MAX_TRAIL_STEPS);
+        }
+        if let Some(ran) = open.may_run.as_ref().filter(|ran| !trail.has_attempt_at(ran.at)) {
             let number = self.trail_number(&ran.endpoint);
             trail.add(ran.at, What::Began(number), MAX_TRAIL_STEPS);
             trail.add(ran.at, What::Ended(KnownOutcome::Written), MAX_TRAIL_STEPS);
@@ -67,11 +77,16 @@
         if let Some(m) = self.messages.get_mut(&id) {
             m.trail = Some(Box::new(trail));
         }
-        if before.is_none() {
+        if !is_held {
             self.set_trail_origin(id);
         }
     }
 
+    /// Returns the number that stands for a client in trails.
+    pub(crate) fn client_party(&mut self, client: &str) -> u32 {
+        self.trail_number(&format!("client {client}"))
+    }
+
     /// Restores the held messages from the journal's state.
     pub(crate) fn restore_held(&mut self, state: &JournalState) {
         let now = self.wall();
--- a/crates/engine/src/region/takeover.rs
+++ b/crates/engine/src/region/takeover.rs
@@ -162,6 +162,8 @@
 
     fn restore_takeover(&mut self, origin: &str, mut pending: PendingTakeover) {
         pending.state.sessions.retain(|(client, name), _| !self.has_session(client, name));
+        // A held message that is open was handed in again, and must not be handed in beside that.
+        pending.state.open = pending.open.iter().map(|o| (o.accepted.id, o.clone())).collect();
         self.restore_sessions(&pending.state);
         self.restore_held(&pending.state);
         self.restore_answers(&pending.state);
--- a/crates/engine/tests/kept/mod.rs
+++ b/crates/engine/tests/kept/mod.rs
@@ -69,6 +69,8 @@
     pub withhold_acks: bool,
     /// The delay of receivers' responses in milliseconds.
     pub response_delay_ms: i64,
+    /// Whether receivers take messages and their answers are lost.
+    pub answers_lost: bool,
     /// Whether bytes to receivers stay unwritten.
     pub receiver_writes_paused: bool,
     /// Delayed responses of receivers, with their arrival time.
@@ -101,6 +103,7 @@
             receivers_down: false,
             withhold_acks: false,
             response_delay_ms: 0,
+            answers_lost: false,
             receiver_writes_paused: false,
             delayed_responses: Vec::new(),
             takeovers: Vec::new(),
@@ -259,7 +262,9 @@
                     server::Event::Bind { sequence, .. } => session.accept(now, sequence, "r", &mut reply),
                     server::Event::Submit { sequence, submission, .. } => {
                         self.received_bodies.push(String::from_utf8_lossy(&submission.body).into_owned());
-                        session.submitted(sequence, "r", CommandStatus::EsmeRok, vec![], &mut reply);
+                        let mut lost = BytesMut::new();
+                        let answer = if self.answers_lost { &mut lost } else { &mut reply };
+                        session.submitted(sequence, "r", CommandStatus::EsmeRok, vec![], answer);
                     }
                     _ => {}
                 }
--- a/crates/held/src/trail.rs
+++ b/crates/held/src/trail.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Returns whether an attempt began at this time.
+    pub fn has_attempt_at(&self, at: Micros) -> bool {
+        self.steps().any(|(began, what)| began == at && matches!(what, What::Began(_)))
+    }
+
     /// Returns when the first attempt began that may have taken effect; an attempt without an end counts as
     /// one.
     pub fn may_have_run(&self) -> Option<Micros> {
--- a/crates/journal/src/entry.rs
+++ b/crates/journal/src/entry.rs
@@ -137,6 +137,9 @@
     /// effect.
     #[prost(bool, tag = "26")]
     pub both: bool,
+    /// Whether its client handed in a held message again: this one, or the one that it replaces.
+    #[prost(bool, tag = "27")]
+    pub resubmitted: bool,
 }
 
 /// An attempt that may be sent from now on.
