A withdrawal and replies about held messages are told once they are durable

Change: the response to a withdrawal leaves with the message's answer, before its receipt; the replies to commands about held messages wait until all that was written so far is durable. Looked at and in order: forward mode's response, receipts, notices, queries, repeated answers, repeats of a submission, replies about rules. Refusals end nothing and leave at once, as before.

--- a/crates/engine/src/acceptance.rs
+++ b/crates/engine/src/acceptance.rs
@@ -87,6 +87,7 @@
             may_have_run_since: None,
             trail: None,
             answer_for: 0,
+            withdrawn_by: None,
             still: Suspension::No,
             counted_bytes: 0,
         };
--- a/crates/engine/src/admission/open_messages.rs
+++ b/crates/engine/src/admission/open_messages.rs
@@ -84,6 +84,7 @@
             out: None,
             may_have_run_since: None,
             answer_for: 0,
+            withdrawn_by: None,
             still: Suspension::No,
             counted_bytes: 0,
             trail: self.records_trail(from.client).then(|| Box::new(Trail::new(self.wall(), 0))),
--- a/crates/engine/src/admission/replies.rs
+++ b/crates/engine/src/admission/replies.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Withdraws a message that certainly has not run and is not on its way.
+    /// Withdraws a message that certainly has not run and is not on its way. The client is told once that is durable.
     pub(crate) fn withdraw(&mut self, conn: ConnId, token: u32, id_text: &str, source: &str) {
         let Some((client, _)) = self.owner_of(conn) else {
             return self.refuse(conn, token, RejectReason::NotEntered);
@@ -80,9 +80,16 @@
             return self.refuse(conn, token, RejectReason::TooLate);
         }
         self.events.push(Event::Withdrawn { id });
+        // Confirmed once the answer is durable: behind a kill the message would be sent.
+        self.messages.get_mut(&id).into_iter().for_each(|m| m.withdrawn_by = Some((conn, token)));
+        self.answer(id, MessageEnd::Withdrawn);
+    }
+
+    /// Confirms to the client that a message is withdrawn. One whose connection has closed learns of it by the receipt.
+    pub(crate) fn report_withdrawal(&mut self, conn: ConnId, token: u32) {
         if let Some((front, out)) = self.front(conn) {
             front.withdrawn(token, out);
         }
-        self.answer(id, MessageEnd::Withdrawn);
+        self.schedule_front(conn);
     }
 }
--- a/crates/engine/src/held/commands.rs
+++ b/crates/engine/src/held/commands.rs
@@ -1,7 +1,7 @@
 //! Commands of clients about the messages held for them.
 
 use crate::ids::{ConnId, format_id, parse_id};
-use crate::node::Node;
+use crate::node::{Effect, Node};
 use crate::stats::ANSWER_NAMES;
 use heronroute::MsgId;
 use heronroute_held::{Grants, KnownOutcome, Operation, Party, Query, Trail, What};
@@ -35,6 +35,12 @@
             }
             _ => ("stat:WHAT allowed: list[/AFTER], show/ID, again/ID[/new], drop/ID, release[/DESTINATION], stop".to_string(), "WHAT"),
         };
+        // The reply tells of hand-ins, ends and drops that may not be durable yet: a kill must not undo what it says.
+        self.once_durable(Effect::ReplyToCommand { conn, token, text, state });
+    }
+
+    /// Sends the reply to a command. A client whose connection has closed asks again.
+    pub(crate) fn reply_to_command(&mut self, conn: ConnId, token: u32, text: String, state: &'static str) {
         if let Some((front, out)) = self.front(conn) {
             front.told(token, text, state, out);
         }
--- a/crates/engine/src/node/answer.rs
+++ b/crates/engine/src/node/answer.rs
@@ -78,6 +78,9 @@
             return self.report_end(id, m, answer);
         }
         self.remove_open_message(&m);
+        if let Some((conn, token)) = m.withdrawn_by {
+            self.report_withdrawal(conn, token);
+        }
         let finished =
             FinishedMessage { client: m.client, source: m.submission.source.clone(), answer, done };
         self.finished.insert(id, finished);
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -88,6 +88,9 @@
             Effect::ReportAnswer { id, message, answer, done } => {
                 self.report_answer(id, *message, answer, done)
             }
+            Effect::ReplyToCommand { conn, token, text, state } => {
+                self.reply_to_command(conn, token, text, state)
+            }
             Effect::Apply(apply) => self.rules_durable(&apply),
             Effect::Inherited { origin } => self.takeover_durable(origin),
             Effect::RepeatAnswer { mailbox, id, reply_to } => self.repeat_answer(mailbox, id, *reply_to),
--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -70,6 +70,8 @@
     Apply(Box<Apply>),
     /// Report that a dead member's work is written to the journal as a whole.
     Inherited { origin: String },
+    /// Reply to a command of a client about its held messages.
+    ReplyToCommand { conn: ConnId, token: u32, text: String, state: &'static str },
     /// Send a kept answer again.
     RepeatAnswer { mailbox: MailboxId, id: MsgId, reply_to: Box<ReplyAddress> },
 }
@@ -139,6 +141,8 @@
     /// The connection and request that wait for the answer in forward mode, or for the first reply to a
     /// platform's message.
     pub reply: Option<(ConnId, u32)>,
+    /// The connection and request that withdrew it, and wait for its answer to be durable.
+    pub withdrawn_by: Option<(ConnId, u32)>,
     /// The number of attempts so far.
     pub attempts: u32,
     /// The attempt in flight, as call and part.
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -191,6 +191,7 @@
             may_have_run_since,
             trail: None,
             answer_for: accepted.answer_for,
+            withdrawn_by: None,
             still: Suspension::No,
             counted_bytes: 0,
         };
--- a/crates/engine/tests/kept/mod.rs
+++ b/crates/engine/tests/kept/mod.rs
@@ -71,6 +71,10 @@
     pub response_delay_ms: i64,
     /// Whether receivers take messages and their answers are lost.
     pub answers_lost: bool,
+    /// Whether entries wait for a commit that does not come.
+    pub commits_paused: bool,
+    /// The bytes that were written to connections that are neither an MQTT client's nor a receiver's.
+    pub other_output: BTreeMap<ConnId, Vec<u8>>,
     /// Whether bytes to receivers stay unwritten.
     pub receiver_writes_paused: bool,
     /// Delayed responses of receivers, with their arrival time.
@@ -104,6 +108,8 @@
             withhold_acks: false,
             response_delay_ms: 0,
             answers_lost: false,
+            commits_paused: false,
+            other_output: BTreeMap::new(),
             receiver_writes_paused: false,
             delayed_responses: Vec::new(),
             takeovers: Vec::new(),
@@ -204,6 +210,9 @@
                 self.node().settle(now);
             }
             let Some((node, journal)) = &mut self.running else { return false };
+            if self.commits_paused {
+                continue;
+            }
             if !commit(node, journal, &mut self.uncommitted, &mut self.committed_entries, now) {
                 return false;
             }
@@ -270,6 +279,12 @@
                 }
             }
         }
+        if !bytes.is_empty() && reply.is_empty() {
+            let is_mqtt = self.clients.iter().any(|c| c.conn == Some(conn));
+            if !is_mqtt && !self.receivers.contains_key(&conn) {
+                self.other_output.entry(conn).or_default().extend_from_slice(&bytes);
+            }
+        }
         if self.response_delay_ms > 0 && self.receivers.contains_key(&conn) {
             self.delayed_responses.push((now + self.response_delay_ms * MS, conn, reply));
         } else if !reply.is_empty() {
