KNOWN-RED.txt may name commands to run by hand, with their seed

Change: a line may be `$ COMMAND [seed N]: what was seen (issue N)`, or `[no seed]`. Lines for cargo tests keep their form, their limit of three and their judgement. Evidence: `tests/known_red.rs`, its six tests as they were and three new ones, pass.

--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -122,3 +122,45 @@
     let lines: String = names[..3].iter().map(|n| KNOWN_FAILURE.replace("half_a_list", n)).collect();
     assert!(run_script("three", 101, &cargo_output(&[three]), Some(&lines)).0);
 }
+
+const KNOWN_COMMAND: &str =
+    "$ SOAK_SEED=30 cargo test -p heronroute-cli --test soak [seed 30]: a message is lost (issue 41)\n";
+const COMMAND_WITHOUT_SEED: &str =
+    "$ review/4/run.sh [no seed]: another client's message is shown (issue 41)\n";
+
+#[test]
+fn a_listed_command_is_printed_and_changes_nothing_else() {
+    let commands = format!("{KNOWN_COMMAND}{COMMAND_WITHOUT_SEED}");
+    let (passes, printed) = run_script("command", 0, &cargo_output(&[]), Some(&commands));
+    assert!(passes && printed.contains(&commands), "{printed}");
+    let both = format!("{KNOWN_COMMAND}{KNOWN_FAILURE}");
+    let (passes, printed) = run_script("both", 101, &cargo_output(&[FAILED_TARGET]), Some(&both));
+    assert!(passes && printed.contains(KNOWN_COMMAND) && printed.contains(KNOWN_FAILURE), "{printed}");
+    assert!(
+        !run_script("both-passes", 0, &cargo_output(&[]), Some(&both)).0,
+        "the test of the list passes now"
+    );
+    assert!(!run_script("build-command", 101, "error: could not compile `heronroute`\n", Some(&commands)).0);
+}
+
+#[test]
+fn a_listed_command_excuses_no_test() {
+    let names_the_test =
+        "$ cargo test -p heronroute-cli --test discovery half_a_list [no seed]: it fails (issue 41)\n";
+    assert!(!run_script("excuse", 101, &cargo_output(&[FAILED_TARGET]), Some(names_the_test)).0);
+}
+
+#[test]
+fn a_listed_command_has_a_seed_what_was_seen_and_an_issue() {
+    for (name, line) in [
+        ("seed", "$ review/4/run.sh: it fails (issue 41)\n"),
+        ("issue", "$ review/4/run.sh [no seed]: it fails\n"),
+        ("seen", "$ review/4/run.sh [no seed]: (issue 41)\n"),
+        ("command", "$ [seed 3]: it fails (issue 41)\n"),
+        ("mark", "review/4/run.sh [no seed]: it fails (issue 41)\n"),
+    ] {
+        assert!(!run_script(&format!("without-{name}"), 0, &cargo_output(&[]), Some(line)).0, "{line}");
+    }
+    assert!(run_script("twelve", 0, &cargo_output(&[]), Some(&KNOWN_COMMAND.repeat(12))).0);
+    assert!(!run_script("thirteen", 0, &cargo_output(&[]), Some(&KNOWN_COMMAND.repeat(13))).0);
+}
