An attempt that has no end counts as the first that may have run, not the next one

What callers would see: a keyed message that ended UNKNOWN while its attempt was out, was handed in again within the window and not answered, could be handed in once more behind the window of the first attempt: a second effect, without any kill.

Cause: a trail has no end of an attempt that was out as its message ended. `Trail::may_have_run` took the next attempt's begin for the first.

Evidence: `held/tests/trail` fails without the change (2000 for 1100) and passes with it.

--- a/crates/held/src/trail.rs
+++ b/crates/held/src/trail.rs
@@ -168,6 +168,8 @@
         let mut began = None;
         for (at, what) in self.steps() {
             match what {
+                // The message ended while the attempt before was out.
+                What::Began(_) if began.is_some() => return began,
                 What::Began(_) => began = Some(at),
                 What::Ended(known) => {
                     let start = began.take().unwrap_or(at);
