--- a/crates/engine/src/held/trail.rs
+++ b/crates/engine/src/held/trail.rs
@@ -61,7 +61,10 @@
         // Entries of earlier versions don't say that a message was handed in again.
         if accepted.resubmitted || is_held {
             let party = self.client_party(&accepted.client);
-            trail.add(accepted.taken, What::Resubmitted(party), MAX_TRAIL_STEPS);
+            let step = What::Resubmitted(party);
+            trail.add(accepted.taken, step, MAX_TRAIL_STEPS);
+            // The held record is shown until the message ends again.
+            self.held.iter_mut().for_each(|store| store.note(accepted.taken, id.0, step));
         }
         if let Some(ran) = open.may_run.as_ref().filter(|ran| !trail.has_attempt_at(ran.at)) {
             let number = self.trail_number(&ran.endpoint);
@@ -90,6 +93,7 @@
     /// Restores the held messages from the journal's state.
     pub(crate) fn restore_held(&mut self, state: &JournalState) {
         let now = self.wall();
+        let mut dropped = Vec::new();
         for (id, held) in &state.held {
             let (Some(a), Some(mut trail)) = (&held.accepted, Trail::read(&held.trail)) else { continue };
             let numbers: Vec<u32> = held.names.iter().map(|n| self.trail_number(n)).collect();
@@ -105,8 +109,10 @@
             }
             let parts = self.held_parts_for(client, class, &a.destination, &a.key);
             if let Some(store) = &mut self.held {
-                store.file_in(now, *id, stored, parts);
+                dropped.extend(store.file_in(now, *id, stored, parts));
             }
         }
+        // The limits may be lower than they were, or the messages too old by now.
+        self.write_released(&dropped);
     }
 }
--- a/crates/engine/tests/keeping.rs
+++ b/crates/engine/tests/keeping.rs
@@ -619,3 +619,22 @@
     }
     assert_eq!(homes, 1);
 }
+
+/// Guards against messages that a start drops, as its limit was lowered, and that stay in the journal for good.
+#[test]
+fn messages_dropped_at_a_start_with_a_lower_limit_are_released_in_the_journal() {
+    let mut harness = Harness::new("held { count: 10 }");
+    harness.receivers_down = true;
+    for n in 0..5 {
+        harness.publish(0, &format!("to/130000{n}/RESP"), 2);
+    }
+    harness.advance(1_500);
+    assert_eq!(harness.held_count(0), 5);
+    for (limit, left) in [(2, 2), (10, 2)] {
+        harness.cfg = settings(&format!("held {{ count: {limit} }}"));
+        harness.crash();
+        harness.connect_clients();
+        assert_eq!(harness.held_count(0), left, "with a limit of {limit}");
+        assert_eq!(harness.running.as_ref().unwrap().1.state().held.len(), left);
+    }
+}
