--- a/crates/journal/src/log.rs
+++ b/crates/journal/src/log.rs
@@ -1,4 +1,4 @@
-//! The log: frames in segments, snapshots and recovery.
+//! The log: frames in segments. Snapshots are in [`crate::snapshot`], opening is in [`crate::recovery`].
 //!
 //! Files: `log-N` holds frames from entry N on, `snap-N` the state before entry N, `new` a snapshot that is
 //! being written. A snapshot ends with a frame of no entries that names N; only when that frame is written
@@ -7,16 +7,12 @@
 
 use crate::Storage;
 use crate::chain::Chain;
-use crate::entry::{Entry, What};
-use crate::frame::{self, FrameError};
+use crate::entry::Entry;
+use crate::frame;
 use crate::repair::Damage;
 use crate::state::JournalState;
-use prost::Message as _;
 use std::io;
 
-/// The most entries in a part of a snapshot, and the size in bytes at which a part is written before.
-const MAX_PART_ENTRIES: usize = 1_024;
-const MAX_PART_BYTES: usize = 256 * 1024;
 /// The size of the encoding buffer that is kept between two commits, in bytes.
 const KEPT_BUFFER_BYTES: usize = 256 * 1024;
 
@@ -132,7 +128,7 @@
     /// # Errors
     /// Where durable data is damaged or has another version, or the storage fails.
     pub fn open(storage: S, limits: Limits) -> Result<Self, JournalError> {
-        Self::open_as(storage, limits, false)
+        Self::recover(storage, limits, false)
     }
 
     /// Opens a journal that is replicated or is a replica: its entries are chained by digests.
@@ -140,120 +136,7 @@
     /// # Errors
     /// As [`Journal::open`].
     pub fn open_chained(storage: S, limits: Limits) -> Result<Self, JournalError> {
-        Self::open_as(storage, limits, true)
-    }
-
-    fn open_as(mut storage: S, limits: Limits, chained: bool) -> Result<Self, JournalError> {
-        let names = storage.list()?;
-        // An unfinished snapshot is discarded.
-        if names.iter().any(|n| n == "new") {
-            storage.remove("new")?;
-        }
-        let mut snaps: Vec<u64> = names.iter().filter_map(|n| file_number(n, "snap-")).collect();
-        snaps.sort_unstable();
-        let (mut state, mut next, mut snap_size) = (JournalState::default(), 0, 0);
-        let mut chain = chained.then(Chain::default);
-        if let Some(at) = snaps.last() {
-            let name = format!("snap-{at:016x}");
-            let bytes = storage.read(&name)?;
-            let found;
-            (state, found) = read_snapshot(&name, &bytes, *at)?;
-            // A snapshot without a chain was written while the journal was not replicated: the chain begins
-            // with it.
-            chain = chained.then(|| found.unwrap_or_else(|| Chain::begin(*at, &bytes)));
-            (next, snap_size) = (*at, bytes.len() as u64);
-        }
-        let snapshot_chain = chain.clone();
-        let snap_estimate = state.estimated_size();
-        let mut logs: Vec<u64> = names.iter().filter_map(|n| file_number(n, "log-")).collect();
-        logs.sort_unstable();
-        let mut log_size = 0;
-        let mut cut = false;
-        for (i, first) in logs.iter().enumerate() {
-            let name = format!("log-{first:016x}");
-            let bytes = storage.read(&name)?;
-            // Segments wholly covered by the snapshot are left over from an interrupted removal.
-            if logs.get(i + 1).is_some_and(|n| *n <= next && *first < next) {
-                storage.remove(&name)?;
-                continue;
-            }
-            if cut {
-                // Nothing after a cut was durable: that was checked when the cut was made.
-                storage.remove(&name)?;
-                continue;
-            }
-            let mut at = 0;
-            loop {
-                let error = match frame::read(&bytes[at..]) {
-                    Ok(f) if f.first <= next || f.entries.is_empty() => {
-                        let raw = frame::encoded_entries(&bytes[at + frame::HEADER_SIZE..at + f.length]);
-                        for ((n, e), raw) in f.entries.iter().enumerate().zip(raw) {
-                            if f.first + n as u64 == next {
-                                state.apply(e);
-                                if let Some(chain) = &mut chain {
-                                    chain.push(raw);
-                                }
-                                next += 1;
-                            }
-                        }
-                        at += f.length;
-                        continue;
-                    }
-                    // A gap: an earlier frame was lost.
-                    Ok(_) => FrameError::Torn,
-                    Err(error) => error,
-                };
-                match error {
-                    FrameError::End => break,
-                    FrameError::Version(version) => {
-                        return Err(JournalError::Version { file: name, version });
-                    }
-                    FrameError::Torn => {
-                        let mut durable = frame::highest_durable_number(&bytes[at..]);
-                        for later in &logs[i + 1..] {
-                            let bytes = storage.read(&format!("log-{later:016x}"))?;
-                            durable = durable.max(frame::highest_durable_number(&bytes));
-                        }
-                        if durable > next {
-                            return Err(JournalError::Broken { file: name, offset: at as u64, durable });
-                        }
-                        storage.truncate(&name, at as u64)?;
-                        storage.sync(&name)?;
-                        cut = true;
-                        break;
-                    }
-                }
-            }
-            log_size += at as u64;
-        }
-        for old in snaps.iter().rev().skip(1) {
-            storage.remove(&format!("snap-{old:016x}"))?;
-        }
-        let usage = Usage { octets: log_size + snap_size, ..Usage::default() };
-        let mut journal = Journal {
-            storage,
-            limits,
-            state,
-            next,
-            snap: snaps.last().copied(),
-            chain,
-            snapshot_chain,
-            segment: String::new(),
-            segment_size: 0,
-            damage: Damage::None,
-            log_size,
-            snap_size,
-            snap_estimate,
-            usage,
-            failed: false,
-            out: Vec::new(),
-        };
-        journal.rotate()?;
-        // Acceptance may be refused until there is space, and then nothing else would free it.
-        if journal.is_space_reclaimable() {
-            _ = journal.snapshot();
-        }
-        Ok(journal)
+        Self::recover(storage, limits, true)
     }
 
     /// Limits the number of client-given names that are kept.
@@ -298,7 +181,7 @@
     }
 
     /// Begins a segment. Its name is durable before any entry in it counts as durable.
-    fn rotate(&mut self) -> Result<(), JournalError> {
+    pub(crate) fn rotate(&mut self) -> Result<(), JournalError> {
         let name = format!("log-{:016x}", self.next);
         // A damaged segment of that name holds no entries that count.
         if name != self.segment || self.damage != Damage::None {
@@ -397,130 +280,4 @@
             _ = self.rotate();
         }
     }
-
-    /// Writes a snapshot of the state and removes the log before it.
-    ///
-    /// # Errors
-    /// Where the storage fails: the existing log stays valid.
-    pub fn snapshot(&mut self) -> Result<(), JournalError> {
-        let written = self.write_snapshot();
-        if written.is_err() {
-            _ = self.storage.remove("new");
-        }
-        written
-    }
-
-    fn write_snapshot(&mut self) -> Result<(), JournalError> {
-        self.storage.create("new")?;
-        // Taken for as long as its entries are written, so that they are not all copied first.
-        let state = std::mem::take(&mut self.state);
-        let written = self.write_entries(&state);
-        self.state = state;
-        let (entries, size) = written?;
-        self.finish(entries, size)
-    }
-
-    /// Writes the entries of a state to the snapshot, in parts of bounded size. Returns their number and size.
-    fn write_entries(&mut self, state: &JournalState) -> Result<(u64, u64), JournalError> {
-        let (mut first, mut size, mut part_bytes) = (0, 0, 0);
-        let mut part: Vec<Entry> = Vec::new();
-        let chained: Option<Entry> = self.chain.as_ref().map(|chain| What::Chain(chain.to_entry()).into());
-        for entry in chained.into_iter().chain(state.entries()) {
-            part_bytes += entry.encoded_len();
-            part.push(entry);
-            if part.len() >= MAX_PART_ENTRIES || part_bytes >= MAX_PART_BYTES {
-                size += self.write_part(first, &part)?;
-                first += part.len() as u64;
-                part.clear();
-                part_bytes = 0;
-            }
-        }
-        size += self.write_part(first, &part)?;
-        Ok((first + part.len() as u64, size))
-    }
-
-    /// Completes the snapshot being written, which has `entries` entries, and makes it replace everything
-    /// before it.
-    pub(crate) fn finish(&mut self, entries: u64, mut size: u64) -> Result<(), JournalError> {
-        // The closing frame: no entries, and the number that the snapshot covers up to. Without it the
-        // snapshot is incomplete.
-        self.out.clear();
-        frame::write(self.next, entries, &[], &mut self.out);
-        self.storage.append("new", &self.out)?;
-        size += self.out.len() as u64;
-        self.storage.sync("new")?;
-        let name = format!("snap-{:016x}", self.next);
-        self.storage.rename("new", &name)?;
-        if let Err(e) = self.storage.sync_names().map_err(JournalError::from).and_then(|()| self.rotate()) {
-            // The snapshot may already have replaced the segment: nothing more may be written to that.
-            self.damage = Damage::Unsynced;
-            return Err(e);
-        }
-        self.damage = Damage::None;
-        // Files that can't be removed now are removed with the next snapshot or at the next opening.
-        _ = self.remove_before(self.next);
-        self.snap = Some(self.next);
-        self.snapshot_chain.clone_from(&self.chain);
-        (self.snap_size, self.log_size) = (size, 0);
-        self.snap_estimate = self.state.estimated_size();
-        self.usage.octets = size + self.segment_size;
-        self.usage.snapshots += 1;
-        Ok(())
-    }
-
-    /// Removes snapshots and segments before a number.
-    fn remove_before(&mut self, keep: u64) -> io::Result<()> {
-        for name in self.storage.list()? {
-            let old = file_number(&name, "snap-").or(file_number(&name, "log-")).is_some_and(|n| n < keep);
-            if old {
-                self.storage.remove(&name)?;
-            }
-        }
-        self.storage.sync_names()
-    }
-
-    /// Appends a frame of entries to the snapshot being written, and returns its size in bytes.
-    pub(crate) fn write_part(&mut self, first: u64, part: &[Entry]) -> Result<u64, JournalError> {
-        if part.is_empty() {
-            return Ok(0);
-        }
-        self.out.clear();
-        frame::write(first, 0, part, &mut self.out);
-        self.storage.append("new", &self.out)?;
-        Ok(self.out.len() as u64)
-    }
-}
-
-/// Reads a snapshot. It was synced completely before it got its name, so any fault in it is damage.
-fn read_snapshot(
-    name: &str,
-    bytes: &[u8],
-    covers_up_to: u64,
-) -> Result<(JournalState, Option<Chain>), JournalError> {
-    let (mut state, mut chain) = (JournalState::default(), None);
-    let (mut at, mut count) = (0, 0);
-    loop {
-        match frame::read(&bytes[at..]) {
-            Ok(f) if f.entries.is_empty() && f.first == covers_up_to && f.durable == count => {
-                return Ok((state, chain));
-            }
-            Ok(f) if f.first == count && !f.entries.is_empty() => {
-                count += f.entries.len() as u64;
-                for e in &f.entries {
-                    state.apply(e);
-                    if let Some(What::Chain(c)) = &e.what {
-                        chain = Chain::from_entry(c).filter(|c| c.at().number == covers_up_to);
-                    }
-                }
-                at += f.length;
-            }
-            Err(FrameError::Version(version)) => {
-                return Err(JournalError::Version { file: name.to_string(), version });
-            }
-            _ => {
-                let (file, offset) = (name.to_string(), at as u64);
-                return Err(JournalError::Broken { file, offset, durable: covers_up_to });
-            }
-        }
-    }
 }
