--- a/crates/engine/src/held/commands.rs
+++ b/crates/engine/src/held/commands.rs
@@ -9,10 +9,16 @@
 /// The number of messages on a page of a listing.
 const PAGE_SIZE: usize = 20;
 
+/// The maximum number of replies that wait for the journal. Further commands are not carried out.
+const MAX_PENDING_REPLIES: usize = 1_000;
+
 impl Node {
     /// Handles a command about the messages held for the client.
     pub(crate) fn handle_held_command(&mut self, conn: ConnId, token: u32, words: &[String]) {
         let Some((client, _)) = self.owner_of(conn) else { return };
+        if self.pending_replies >= MAX_PENDING_REPLIES {
+            return self.send_command_reply(conn, token, "stat:BUSY".to_string(), "BUSY");
+        }
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
         // A message of another client gets the same reply as one that doesn't exist.
         let with_own = |operation, id: &str| self.own_held_message(client, id, operation);
@@ -36,11 +42,18 @@
             _ => ("stat:WHAT allowed: list[/AFTER], show/ID, again/ID[/new], drop/ID, release[/DESTINATION], stop".to_string(), "WHAT"),
         };
         // The reply tells of hand-ins, ends and drops that may not be durable yet: a kill must not undo what it says.
+        self.pending_replies += 1;
         self.once_durable(Effect::ReplyToCommand { conn, token, text, state });
     }
 
-    /// Sends the reply to a command. A client whose connection has closed asks again.
+    /// Sends a reply whose content is durable now.
     pub(crate) fn reply_to_command(&mut self, conn: ConnId, token: u32, text: String, state: &'static str) {
+        self.pending_replies -= 1;
+        self.send_command_reply(conn, token, text, state);
+    }
+
+    /// Sends the reply to a command. A client whose connection has closed asks again.
+    fn send_command_reply(&mut self, conn: ConnId, token: u32, text: String, state: &'static str) {
         if let Some((front, out)) = self.front(conn) {
             front.told(token, text, state, out);
         }
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -134,6 +134,8 @@
     /// The state of the regions that members belong to.
     pub(crate) region: Option<Failover<Effect>>,
     pub(crate) ledger: Ledger<Effect>,
+    /// The number of replies to commands that wait for the journal.
+    pub(crate) pending_replies: usize,
     /// Operations requested from the owner of the sockets.
     pub(crate) outputs: Vec<Output>,
     pub(crate) stats: Stats,
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -170,6 +170,7 @@
                 cfg.journal.most_lag,
                 start.journal_usage,
             ),
+            pending_replies: 0,
             outputs: Vec::new(),
             stats: Stats::default(),
             leaving: false,
--- a/crates/engine/tests/durable_replies.rs
+++ b/crates/engine/tests/durable_replies.rs
@@ -10,7 +10,7 @@
 use heronroute_smpp::client::{Event, Session};
 use heronroute_smpp::server::Mode;
 use heronroute_smpp::submission::Submission;
-use heronroute_standins::mqtt::field;
+use heronroute_standins::mqtt::{ClientEvent, Publication, ReceivedMessage, field};
 use kept::{Harness, id};
 use rig::LIMITS;
 use rusmpp_core::CommandStatus;
@@ -167,6 +167,34 @@
     }
 }
 
+/// Guards against replies that pile up while the disk is slow: a client may ask without end.
+#[test]
+fn commands_are_refused_where_too_many_replies_wait_for_the_journal() {
+    const COMMANDS: usize = 1_200;
+    let mut harness = Harness::new("held { }");
+    harness.receivers_down = true;
+    harness.commits_paused = true;
+    harness.publish(0, "to/1000001/RESP//order", 5);
+    harness.clients[0].events.clear();
+    for _ in 0..COMMANDS {
+        let mut output = BytesMut::new();
+        let command = Publication { topic: "held/list".into(), qos: 0, ..Publication::default() };
+        harness.clients[0].mqtt.publish(&command, &mut output);
+        harness.send(0, &output);
+    }
+    harness.advance(5);
+    let is_busy = |event: &&ClientEvent| match event {
+        ClientEvent::Received(ReceivedMessage { text, .. }) => text == "stat:BUSY",
+        _ => false,
+    };
+    let refused = harness.clients[0].events.iter().filter(is_busy).count();
+    // A session takes some of the replies at once, and the others are not kept.
+    assert!((1..=COMMANDS - 1_000).contains(&refused), "{refused} refused");
+    harness.commits_paused = false;
+    harness.advance(5);
+    assert_eq!(harness.held_count(0), 0);
+}
+
 /// Guards against a state that is told of a message whose end is not durable.
 #[test]
 fn a_query_tells_an_end_only_once_it_is_durable() {
