Review case 9: behind SIGHUP a stranger's password opens a former client's account

Shown: review/9/run.sh: field is taken out (restart), poll is added (SIGHUP), poll connects as field with its own password.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # disruption. Wants the program (`build` of deploy/balancer.toml) and the stand-ins (review/build-2.sh).
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/heronroute ] && [ -x review/stand-2/target/release/stand-2 ] || exit 2
-exec review/stand-2/target/release/stand-2 held review/9/record.txt
+exec review/stand-2/target/release/stand-2 strangers review/9/record.txt
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -12,6 +12,7 @@
 mod receiver;
 mod ring;
 mod smpp;
+mod strangers;
 
 use common::{Record, Verdict};
 use std::path::Path;
@@ -37,6 +38,7 @@
         "homes" => homes::run(&record, trouble),
         "copies" => copies::run(&record, trouble),
         "held" => held::run(&record, trouble),
+        "strangers" => strangers::run(&record, trouble),
         _ => Err(format!("there is no case {case}")),
     };
     let verdict = verdict.unwrap_or_else(|why| {
