--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod copies;
+mod gone;
 mod held;
 mod homes;
 mod line;
@@ -10,6 +11,7 @@
 mod names;
 mod query;
 mod receiver;
+mod recovery;
 mod ring;
 mod smpp;
 mod strangers;
@@ -33,10 +35,12 @@
     common::watch(&record, common::ms(110_000));
     let verdict = match case.as_str() {
         "query" => query::run(&record, trouble),
+        "recovery" => recovery::run(&record, trouble),
         "ring" => ring::run(&record, trouble),
         "names" => names::run(&record, trouble),
         "homes" => homes::run(&record, trouble),
         "copies" => copies::run(&record, trouble),
+        "gone" => gone::run(&record, trouble),
         "held" => held::run(&record, trouble),
         "strangers" => strangers::run(&record, trouble),
         _ => Err(format!("there is no case {case}")),
