--- a/review/stand-2/src/homes.rs
+++ b/review/stand-2/src/homes.rs
@@ -57,7 +57,7 @@
         let (user, password) = (format!("brand-{i}"), format!("secret{i}"));
         // What a field agent's tool has collected so far: handed in where its connection is lost.
         let will = Will { topic: format!("to/000001{i:06}/RESP"), payload: "x".repeat(5_000) };
-        let line = Line::start(mqtt, ms(20));
+        let line = Line::start(mqtt, ms(0));
         let (mut field, _) =
             Client::connect_with(line.address, true, &format!("field-{i}"), &user, &password, Some(&will))?;
         let (mut office, _) = Client::connect(mqtt, true, &format!("office-{i}"), &user, &password)?;
@@ -65,6 +65,9 @@
             return Err("no subscription".into());
         }
         let body = format!("payout {i}");
+        if trouble {
+            line.cut_behind_next();
+        }
         field.publish(&payout(i, 7, false));
         record.say(format!("{user}: session field-{i} hands in payout-{i}"));
         if !wait_until(ms(10_000), || receiver.runs_of(&body) > 0) {
