Memory counts belong to what they count, and are given back to their own use

Cause: a connection to an endpoint that is closed with a message out became Finishing before its count was taken out of the budget; the bytes were taken from the clients' use, which stops at 0, and stayed in the endpoints' use.

Fix: MemoryBudget hands out a MemoryCount that knows its use and bytes and gives them back when dropped.

--- a/crates/engine/src/acceptance.rs
+++ b/crates/engine/src/acceptance.rs
@@ -71,6 +71,7 @@
             identity: Some(add.id),
             ..Submission::default()
         };
+        let memory = self.count_message(submission.body.len());
         let message = Message {
             client: tenant,
             mailbox: self.clients[tenant].mailbox,
@@ -89,7 +90,7 @@
             answer_for: 0,
             withdrawn_by: None,
             still: Suspension::No,
-            counted_bytes: 0,
+            _memory: memory,
         };
         self.add_open_message(id, message);
         self.submitted.push((id, add.dest));
--- a/crates/engine/src/admission/open_messages.rs
+++ b/crates/engine/src/admission/open_messages.rs
@@ -6,7 +6,7 @@
 use crate::failover::Suspension;
 use crate::front::{Speaks, SubmissionContext};
 use crate::ids::ID_SENDER_BITS;
-use crate::memory::MemoryUse;
+use crate::memory::{MemoryCount, MemoryUse};
 use crate::node::{ConnRole, Message, Node};
 use heronroute::MsgId;
 use heronroute_held::Trail;
@@ -69,6 +69,7 @@
     ) -> Message {
         let reply = submission.forward.then_some(from.conn.map(|c| (c, from.token))).flatten();
         let speaks = from.conn.and_then(|c| self.speaks(c)).unwrap_or(Speaks::Mqtt);
+        let memory = self.count_message(submission.body.len());
         Message {
             client: from.client,
             mailbox: from.mailbox,
@@ -86,15 +87,18 @@
             answer_for: 0,
             withdrawn_by: None,
             still: Suspension::No,
-            counted_bytes: 0,
+            _memory: memory,
             trail: self.records_trail(from.client).then(|| Box::new(Trail::new(self.wall(), 0))),
         }
     }
 
+    /// Counts the memory of an open message with a body of this size.
+    pub(crate) fn count_message(&self, body_bytes: usize) -> MemoryCount {
+        self.memory.count(MemoryUse::Messages, message_bytes(body_bytes))
+    }
+
     /// Adds an open message, and counts it against every shared limit.
-    pub(crate) fn add_open_message(&mut self, id: MsgId, mut message: Message) {
-        message.counted_bytes = message_bytes(message.submission.body.len());
-        self.memory.replace(MemoryUse::Messages, 0, message.counted_bytes);
+    pub(crate) fn add_open_message(&mut self, id: MsgId, message: Message) {
         self.clients[message.client].open += 1;
         self.open_by_front[message.speaks as usize] += 1;
         if let Some(m) = self.mailboxes.get_mut(message.mailbox) {
@@ -108,7 +112,6 @@
 
     /// Removes a message that is no longer open from the counts of every shared limit.
     pub(crate) fn remove_open_message(&mut self, message: &Message) {
-        self.memory.replace(MemoryUse::Messages, message.counted_bytes, 0);
         self.clients[message.client].open -= 1;
         self.open_by_front[message.speaks as usize] -= 1;
         if let Some(m) = self.mailboxes.get_mut(message.mailbox) {
--- a/crates/engine/src/closing_links.rs
+++ b/crates/engine/src/closing_links.rs
@@ -3,6 +3,7 @@
 
 use crate::ids::ConnId;
 use crate::link::Link;
+use crate::memory::MemoryCount;
 use heronroute::{EndpointId, MsgId};
 use std::collections::BTreeMap;
 
@@ -15,6 +16,8 @@
     pub link: Box<dyn Link>,
     /// The messages of which an attempt may be out on the connection.
     pub messages: Vec<MsgId>,
+    /// The memory that is counted for the protocol's state.
+    pub memory: MemoryCount,
 }
 
 /// All connections that are being closed. The owner of the sockets closes a connection before the node settles
--- a/crates/engine/src/delivery/unhandled.rs
+++ b/crates/engine/src/delivery/unhandled.rs
@@ -3,7 +3,7 @@
 use crate::Micros;
 use crate::closing_links::ClosingLink;
 use crate::ids::ConnId;
-use crate::node::{ConnRole, Node};
+use crate::node::{Conn, ConnRole, Node};
 use heronroute::{Event, Finality, MsgId};
 
 impl Node {
@@ -17,7 +17,9 @@
     /// sent again; a wait in them applies. Anything else in them changes nothing: its call was given up.
     pub fn received_unhandled(&mut self, now: Micros, conn: ConnId, bytes: &[u8]) {
         self.now = now.max(self.now);
-        let Some(ClosingLink { endpoint, mut link, messages }) = self.closing_links.remove(conn) else {
+        let Some(ClosingLink { endpoint, mut link, messages, memory: _memory }) =
+            self.closing_links.remove(conn)
+        else {
             return;
         };
         let Some(answers) = link.read_unhandled(bytes) else { return };
@@ -42,10 +44,13 @@
     /// Keeps the state of a connection that is being closed, if one of these messages may be out on it and a
     /// protocol's answer could end them.
     pub(crate) fn keep_until_closed(&mut self, conn: ConnId, messages: Vec<MsgId>) {
-        let Some(entry) = self.conns.get_mut(&conn).filter(|_| !messages.is_empty()) else { return };
-        if let ConnRole::Receiver { endpoint, link } = std::mem::replace(&mut entry.role, ConnRole::Finishing)
-        {
-            self.closing_links.add(conn, ClosingLink { endpoint, link, messages });
+        let is_link = matches!(self.conns.get(&conn), Some(Conn { role: ConnRole::Receiver { .. }, .. }));
+        if messages.is_empty() || !is_link {
+            return;
+        }
+        let Some((role, memory)) = self.change_role(conn, ConnRole::Finishing) else { return };
+        if let ConnRole::Receiver { endpoint, link } = role {
+            self.closing_links.add(conn, ClosingLink { endpoint, link, messages, memory });
         }
     }
 }
--- a/crates/engine/src/node/connections.rs
+++ b/crates/engine/src/node/connections.rs
@@ -6,7 +6,7 @@
 use crate::Micros;
 use crate::front::Speaks;
 use crate::ids::ConnId;
-use crate::memory::MemoryUse;
+use crate::memory::{MemoryCount, MemoryUse};
 use crate::read_budget;
 use crate::stream::Stream;
 
@@ -92,34 +92,46 @@
         }
     }
 
+    /// Returns how many bytes of memory are counted in all for what peers make this sender hold.
+    pub fn memory_used(&self) -> usize {
+        self.memory.used()
+    }
+
     /// Counts the memory that a connection holds.
     pub(crate) fn count_memory(&mut self, conn: ConnId) {
         let Some(c) = self.conns.get_mut(&conn) else { return };
-        let (held, before) = (c.held_bytes(), c.counted_bytes);
-        if held != before {
-            c.counted_bytes = held;
-            self.memory.replace(c.memory_use(), before, held);
+        let held = c.held_bytes();
+        if held != c.memory.bytes() {
+            c.memory.set(held);
         }
     }
 
     /// Returns whether a connection to an endpoint holds more than there is memory for. It is closed then: an answer
     /// that can't be held is none.
     pub(crate) fn exceeds_memory(&self, conn: ConnId) -> bool {
-        let held = self.conns.get(&conn).map_or(0, |c| c.counted_bytes);
+        let held = self.conns.get(&conn).map_or(0, |c| c.memory.bytes());
         held > CONNECTION_BYTES + SMALL_ANSWER_BYTES && self.memory.room(MemoryUse::Endpoints) == 0
     }
 
     /// Removes a connection's state, and returns whether there was any.
     fn remove_conn(&mut self, conn: ConnId) -> bool {
-        let Some(c) = self.conns.remove(&conn) else { return false };
-        self.memory.replace(c.memory_use(), c.counted_bytes, 0);
-        true
+        self.conns.remove(&conn).is_some()
+    }
+
+    /// Changes the role of a connection. Returns the role before, with the memory that is counted for it.
+    pub(crate) fn change_role(&mut self, conn: ConnId, role: ConnRole) -> Option<(ConnRole, MemoryCount)> {
+        let c = self.conns.get_mut(&conn)?;
+        let memory = std::mem::replace(&mut c.memory, self.memory.count(role.memory_use(), 0));
+        let before = std::mem::replace(&mut c.role, role);
+        self.count_memory(conn);
+        Some((before, memory))
     }
 
     /// Adds a connection with a role, and returns its number.
     pub(crate) fn add_conn(&mut self, role: ConnRole) -> ConnId {
         self.next_conn += 1;
-        let conn = Conn { stream: Stream::default(), role, write_requested: false, counted_bytes: 0 };
+        let memory = self.memory.count(role.memory_use(), 0);
+        let conn = Conn { stream: Stream::default(), role, write_requested: false, memory };
         self.conns.insert(self.next_conn, conn);
         self.count_memory(self.next_conn);
         self.next_conn
@@ -138,10 +150,9 @@
 
     /// Closes a connection once all is written. Its role is dropped at once.
     pub(crate) fn finish(&mut self, conn: ConnId) {
-        let Some(c) = self.conns.get_mut(&conn) else { return };
-        self.memory.replace(c.memory_use(), c.counted_bytes, 0);
-        (c.role, c.counted_bytes) = (ConnRole::Finishing, 0);
-        self.count_memory(conn);
+        if self.change_role(conn, ConnRole::Finishing).is_none() {
+            return;
+        }
         let Some(c) = self.conns.get_mut(&conn) else { return };
         self.timers.clear(TimerKey::Conn(conn));
         self.timers.clear(TimerKey::Idle(conn));
@@ -165,15 +176,17 @@
     }
 }
 
-impl Conn {
-    /// Returns the use that the connection's memory is counted as.
+impl ConnRole {
+    /// Returns the use that the memory of a connection with this role is counted as.
     fn memory_use(&self) -> MemoryUse {
-        match self.role {
+        match self {
             ConnRole::Receiver { .. } | ConnRole::Directory | ConnRole::Notices => MemoryUse::Endpoints,
             ConnRole::Client { .. } | ConnRole::Finishing => MemoryUse::Clients,
         }
     }
+}
 
+impl Conn {
     /// Returns how many bytes the connection holds. What is written to endpoints counts with its messages.
     fn held_bytes(&self) -> usize {
         CONNECTION_BYTES
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -32,7 +32,7 @@
 use crate::ledger::Ledger;
 use crate::limits::Limits;
 use crate::mailboxes::Mailboxes;
-use crate::memory::MemoryBudget;
+use crate::memory::{MemoryBudget, MemoryCount};
 use crate::read_budget::ReadBudgets;
 use crate::routes::Trie;
 use crate::rule_tables::RuleTables;
@@ -80,6 +80,10 @@
     pub(crate) read_budgets: ReadBudgets,
     /// The memory that peers make this sender hold.
     pub(crate) memory: MemoryBudget,
+    /// The memory that is counted for entries of the journal that are not durable.
+    journal_memory: MemoryCount,
+    /// The memory that is counted for notices that were not acknowledged.
+    pub(crate) notices_memory: MemoryCount,
     /// Messages held for clients, and trails.
     pub(crate) held: Option<Store>,
     /// Held messages whose answer was not acknowledged yet.
--- a/crates/engine/src/node/round.rs
+++ b/crates/engine/src/node/round.rs
@@ -5,7 +5,6 @@
 use super::state::{ConnRole, Effect, TimerKey};
 use crate::Micros;
 use crate::directory::ConnectionAction;
-use crate::memory::MemoryUse;
 use heronroute::{EndpointId, Event};
 use heronroute_journal::Usage;
 
@@ -54,7 +53,7 @@
         if self.leaving {
             self.continue_leaving();
         }
-        self.memory.set(MemoryUse::Journal, self.ledger.unwritten_entries() as usize * ENTRY_BYTES);
+        self.journal_memory.set(self.ledger.unwritten_entries() as usize * ENTRY_BYTES);
         let entries = self.ledger.take_entries(self.now);
         if !entries.is_empty() {
             self.outputs.push(Output::Journal(entries));
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -16,7 +16,7 @@
 use crate::ledger::Ledger;
 use crate::limits::{ClientLimits, Limits};
 use crate::mailboxes::Mailboxes;
-use crate::memory::MemoryBudget;
+use crate::memory::{MemoryBudget, MemoryUse};
 use crate::read_budget::ReadBudgets;
 use crate::routes::Trie;
 use crate::rule_tables::RuleTables;
@@ -122,6 +122,8 @@
             seen: cfg.mqtt.as_ref().map(|m| SeenNames::new(m.remembered, start.wall, start.seed)),
             read_budgets: ReadBudgets::new(now),
             endpoints: EndpointTable::new(max_endpoints(&memory)),
+            journal_memory: memory.count(MemoryUse::Journal, 0),
+            notices_memory: memory.count(MemoryUse::Notices, 0),
             memory,
             held: cfg.held.map(|h| {
                 let trails = Room { age: i64::MAX, count: h.trails, octets: u64::MAX };
--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -6,6 +6,7 @@
 use crate::ids::ConnId;
 use crate::link::{Link, LinkEvent};
 use crate::mailboxes::MailboxId;
+use crate::memory::MemoryCount;
 use crate::outbox::ReplyAddress;
 use crate::pool::Pool;
 use crate::stream::Stream;
@@ -117,8 +118,8 @@
     pub role: ConnRole,
     /// Whether a write has been requested for it.
     pub write_requested: bool,
-    /// The bytes of memory that are counted for it.
-    pub counted_bytes: usize,
+    /// The memory that is counted for it.
+    pub memory: MemoryCount,
 }
 
 /// An accepted message without a final answer.
@@ -155,8 +156,8 @@
     pub answer_for: Micros,
     /// Whether it is suspended.
     pub still: Suspension,
-    /// The bytes of memory that are counted for it while it is open.
-    pub counted_bytes: usize,
+    /// The memory that is counted for it.
+    pub _memory: MemoryCount,
 }
 
 /// A finished message, kept for queries.
--- a/crates/engine/src/notices.rs
+++ b/crates/engine/src/notices.rs
@@ -2,7 +2,6 @@
 
 use crate::Micros;
 use crate::ids::ConnId;
-use crate::memory::MemoryUse;
 use crate::node::{ConnRole, Node, Output, TimerKey};
 use heronroute::MsgId;
 use heronroute_platform::notice::{NoticeAction, UndeliveredEnd};
@@ -23,7 +22,7 @@
 
     fn schedule_notices(&mut self) {
         let pending = self.notices.as_ref().map_or(0, |n| n.pending_count());
-        self.memory.set(MemoryUse::Notices, pending * NOTICE_BYTES);
+        self.notices_memory.set(pending * NOTICE_BYTES);
         let wake = self.notices.as_ref().map_or(Micros::MAX, |n| n.wake());
         self.timers.set(TimerKey::Notices, wake);
     }
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -171,6 +171,8 @@
         may_have_run_since: Option<Micros>,
     ) {
         let accepted = &open.accepted;
+        let submission = to_submission(accepted);
+        let memory = self.count_message(submission.body.len());
         let message = Message {
             client,
             mailbox,
@@ -181,7 +183,7 @@
                 false => Speaks::Mqtt,
             },
             class,
-            submission: to_submission(accepted),
+            submission,
             reply_to: to_reply(accepted),
             taken: accepted.taken,
             deadline: self.now + (accepted.deadline - self.wall()),
@@ -193,7 +195,7 @@
             answer_for: accepted.answer_for,
             withdrawn_by: None,
             still: Suspension::No,
-            counted_bytes: 0,
+            _memory: memory,
         };
         if let Some(identity) = message.submission.identity.clone().filter(|_| self.cfg.platform.is_some()) {
             self.identities.open(identity, MsgId(accepted.id));
--- a/crates/engine/tests/rig/mod.rs
+++ b/crates/engine/tests/rig/mod.rs
@@ -1,4 +1,5 @@
 //! Helpers shared by the tests of a node whose journal is on a disk with injected faults.
+#![allow(dead_code)] // not every test file uses every item
 
 use heronroute_engine::Node;
 use heronroute_journal::disk::Disk;
@@ -15,11 +16,9 @@
     max_pdu: 70_000,
 };
 
-/// A pseudorandom generator with a fixed seed. Not every test that includes this file uses it.
-#[allow(dead_code)]
+/// A pseudorandom generator with a fixed seed.
 pub struct TestRng(pub u64);
 
-#[allow(dead_code)]
 impl TestRng {
     pub fn below(&mut self, n: u64) -> u64 {
         self.0 ^= self.0 << 13;
