Sizes of submitted bodies leave with the messages whose clients left before a round

Seen (by the new test): twenty clients submit 50 kB each and leave in the same turn; from then on every message is refused, for good.

Cause: the total of submitted body bytes was reset by the next round that had submissions, and messages abandoned before it were taken from the list alone. With the list empty no round reset the total, and no message fitted beside it.

--- a/crates/engine/src/acceptance.rs
+++ b/crates/engine/src/acceptance.rs
@@ -15,6 +15,7 @@
 use crate::memory::MemoryUse;
 use crate::node::{ConnRole, Effect, Message, Node};
 use crate::outbox::ReplyAddress;
+use crate::submitted::SubmittedMessage;
 use heronroute::{Action, DestId, Effect as Repeats, Event, MsgId};
 use heronroute_journal::entry::{Accepted, What};
 use heronroute_platform::add::Add;
@@ -37,8 +38,9 @@
         // shuts down.
         let max_open = self.cfg.settings.max_open as usize;
         let round_full = self.submitted.len() >= max_open;
-        let submitted_bytes = self.submitted_bytes + add.body.len();
-        let has_memory = message_bytes(add.body.len()) <= self.memory.room(MemoryUse::Messages);
+        let body_bytes = add.body.len();
+        let submitted_bytes = self.submitted.body_bytes() + body_bytes;
+        let has_memory = message_bytes(body_bytes) <= self.memory.room(MemoryUse::Messages);
         let has_journal_room = !self.ledger.refuses(self.now, self.messages.len(), submitted_bytes);
         if self.frozen || round_full || !has_memory || !has_journal_room {
             tracing::debug!(id = add.id, round_full, has_memory, has_journal_room, "refused a message");
@@ -48,7 +50,6 @@
             self.respond(conn, token, MsgId(0), Answer::Rejected { retry_after });
             return;
         }
-        self.submitted_bytes = submitted_bytes;
         let id = self.new_id();
         let deadline = self.cfg.settings.classes[class].deadline;
         let time_left = (add.time_left_ms.min(i64::MAX as u64 / 1_000) as i64 * 1_000).min(deadline);
@@ -93,7 +94,7 @@
             _memory: memory,
         };
         self.add_open_message(id, message);
-        self.submitted.push((id, add.dest));
+        self.submitted.push(SubmittedMessage { id, dest: add.dest, body_bytes });
     }
 
     /// Returns the class and tenant of a submitted message, or why it is refused.
@@ -133,8 +134,7 @@
             _ => None,
         };
         let refused: Vec<MsgId> = actions.iter().filter_map(refused).collect();
-        self.submitted_bytes = 0;
-        for (id, dest) in std::mem::take(&mut self.submitted) {
+        for SubmittedMessage { id, dest, .. } in self.submitted.take_all() {
             if refused.contains(&id) {
                 continue;
             }
@@ -195,15 +195,10 @@
 
     /// Abandons the messages of a closed client connection whose acceptance was not acknowledged.
     pub(crate) fn abandon_unacknowledged(&mut self, conn: ConnId) {
-        let unacknowledged: Vec<MsgId> = self
-            .submitted
-            .iter()
-            .map(|f| f.0)
-            .filter(|id| self.messages.get(id).is_some_and(|m| m.conn == conn))
-            .collect();
-        for id in unacknowledged {
-            self.submitted.retain(|f| f.0 != id);
-            self.abandon_message(id);
+        let messages = &self.messages;
+        let is_from = |id: &MsgId| messages.get(id).is_some_and(|message| message.conn == conn);
+        for message in self.submitted.take_matching(|message| is_from(&message.id)) {
+            self.abandon_message(message.id);
         }
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -66,6 +66,7 @@
 mod sessions;
 pub mod stats;
 mod stream;
+mod submitted;
 pub mod timers;
 mod unconfirmed;
 mod uptime;
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -37,6 +37,7 @@
 use crate::routes::Trie;
 use crate::rule_tables::RuleTables;
 use crate::stats::Stats;
+use crate::submitted::SubmittedMessages;
 use crate::timers::Timers;
 use crate::unconfirmed::UnconfirmedOutcomes;
 use heronroute::{Action, DestId, Dispatcher, EndpointId, Event, MsgId};
@@ -124,10 +125,8 @@
     /// Notices to the platform, if the sender serves one.
     pub(crate) notices: Option<Notices<MsgId>>,
     pub(crate) notices_conn: Option<ConnId>,
-    /// Messages submitted since the last round, with their destinations; not accepted yet.
-    pub(crate) submitted: Vec<(MsgId, i64)>,
-    /// The total size of their bodies.
-    pub(crate) submitted_bytes: usize,
+    /// Messages submitted since the last round; not accepted yet.
+    pub(crate) submitted: SubmittedMessages,
     /// The ids that platform clients gave their messages.
     pub(crate) identities: Identities,
     /// Set while the sender shuts down: no decisions are made any more, and it only waits for calls in
--- a/crates/engine/src/node/shutdown.rs
+++ b/crates/engine/src/node/shutdown.rs
@@ -58,11 +58,10 @@
     /// Refuses what was submitted since the last round. Guards against requests that were read but see no
     /// further round, whose clients would receive no reply before the process ends.
     pub(crate) fn refuse_submitted(&mut self) {
-        self.submitted_bytes = 0;
         let retry_after = self.cfg.settings.max_retry_after;
-        for (id, _) in std::mem::take(&mut self.submitted) {
+        for message in self.submitted.take_all() {
             self.stats.refused_room += 1;
-            self.answer(id, MessageEnd::Refused(retry_after));
+            self.answer(message.id, MessageEnd::Refused(retry_after));
         }
     }
 
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -21,6 +21,7 @@
 use crate::routes::Trie;
 use crate::rule_tables::RuleTables;
 use crate::stats::Stats;
+use crate::submitted::SubmittedMessages;
 use crate::timers::Timers;
 use crate::unconfirmed::UnconfirmedOutcomes;
 use heronroute::{DestId, Discovery, Dispatcher, SettingsError};
@@ -156,8 +157,7 @@
             directory_conn: None,
             notices: cfg.platform.map(|p| Notices::new(p.discovery)),
             notices_conn: None,
-            submitted: Vec::new(),
-            submitted_bytes: 0,
+            submitted: SubmittedMessages::default(),
             identities: Identities::new(cfg.platform.map_or(1, |p| p.remembered_ids), start.wall, start.seed),
             frozen: false,
             rule_tables: start.fleet.then(|| {
--- a/crates/engine/tests/room_comes_back.rs
+++ b/crates/engine/tests/room_comes_back.rs
@@ -139,3 +139,18 @@
         assert_room_came_back(&mut harness, at_rest, &format!("seed {seed}"));
     }
 }
+
+/// Guards against the sizes of submitted bodies that stay counted after their clients have left before the round that
+/// would have decided them: with enough of them nothing fits the journal any more, and no round comes that forgets them.
+#[test]
+fn submissions_whose_clients_leave_at_once_leave_room_for_others() {
+    let (mut harness, at_rest) = resting_harness();
+    let body = "x".repeat(50_000);
+    for number in 0..20 {
+        let client = harness.connect_client();
+        let request = out_add_command(&format!("gone-{number}"), SAFE, &body);
+        harness.node.received(harness.now, client, request.as_bytes());
+        harness.node.closed(harness.now, client, CloseReason::Ended);
+    }
+    assert_room_came_back(&mut harness, at_rest, "20 submissions of clients that left");
+}
