Over HTTP an answer in doubt delivers nothing; equal answers get a connection each

Cause: HttpLink believed every 2xx as long as no refusal in doubt came before it, so that a second copy of a delivery's answer, which arrives behind the next call, counted as that call's own.

Fix: a response in doubt proves nothing, whatever its status; such a connection takes no more calls. So that truth does not cost deliveries, a receiver whose answers to deliveries do not differ (16 different ones in a row, the date left out) gets one call on each connection, whose first answer can be no copy; others carry their window as before. A probe that counted as a call is given back as it was taken, also where the window changed meanwhile.

Contract: a clause on what follows a copy, and the copy clause plays deliveries too.

Tests changed: http/tests wanted the second of two equal deliveries believed, which is the fault; it wants it in doubt now. attempt_starts plays calls that share a connection: the receiver's answers differ first, its checks are as before. The planted link Confuses confuses answers in doubt too.

--- a/crates/contracts/src/link/clauses.rs
+++ b/crates/contracts/src/link/clauses.rs
@@ -21,6 +21,7 @@
     Clause { name: "what was taken back is not answered", run: calls::nothing_out },
     Clause { name: "an answer that nobody waits for is passed over", run: calls::forgotten },
     Clause { name: "a copy of an answer proves nothing of the next call", run: copies::of_the_call_before },
+    Clause { name: "whatever follows a copy, it delivers nothing", run: copies::of_a_delivery },
     Clause { name: "an answer that comes a call late proves nothing", run: copies::late_by_one },
     Clause { name: "what ends a message says so", run: ends::certain },
     Clause { name: "what ends a message says so in doubt too", run: ends::in_doubt },
--- a/crates/contracts/src/link/copies.rs
+++ b/crates/contracts/src/link/copies.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use super::{CallOutcome, Receiver};
 use crate::ensure;
+use heronroute::Outcome;
 use heronroute_engine::Micros;
 use heronroute_engine::link::LinkEvent;
 
@@ -31,7 +32,7 @@
 
 /// A copy of the answer to the first call comes once the second one is written. No time makes it that call's answer.
 pub fn of_the_call_before(r: &dyn Receiver) -> Result<(), String> {
-    for how in [CallOutcome::Busy(0), CallOutcome::Busy(2_000_000), CallOutcome::Error] {
+    for how in [CallOutcome::Done, CallOutcome::Busy(0), CallOutcome::Busy(2_000_000), CallOutcome::Error] {
         let mut connection = Connection::ready(r)?;
         connection.call(1, 1);
         let answers = r.answers(&connection.flush(), how);
@@ -57,6 +58,31 @@
     Ok(())
 }
 
+/// A copy of a delivery's answer comes once the second call is written, which is not delivered, and then whatever may
+/// follow: none of it makes the second call a delivery.
+pub fn of_a_delivery(r: &dyn Receiver) -> Result<(), String> {
+    for follows in [Some(CallOutcome::Busy(0)), Some(CallOutcome::Error), None] {
+        let mut connection = Connection::ready(r)?;
+        connection.call(1, 1);
+        let copy = r.answers(&connection.flush(), CallOutcome::Done);
+        copy.iter().for_each(|octets| connection.receive(octets));
+        if !connection.usable() {
+            continue;
+        }
+        connection.call(2, 1);
+        let sent = connection.flush();
+        copy.iter().for_each(|octets| connection.receive(octets));
+        if let Some(how) = follows {
+            r.answers(&sent, how).iter().for_each(|octets| connection.receive(octets));
+        }
+        wait(&mut connection);
+        connection.link.ended(connection.now, &mut connection.events);
+        let delivers = |event: &LinkEvent| matches!(event, LinkEvent::Answered { call: 2, reply, .. } if reply.outcome == Outcome::Done);
+        ensure!(!connection.events.iter().any(delivers), "{follows:?}: {:?}", connection.events);
+    }
+    Ok(())
+}
+
 /// A copy was taken for the answer to the second call, so that the second's own comes as the third is out.
 pub fn late_by_one(r: &dyn Receiver) -> Result<(), String> {
     let mut connection = Connection::ready(r)?;
--- a/crates/contracts/src/link/faulty.rs
+++ b/crates/contracts/src/link/faulty.rs
@@ -81,10 +81,12 @@
         let quiet = events.len() == from;
         for event in &mut events[from..] {
             match event {
-                LinkEvent::Answered { call, reply, .. } => {
-                    if self.is(Fault::Confuses) && self.calls.get(3) == Some(call) {
-                        *call = self.calls[0];
-                    }
+                LinkEvent::Answered { call, .. } | LinkEvent::AnsweredUnconfirmed { call, .. }
+                    if self.is(Fault::Confuses) && self.calls.get(3) == Some(call) =>
+                {
+                    *call = self.calls[0];
+                }
+                LinkEvent::Answered { reply, .. } => {
                     if self.is(Fault::NoWait) {
                         reply.wait = 0;
                     }
--- a/crates/contracts/tests/link.rs
+++ b/crates/contracts/tests/link.rs
@@ -7,8 +7,9 @@
 const PLATFORM_KNOWN: &[&str] = &["an answer that nobody waits for is passed over"];
 
 /// Clauses on second copies of answers.
-const COPY_CLAUSES: [&str; 2] = [
+const COPY_CLAUSES: [&str; 3] = [
     "a copy of an answer proves nothing of the next call",
+    "whatever follows a copy, it delivers nothing",
     "an answer that comes a call late proves nothing",
 ];
 
@@ -74,12 +75,12 @@
 
 #[test]
 fn a_planted_link_that_believes_copies_is_caught() {
-    let [copy, late] = COPY_CLAUSES;
-    for (clause, other) in [(copy, late), (late, copy)] {
-        let known = [PLATFORM_KNOWN, &[other]].concat();
+    for clause in COPY_CLAUSES {
+        let others: Vec<&str> = COPY_CLAUSES.into_iter().filter(|other| *other != clause).collect();
+        let known = [PLATFORM_KNOWN, &others].concat();
         let wrong = FaultyReceiver(&Platform, Fault::BelievesCopies);
         planted_in(CLAUSES, &wrong as &dyn Receiver, clause, &known);
         let wrong = FaultyReceiver(&Http(3), Fault::BelievesCopies);
-        planted_in(CLAUSES, &wrong as &dyn Receiver, clause, &[other]);
+        planted_in(CLAUSES, &wrong as &dyn Receiver, clause, &others);
     }
 }
--- a/crates/engine/src/delivery/connections.rs
+++ b/crates/engine/src/delivery/connections.rs
@@ -7,6 +7,7 @@
 use crate::node::{CloseReason, Conn, ConnRole, LinkEvents, Node, TimerKey};
 use crate::stream::Stream;
 use heronroute::{EndpointId, Event, Outcome};
+use heronroute_config::Protocol;
 
 impl Node {
     /// Closes the connections to an endpoint that carry no calls and no probe.
@@ -146,7 +147,11 @@
             LinkEvent::EarlierConfirmed => self.confirm_deliveries(conn),
             LinkEvent::Contradicted(finality) => self.handle_contradiction(conn, finality),
             LinkEvent::WaitAnnounced(wait) => self.handle_announced_wait(endpoint, wait),
-            LinkEvent::Probed(reply) => self.finish_probe(endpoint, reply),
+            LinkEvent::DeliveryDigest(digest) => self.record_delivery_digest(conn, endpoint, digest),
+            LinkEvent::Probed(reply) => {
+                self.retire_where_answers_repeat(conn, endpoint);
+                self.finish_probe(endpoint, reply);
+            }
             LinkEvent::Ready
             | LinkEvent::PauseUntilConfirmed
             | LinkEvent::NoMoreCalls
@@ -156,6 +161,31 @@
         }
     }
 
+    /// Records what tells an endpoint's answer to a delivery from others.
+    fn record_delivery_digest(&mut self, conn: ConnId, endpoint: EndpointId, digest: u64) {
+        self.endpoints[endpoint].answer_variety.record(digest);
+        self.retire_where_answers_repeat(conn, endpoint);
+    }
+
+    /// Assigns no more calls to a connection with an answer if the next one would prove nothing.
+    fn retire_where_answers_repeat(&mut self, conn: ConnId, endpoint: EndpointId) {
+        if self.answers_repeat(endpoint) {
+            self.endpoints[endpoint].pool.retire(conn);
+        }
+    }
+
+    /// Returns whether a second answer of an endpoint on a connection could not be told from a copy of the first.
+    fn answers_repeat(&self, endpoint: EndpointId) -> bool {
+        let remote = &self.endpoints[endpoint];
+        let protocol = self.cfg.kinds[remote.kind].protocol;
+        protocol == Protocol::Http && !remote.answer_variety.answers_differ()
+    }
+
+    /// Returns how many calls a connection to an endpoint carries at once.
+    pub(crate) fn window(&self, endpoint: EndpointId) -> usize {
+        if self.answers_repeat(endpoint) { 1 } else { self.cfg.kinds[self.endpoints[endpoint].kind].window }
+    }
+
     /// Handles a wait that an endpoint announced, independently of the outcome of the call that it answers.
     pub(crate) fn handle_announced_wait(&mut self, endpoint: EndpointId, wait: Micros) {
         self.cancel_for_announced_wait(endpoint);
@@ -190,7 +220,7 @@
             events.into_iter().for_each(|event| self.handle_answer_event(conn, endpoint, event));
         }
         self.remove_expiry(conn);
-        let window = self.cfg.kinds[self.endpoints[endpoint].kind].window;
+        let window = self.window(endpoint);
         // The connection is removed from the pool first, so that calls which its end releases go to other
         // connections.
         let waiting = self.endpoints[endpoint].pool.remove(conn, window);
--- a/crates/engine/src/delivery/probe.rs
+++ b/crates/engine/src/delivery/probe.rs
@@ -16,8 +16,7 @@
         remote.probing = true;
         self.stats.probes += 1;
         self.timers.set(TimerKey::Probe(endpoint.0), self.now + 2 * self.cfg.service.connect_timeout);
-        let remote = &self.endpoints[endpoint];
-        match remote.pool.probe_connection(self.cfg.kinds[remote.kind].window) {
+        match self.endpoints[endpoint].pool.probe_connection(self.window(endpoint)) {
             Some(conn) => self.write_probe(endpoint, conn),
             None => {
                 self.endpoints[endpoint].pool.probe_waiting = true;
@@ -28,10 +27,12 @@
 
     /// Writes a probe to a connection.
     pub(crate) fn write_probe(&mut self, endpoint: EndpointId, conn: ConnId) {
+        // Where a connection carries one call at a time, a probe counts as that call.
+        let counted = self.window(endpoint) == 1;
         let remote = &mut self.endpoints[endpoint];
         (remote.pool.probe_waiting, remote.probe) = (false, Some(conn));
-        // Where a connection carries one call at a time, a probe counts as that call.
-        if self.cfg.kinds[remote.kind].window == 1 {
+        remote.probe_counted = counted;
+        if counted {
             remote.pool.count_probe(conn);
             self.timers.clear(TimerKey::Idle(conn));
         }
@@ -49,8 +50,8 @@
         if !remote.probing {
             return;
         }
-        let window = self.cfg.kinds[remote.kind].window;
-        let conn = remote.probe.filter(|_| window == 1);
+        let counted = std::mem::take(&mut remote.probe_counted);
+        let conn = remote.probe.filter(|_| counted);
         (remote.probing, remote.probe, remote.pool.probe_waiting) = (false, None, false);
         if let Some(conn) = conn {
             if remote.pool.finish_call(conn) {
--- a/crates/engine/src/delivery/send.rs
+++ b/crates/engine/src/delivery/send.rs
@@ -106,7 +106,7 @@
 
     /// Assigns waiting calls to connections, and opens further connections if needed.
     pub(crate) fn assign_calls(&mut self, endpoint: EndpointId) {
-        let window = self.cfg.kinds[self.endpoints[endpoint].kind].window;
+        let window = self.window(endpoint);
         self.cancel_expired(endpoint);
         while let Some((call, conn)) = self.endpoints[endpoint].pool.assign_next(window) {
             self.write_call(call, conn);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -32,6 +32,7 @@
 
 mod acceptance;
 mod admission;
+mod answer_variety;
 pub mod answers;
 pub mod attempts;
 pub mod calls;
--- a/crates/engine/src/link/http.rs
+++ b/crates/engine/src/link/http.rs
@@ -3,10 +3,10 @@
 //! RateLimit fields are the limit report, and a GET of the probe path is the probe. Guarded messages carry an
 //! Idempotency-Key. A call of several messages has a protobuf body (`heronroute_http::Batch`).
 //!
-//! Responses name no call and arrive in the order of the requests. A refusal or an error proves nothing if it,
-//! or a response before it, may be a second copy of an earlier response (see [`super::attribution`]). A 2xx
-//! status is believed unless such a refusal came before it: receivers often give every delivery the same
-//! response.
+//! Responses name no call and arrive in the order of the requests. A response proves nothing if it, or a response
+//! before it, may be a second copy of an earlier response (see [`super::attribution`]), whatever its status. As
+//! receivers often give every delivery the same response, the link reports a digest of each, by which the sender
+//! decides whether a connection carries a second call (see [`crate::answer_variety`]).
 
 use super::attribution::{AnswerHistory, Certainty};
 use super::{Link, LinkEvent, OutboundMessage, Reply};
@@ -18,6 +18,7 @@
 use heronroute_http::{BATCH_TYPE, Batch, Item, Message, Reader, Side, write_request};
 use heronroute_platform::call::Identity;
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 const MAX_BODY_BYTES: usize = 1 << 20;
 
@@ -50,8 +51,6 @@
     open_requests: VecDeque<OpenRequest>,
     /// Recognizes responses that may be copies of earlier ones.
     answer_history: AnswerHistory,
-    /// Whether a refusal or an error may have belonged to another call than the one it was taken for.
-    has_unproven_refusal: bool,
     closed: bool,
 }
 
@@ -66,7 +65,6 @@
             batches: kind.batch > 1,
             open_requests: VecDeque::new(),
             answer_history: AnswerHistory::default(),
-            has_unproven_refusal: false,
             closed: false,
         }
     }
@@ -111,14 +109,17 @@
         if !certain {
             events.push(LinkEvent::RefusalsUnproven);
         }
-        let believed = self.is_believed(certain, reply.outcome);
-        // A second refusal on a connection could be a copy of the first.
-        if reply.outcome != Outcome::Done || self.answer_history.is_full() {
+        // A second refusal on a connection could be a copy of the first, and what follows a response in doubt is in
+        // doubt too.
+        if !certain || reply.outcome != Outcome::Done || self.answer_history.is_full() {
             events.push(LinkEvent::NoMoreCalls);
         }
         match request {
             Request::Call { call, parts } => {
-                events.extend(parts.into_iter().map(|part| answered(call, part, reply, believed)));
+                if reply.outcome == Outcome::Done {
+                    events.push(LinkEvent::DeliveryDigest(delivery_digest(response)));
+                }
+                events.extend(parts.into_iter().map(|part| answered(call, part, reply, certain)));
             }
             Request::Probe => events.push(LinkEvent::Probed(reply)),
         }
@@ -132,25 +133,25 @@
         let certainty = self.answer_history.attribute(now, Some(Identity::of(response, false)));
         matches!(certainty, Certainty::Certain | Certainty::ConfirmsEarlier)
     }
-
-    /// Returns whether a response counts as the one to the oldest open request.
-    fn is_believed(&mut self, certain: bool, outcome: Outcome) -> bool {
-        if outcome == Outcome::Done {
-            return certain || !self.has_unproven_refusal;
-        }
-        self.has_unproven_refusal |= !certain;
-        certain
-    }
 }
 
-fn answered(call: u64, part: usize, reply: Reply, believed: bool) -> LinkEvent {
-    if believed {
+fn answered(call: u64, part: usize, reply: Reply, certain: bool) -> LinkEvent {
+    if certain {
         LinkEvent::Answered { call, part, reply }
     } else {
         LinkEvent::AnsweredUnconfirmed { call, part, reply }
     }
 }
 
+/// Returns a digest of a response without its date, which differs only between responses of different seconds.
+fn delivery_digest(response: &Message) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    response.status().hash(&mut hasher);
+    response.fields.iter().filter(|(name, _)| name != "date").for_each(|field| field.hash(&mut hasher));
+    response.body.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn reply(response: &Message) -> Reply {
     let outcome = match response.status() {
         200..300 => Outcome::Done,
--- a/crates/engine/src/link/http/tests.rs
+++ b/crates/engine/src/link/http/tests.rs
@@ -99,14 +99,14 @@
 }
 
 #[test]
-fn only_a_refusal_that_can_be_no_copy_is_certain() {
+fn only_a_response_that_can_be_no_copy_is_certain() {
     for (responses, wanted) in [
         (&[REFUSED][..], &[(1, true)][..]),
         (&[DELIVERED, REFUSED], &[(1, true), (2, true)]),
         (&[REFUSED, REFUSED], &[(1, true), (2, false)]),
         // The second one may be a copy, and the third one then belongs to the second call.
-        (&[DELIVERED, DELIVERED, REFUSED], &[(1, true), (2, true), (3, false)]),
-        (&[DELIVERED, DELIVERED, FAILED, REFUSED], &[(1, true), (2, true), (3, false), (4, false)]),
+        (&[DELIVERED, DELIVERED, REFUSED], &[(1, true), (2, false), (3, false)]),
+        (&[DELIVERED, DELIVERED, FAILED, REFUSED], &[(1, true), (2, false), (3, false), (4, false)]),
         // What follows an unproven refusal may belong to the call before it.
         (&[REFUSED, REFUSED, DELIVERED], &[(1, true), (2, false), (3, false)]),
     ] {
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -90,6 +90,9 @@
     NoMoreCalls,
     /// A refusal on the connection proves nothing any more, because responses may belong to earlier calls.
     RefusalsUnproven,
+    /// A call was answered as delivered. Contains the digest of what tells the answer from other deliveries' answers. It
+    /// precedes the answers to the call's messages.
+    DeliveryDigest(u64),
     /// A probe was answered.
     Probed(Reply),
     /// The connection can't be used any more and must be closed. Contains the reason.
--- a/crates/engine/src/node/state.rs
+++ b/crates/engine/src/node/state.rs
@@ -1,6 +1,7 @@
 //! The state of a node, as plain data: connections, messages, endpoints, clients, timers, deferred effects.
 
 use crate::Micros;
+use crate::answer_variety::AnswerVariety;
 use crate::failover::Suspension;
 use crate::front::{Front, Speaks};
 use crate::ids::ConnId;
@@ -191,8 +192,12 @@
     pub displaced: bool,
     /// The connection with a probe in flight.
     pub probe: Option<ConnId>,
+    /// Whether that probe counts as a call on its connection.
+    pub probe_counted: bool,
     /// Whether a probe is under way.
     pub probing: bool,
+    /// Whether its answers to deliveries differ from one another.
+    pub answer_variety: AnswerVariety,
 }
 
 impl Endpoint {
@@ -212,7 +217,9 @@
             displaced: false,
             pool: Pool::default(),
             probe: None,
+            probe_counted: false,
             probing: false,
+            answer_variety: AnswerVariety::default(),
         }
     }
 }
--- a/crates/engine/tests/attempt_starts.rs
+++ b/crates/engine/tests/attempt_starts.rs
@@ -66,6 +66,19 @@
         World { node, now: 0, received: BTreeMap::new(), once_calls: 0, submitted: 0 }
     }
 
+    /// Delivers messages, each with an answer of its own, so that connections to all endpoints carry several calls at
+    /// once. What was sent so far is forgotten.
+    fn let_answers_differ(&mut self) {
+        for number in 0..80 {
+            self.submit(&["FREE"]);
+            let conn = self.run_until_written(&format!("FREE {number}."));
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{number:02}");
+            self.node.received(self.now, conn, answer.as_bytes());
+        }
+        self.received.values_mut().for_each(String::clear);
+        self.submitted = 0;
+    }
+
     /// Submits messages of these classes on one connection of the client.
     fn submit(&mut self, classes: &[&str]) {
         let mut out = BytesMut::new();
@@ -149,6 +162,7 @@
 #[test]
 fn a_timed_out_attempt_beside_other_calls_is_not_followed_while_its_connection_is_open() {
     let mut world = World::new();
+    world.let_answers_differ();
     world.submit(&["FREE", "ONCE", "ONCE", "ONCE"]);
     let mut first = None;
     let mut again = false;
@@ -222,6 +236,7 @@
 #[test]
 fn a_message_behind_a_copied_refusal_over_http_waits_until_its_connection_is_closed() {
     let mut world = World::with_one_endpoint();
+    world.let_answers_differ();
     world.submit(&["FREE", "FREE", "FREE"]);
     let conn = world.run_until_written("FREE 2.");
     for _ in 0..2 {
