An id that was given up before its acceptance was told is free behind a start too

Found by reading what a start rebuilds poorer than it was: a client that leaves between the decision and the sync was never told of its message, and its id is free again; behind a start the id counted as used, and the message, handed in again, was answered 'the id was used before', though it never ran.

--- a/crates/engine/src/acceptance.rs
+++ b/crates/engine/src/acceptance.rs
@@ -213,7 +213,11 @@
         if m.attempts == 0
             && let Some(identity) = &m.submission.identity
         {
-            self.identities.withdraw(self.now + self.wall, identity);
+            let named = self.identities.withdraw(self.now + self.wall, identity, m.deadline + self.wall);
+            // Without an acceptance in the journal a start knows nothing of the id.
+            if m.reply.is_none() {
+                self.ledger.write(|| What::Named(named));
+            }
         }
         if let Some((call, part)) = m.out {
             self.cancel_or_abandon(call, part);
--- a/crates/engine/src/identities.rs
+++ b/crates/engine/src/identities.rs
@@ -7,7 +7,7 @@
 use crate::Micros;
 use heronroute::MsgId;
 use heronroute_journal::entry::Named;
-use heronroute_seen::{Name, SeenNames, Verdict};
+use heronroute_seen::{GIVEN_UP, Name, SeenNames, Verdict};
 use std::collections::BTreeMap;
 
 /// How long an id is remembered after the time of its message.
@@ -67,9 +67,12 @@
         Named { high: name.high, low: name.low, id: id.0, until }
     }
 
-    /// Forgets the id of a message whose client was never told that it was accepted, and that was never sent.
-    pub fn withdraw(&mut self, wall: Micros, identity: &str) {
-        self.accepted.give_up(wall, name_of(identity));
+    /// Forgets the id of a message whose client was never told that it was accepted, and that was never sent. Returns
+    /// what the journal keeps of that, for a message that expires at `deadline`, by the time of day.
+    pub fn withdraw(&mut self, wall: Micros, identity: &str, deadline: Micros) -> Named {
+        let name = name_of(identity);
+        self.accepted.give_up(wall, name);
+        Named { high: name.high, low: name.low, id: GIVEN_UP, until: deadline.saturating_add(RETENTION) }
     }
 
     /// Restores an id that the journal has kept.
--- a/crates/engine/src/identities/tests.rs
+++ b/crates/engine/src/identities/tests.rs
@@ -20,6 +20,6 @@
 fn an_id_whose_message_was_withdrawn_may_come_again() {
     let mut identities = Identities::new(100, 0, 7);
     identities.accept(0, "m", MsgId(5), 1_000_000);
-    identities.withdraw(0, "m");
+    identities.withdraw(0, "m", 10);
     assert_eq!(identities.owner(0, "m"), Owner::Nobody);
 }
--- a/crates/engine/tests/platform.rs
+++ b/crates/engine/tests/platform.rs
@@ -3,7 +3,7 @@
 mod sender;
 
 use heronroute_engine::platform::config;
-use heronroute_engine::{CloseReason, ConnId};
+use heronroute_engine::{CloseReason, ConnId, Output};
 use heronroute_journal::disk::{Disk, Faults};
 use heronroute_journal::{Journal, Storage};
 use heronroute_platform::start::read;
@@ -662,3 +662,29 @@
         harness.received_before_close(1001).into_iter().filter(|(at, _)| *at == conn).collect();
     assert!(rest.is_empty(), "the rest was sent: {rest:?}");
 }
+
+/// Guards against an id that a start takes for used though its message was given up before its acceptance was told: its
+/// client hands it in again, and would be told that it has ended.
+#[test]
+fn an_id_that_was_never_acknowledged_is_free_behind_a_start_too() {
+    // The endpoint drains, so that no attempt begins.
+    let draining = START_CONFIG.replacen("SERVING", "DRAINING", 1);
+    let journal = Journal::open(Disk::new(Faults::default()), JOURNAL_LIMITS).unwrap();
+    let mut harness = start_harness_with(&draining, journal, 0);
+    let client = harness.connect_client();
+    harness.node.received(harness.now, client, out_add_command("m", SAFE, "body").as_bytes());
+    harness.now += 5 * MS;
+    harness.node.settle(harness.now);
+    // The client leaves between the decision and the sync.
+    let outputs = harness.node.outputs();
+    harness.node.closed(harness.now, client, CloseReason::Ended);
+    let written = outputs.iter().any(|output| matches!(output, Output::Journal(_)));
+    assert!(written, "its acceptance is in the journal");
+    outputs.into_iter().for_each(|output| harness.handle_output(output));
+    harness.advance(50 * MS);
+    let mut harness = harness.restart();
+    let client = harness.connect_client();
+    harness.submit(client, "m", SAFE);
+    let reply = harness.take_replies(client);
+    assert!(reply.starts_with('+'), "{reply}");
+}
--- a/crates/seen/src/lib.rs
+++ b/crates/seen/src/lib.rs
@@ -13,7 +13,7 @@
 mod seen;
 
 pub use recent::{RecentRequests, RequestKey};
-pub use seen::{Name, SeenNames, digest};
+pub use seen::{GIVEN_UP, Name, SeenNames, digest};
 
 /// Whether a message was submitted before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/seen/src/seen.rs
+++ b/crates/seen/src/seen.rs
@@ -15,7 +15,7 @@
 const SLOTS: usize = 8;
 const SECOND: i64 = 1_000_000;
 /// Stored instead of a message where a name was given up early, so that its message is unknown.
-const GIVEN_UP: u64 = u64::MAX;
+pub const GIVEN_UP: u64 = u64::MAX;
 
 /// The digest of a client and the name that it gave a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
