--- a/crates/engine/src/region/takeover.rs
+++ b/crates/engine/src/region/takeover.rs
@@ -10,7 +10,7 @@
 use crate::restart::Restarted;
 use crate::takeover::as_taken_over;
 use heronroute_journal::entry::{
-    Accepted, Answer, Final, Heir, Held, Inherited, Intent, Named, Request, Session, Step, What,
+    Accepted, Answer, Final, Heir, Held, Inherited, Intent, Named, Request, Step, What,
 };
 use heronroute_journal::state::KeptSession;
 use heronroute_journal::{JournalState, Open};
@@ -129,9 +129,9 @@
                 ..*request
             };
             let latest: VecDeque<Request> = kept.latest.iter().map(renumbered).collect();
-            let session = Session { latest: latest.iter().copied().collect(), ..kept.session.clone() };
-            self.ledger.write(|| What::Session(session));
-            pending.state.sessions.insert(key, KeptSession { latest, ..kept });
+            let kept = KeptSession { latest, ..kept };
+            self.ledger.write(|| What::Session(kept.to_entry()));
+            pending.state.sessions.insert(key, kept);
         }
     }
 
--- a/crates/engine/src/restart.rs
+++ b/crates/engine/src/restart.rs
@@ -143,7 +143,7 @@
             let stored = &kept.session;
             let client = self.client_index(&stored.client);
             let mailbox = self.mailboxes.open(client, &stored.name);
-            let mut recent = RecentRequests::new(stored.window as usize);
+            let mut recent = RecentRequests::restored(stored.window as usize, kept.has_dropped);
             for request in &kept.latest {
                 let packet = u16::try_from(request.packet).unwrap_or(0);
                 recent.add(RequestKey { packet, digest: request.digest, again: false }, request.id);
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -141,6 +141,7 @@
                 notes: k.notes.clone(),
                 window,
                 latest: Vec::new(),
+                earlier: 0,
             })
         });
     }
--- a/crates/engine/tests/kept/mod.rs
+++ b/crates/engine/tests/kept/mod.rs
@@ -23,10 +23,15 @@
 pub const SECOND: i64 = 1_000 * MS;
 
 pub fn settings(held: &str) -> Arc<Config> {
+    settings_with_window(held, 100)
+}
+
+/// The settings, with a number of publications that a client may have out.
+pub fn settings_with_window(held: &str, window: u16) -> Arc<Config> {
     let text = format!(
         "service {{ slots: 16 room: 500 max_attempts: 6 quantum: \"1ms\" }} \
         smpp {{ enquire_every: \"1h\" inactivity: \"8h\" response: \"1h\" }} \
-        mqtt {{ listen: \"127.0.0.1:0\" window: 100 keep_alive: \"0s\" remember: \"10s\" }} {held} \
+        mqtt {{ listen: \"127.0.0.1:0\" window: {window} keep_alive: \"0s\" remember: \"10s\" }} {held} \
         rules {{ order_settle: \"100ms\" warm_up: \"1s\" }} \
         client {{ system_id: \"c\" password: \"secret\" }} client {{ system_id: \"d\" password: \"secret\" }} \
         class {{ name: \"PAY\" effect: \"single_shot\" deadline: \"1s\" }} \
@@ -67,6 +72,8 @@
     pub receivers_down: bool,
     /// Whether clients acknowledge nothing.
     pub withhold_acks: bool,
+    /// Whether bytes to clients are lost.
+    pub client_bytes_lost: bool,
     /// The delay of receivers' responses in milliseconds.
     pub response_delay_ms: i64,
     /// Whether receivers take messages and their answers are lost.
@@ -106,6 +113,7 @@
             received_bodies: Vec::new(),
             receivers_down: false,
             withhold_acks: false,
+            client_bytes_lost: false,
             response_delay_ms: 0,
             answers_lost: false,
             commits_paused: false,
@@ -259,7 +267,9 @@
         self.node().wrote(conn, bytes.len());
         let mut reply = BytesMut::new();
         if let Some(c) = self.clients.iter_mut().find(|c| c.conn == Some(conn)) {
-            c.mqtt.receive(&bytes, &mut reply, &mut c.events);
+            if !self.client_bytes_lost {
+                c.mqtt.receive(&bytes, &mut reply, &mut c.events);
+            }
             if self.withhold_acks {
                 reply.clear();
             }
--- a/crates/journal/src/entry.rs
+++ b/crates/journal/src/entry.rs
@@ -230,6 +230,21 @@
     /// The latest of those requests, oldest first. In snapshots only.
     #[prost(message, repeated, tag = "7")]
     pub latest: Vec<Request>,
+    /// Whether earlier requests of the session are missing from `latest`. In snapshots only.
+    #[prost(enumeration = "EarlierRequests", tag = "8")]
+    pub earlier: i32,
+}
+
+/// Whether a session had requests that its list of the latest ones does not contain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum EarlierRequests {
+    /// Not recorded, as by earlier versions of the program.
+    Unknown = 0,
+    /// It had none.
+    None = 1,
+    /// It had some.
+    Some = 2,
 }
 
 /// A request of a session.
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -2,7 +2,8 @@
 //! known of endpoints.
 
 use crate::entry::{
-    Accepted, Answer, Applied, Entry, Final, Held, Intent, Named, Place, Request, Session, Taken, What,
+    Accepted, Answer, Applied, EarlierRequests, Entry, Final, Held, Intent, Named, Place, Request, Session,
+    Taken, What,
 };
 use crate::takeovers::Takeovers;
 use prost::Message as _;
@@ -75,6 +76,39 @@
     pub session: Session,
     /// The latest requests, at most one window of them.
     pub latest: VecDeque<Request>,
+    /// Whether the session had, or may have had, earlier requests than these.
+    pub has_dropped: bool,
+}
+
+impl KeptSession {
+    /// Records that a request was accepted in the session.
+    fn add(&mut self, request: Request) {
+        self.latest.push_back(request);
+        while self.latest.len() > self.session.window as usize {
+            self.latest.pop_front();
+            self.has_dropped = true;
+        }
+    }
+
+    /// Replaces the requests by those of an entry. What the entry does not say may have been.
+    fn replace_requests(&mut self, s: &Session) {
+        self.latest = s.latest.iter().copied().collect();
+        self.has_dropped = match s.earlier() {
+            EarlierRequests::Unknown => !s.latest.is_empty(),
+            EarlierRequests::None => false,
+            EarlierRequests::Some => true,
+        };
+    }
+
+    /// Returns the entry that rebuilds the session with its requests.
+    pub fn to_entry(&self) -> Session {
+        let earlier = if self.has_dropped { EarlierRequests::Some } else { EarlierRequests::None };
+        Session {
+            latest: self.latest.iter().copied().collect(),
+            earlier: earlier.into(),
+            ..self.session.clone()
+        }
+    }
 }
 
 impl JournalState {
@@ -86,10 +120,7 @@
                 if a.packet > 0
                     && let Some(kept) = self.sessions.get_mut(&(a.client.clone(), a.mailbox.clone()))
                 {
-                    kept.latest.push_back(Request { packet: a.packet, digest: a.digest, id: a.id });
-                    while kept.latest.len() > kept.session.window as usize {
-                        kept.latest.pop_front();
-                    }
+                    kept.add(Request { packet: a.packet, digest: a.digest, id: a.id });
                 }
                 if let Some(named) = a.named {
                     self.add_name(named, a.taken);
@@ -215,9 +246,9 @@
         }
         let kept = self.sessions.entry(key).or_default();
         if kept.session.began != s.began || !s.latest.is_empty() {
-            kept.latest = s.latest.iter().copied().collect();
+            kept.replace_requests(s);
         }
-        kept.session = Session { latest: Vec::new(), ..s.clone() };
+        kept.session = Session { latest: Vec::new(), earlier: 0, ..s.clone() };
     }
 
     /// Adds a message name, and drops expired names and those beyond the maximum.
@@ -284,10 +315,7 @@
             }
             list
         });
-        let sessions = self.sessions.values().map(|k| {
-            let latest = k.latest.iter().copied().collect();
-            What::Session(Session { latest, ..k.session.clone() }).into()
-        });
+        let sessions = self.sessions.values().map(|k| What::Session(k.to_entry()).into());
         let forgot = Named { until: self.forgot, ..Named::default() };
         let forgot = Some(forgot).filter(|f| f.until > 0);
         let names = forgot.into_iter().chain(self.names.iter().copied()).map(|n| What::Named(n).into());
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -48,6 +48,7 @@
                     notes: vec![1; below(9) as usize],
                     window: 4,
                     latest: Vec::new(),
+                    earlier: 0,
                 }),
                 7 => What::Held(Held {
                     accepted: Some(Accepted { id, ..Accepted::default() }),
--- a/crates/seen/src/recent.rs
+++ b/crates/seen/src/recent.rs
@@ -33,6 +33,11 @@
         RecentRequests { ring: VecDeque::new(), room: room.max(1), has_dropped: false }
     }
 
+    /// Returns an empty ring for a session of which earlier requests are, or may be, forgotten.
+    pub fn restored(room: usize, has_dropped: bool) -> Self {
+        RecentRequests { has_dropped, ..RecentRequests::new(room) }
+    }
+
     /// Returns whether a request was submitted before in this session.
     pub fn find(&self, handle: RequestKey) -> Verdict {
         if !handle.again {
