A client's connections lead to its home sender, whatever its first command, or are refused

Cause: the acceptor read the name from the first 4,096 octets alone, and passed a connection without a name to the home of the empty name, where any client is admitted. SMPP reached it too: by a command before the bind (enquire_link), and by a bind behind another client's refused one on the same connection.

Fix: the first command is read whole, in pieces of any size, up to max_packet. SMPP commands before a bind are answered at the acceptor. A sender admits only clients whose home it is; others are refused (ESME_RBINDFAIL, 0x88) and closed, so that a new connection leads home. A client that closes its side behind its first command is passed on; before, what it had sent was dropped unread. Removing one unidentified connection costs no more with more of them.

--- a/crates/engine/src/front/mqtt.rs
+++ b/crates/engine/src/front/mqtt.rs
@@ -174,7 +174,7 @@
                 self.session.admit(entered.assigned_name, entered.notes.is_some(), &filters, out);
             }
             Err(Denied::Name | Denied::Password) => self.session.refuse(0x86, out),
-            Err(Denied::Leaving) => self.session.refuse(0x88, out),
+            Err(Denied::Leaving | Denied::Elsewhere) => self.session.refuse(0x88, out),
             Err(Denied::Busy) => self.session.refuse(0x89, out),
         }
     }
--- a/crates/engine/src/front/request.rs
+++ b/crates/engine/src/front/request.rs
@@ -171,4 +171,6 @@
     Leaving,
     /// The limit of named sessions is reached.
     Busy,
+    /// Another sender of the process is the client's home. A new connection leads there.
+    Elsewhere,
 }
--- a/crates/engine/src/front/smpp.rs
+++ b/crates/engine/src/front/smpp.rs
@@ -85,7 +85,7 @@
             Ok(_) => self.session.accept(now, token, OWN_NAME, out),
             Err(Denied::Name) => self.session.refuse(token, CommandStatus::EsmeRinvsysid, out),
             Err(Denied::Password) => self.session.refuse(token, CommandStatus::EsmeRinvpaswd, out),
-            Err(Denied::Leaving | Denied::Busy) => {
+            Err(Denied::Leaving | Denied::Busy | Denied::Elsewhere) => {
                 self.session.refuse(token, CommandStatus::EsmeRbindfail, out)
             }
         }
--- a/crates/engine/src/node/mod.rs
+++ b/crates/engine/src/node/mod.rs
@@ -75,6 +75,8 @@
     pub(crate) sessions: [usize; FRONT_COUNT],
     /// The number of open messages, by front.
     pub(crate) open_by_front: [usize; FRONT_COUNT],
+    /// The number of senders of the process, among which clients have their homes.
+    pub(crate) senders: usize,
     pub(crate) mailboxes: Mailboxes,
     /// The names that clients gave their messages, with the messages' ids.
     pub(crate) seen: Option<SeenNames>,
--- a/crates/engine/src/node/start.rs
+++ b/crates/engine/src/node/start.rs
@@ -119,6 +119,7 @@
             next_conn: 0,
             sessions: [0; FRONT_COUNT],
             open_by_front: [0; FRONT_COUNT],
+            senders: cfg.service.senders.max(1),
             mailboxes: Mailboxes::default(),
             seen: cfg.mqtt.as_ref().map(|m| SeenNames::new(m.remembered, start.wall, start.seed)),
             read_budgets: ReadBudgets::new(now),
--- a/crates/engine/src/region/takeover.rs
+++ b/crates/engine/src/region/takeover.rs
@@ -79,7 +79,7 @@
     }
 
     fn write_book(&mut self, origin: &str, state: JournalState, pending: &mut PendingTakeover) {
-        let (own, senders) = (self.index, self.cfg.service.senders);
+        let (own, senders) = (self.index, self.senders);
         let is_home = |client: &str| home(client, senders) == own;
         let mut ids: BTreeMap<u64, u64> = BTreeMap::new();
         for (id, open) in state.open.into_iter().filter(|(_, o)| is_home(&o.accepted.client)) {
--- a/crates/engine/src/sessions.rs
+++ b/crates/engine/src/sessions.rs
@@ -4,6 +4,7 @@
 use crate::Micros;
 use crate::admission::{Origin, constant_time_eq};
 use crate::front::{AdmittedSession, Denied, SessionRequest, Speaks, SubmissionContext};
+use crate::home::home;
 use crate::ids::ConnId;
 use crate::mailboxes::{MailboxId, NamedSession, Will};
 use crate::node::{ConnRole, Effect, Node, TimerKey};
@@ -24,7 +25,13 @@
         let config = known.and_then(|k| self.cfg.clients.get(k));
         let result = match (config, known) {
             _ if self.leaving => Err(Denied::Leaving),
-            (Some(c), Some(client)) if constant_time_eq(&c.password, password) => Ok(client),
+            (Some(c), Some(client)) if constant_time_eq(&c.password, password) => {
+                if self.is_home(name) {
+                    Ok(client)
+                } else {
+                    Err(Denied::Elsewhere)
+                }
+            }
             (Some(_), _) => Err(Denied::Password),
             _ => Err(Denied::Name),
         };
@@ -41,8 +48,9 @@
             }
             Err(denied) => {
                 front.admitted(now, token, Err(denied), out);
-                // An SMPP client may try again on the same connection; an MQTT client may not.
-                if self.speaks(conn) == Some(Speaks::Mqtt) {
+                // An SMPP client may try again on the same connection; an MQTT client may not, nor one whose
+                // connection has to lead to another sender.
+                if self.speaks(conn) == Some(Speaks::Mqtt) || denied == Denied::Elsewhere {
                     self.flush(conn);
                     self.end_session(conn);
                 }
@@ -60,6 +68,11 @@
         }
     }
 
+    /// Returns whether this sender is the client's home. All that is kept for a client is kept there alone.
+    pub(crate) fn is_home(&self, client: &str) -> bool {
+        home(client, self.senders) == self.index % self.senders
+    }
+
     /// Returns the protocol of a client connection.
     pub(crate) fn speaks(&self, conn: ConnId) -> Option<Speaks> {
         match self.conns.get(&conn).map(|c| &c.role) {
--- a/crates/net/src/acceptor.rs
+++ b/crates/net/src/acceptor.rs
@@ -1,19 +1,20 @@
 //! The acceptor: accepts clients, reads the name in their first command, and passes each to its home sender.
 
 use crate::clock::Clock;
+use crate::first_command::{FirstCommand, Step};
 use crate::reactor::Command;
-use crate::socket::{Progress, read_some};
+use crate::reservations::Reservations;
+use crate::socket::{Progress, read_some, write_some};
 use heronroute_engine::front::Speaks;
 use heronroute_engine::home::home;
-use heronroute_mqtt::peek::user_name;
-use heronroute_smpp::server::peek_system_id;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Sender;
+use std::time::Duration;
 
 /// The token of the listener.
 const LISTENER: Token = Token(0);
@@ -23,9 +24,13 @@
 const FIRST_CLIENT: usize = 2;
 /// The maximum number of connections whose client is not identified yet. Beyond it the oldest are closed.
 const MAX_UNIDENTIFIED: usize = 1_024;
-/// The maximum number of bytes within which the first command must contain the client's name. Bytes that were
-/// read beyond it are passed on too.
-const FIRST_COMMAND_LIMIT: usize = 4_096;
+/// The number of bytes that all connections together may hold beyond what each may hold by itself, or the length of one
+/// command if that is more.
+const MAX_RESERVED_BYTES: usize = 4 << 20;
+/// The number of bytes that are read at once.
+const READ_BYTES: usize = 4_096;
+/// The number of reads of one connection in a turn.
+const READS_PER_TURN: usize = 32;
 
 /// A handle to a sender's thread: its command queue, and the waker of its reactor.
 #[derive(Clone)]
@@ -41,10 +46,24 @@
     }
 }
 
+/// A client protocol's listener, and how its clients are identified.
+pub struct Listener {
+    /// The protocol.
+    pub protocol: Speaks,
+    /// The listening socket.
+    pub socket: TcpListener,
+    /// The time in which a client must send its name, in microseconds.
+    pub identify_timeout: i64,
+    /// The maximum length of a command, in bytes.
+    pub max_command: usize,
+}
+
 /// A connection whose client is not identified yet.
 struct Unidentified {
     stream: TcpStream,
-    bytes: Vec<u8>,
+    command: FirstCommand,
+    /// The time by which the client must have sent its name.
+    deadline: i64,
 }
 
 /// The acceptor of one client protocol. It runs on a thread of its own.
@@ -54,11 +73,17 @@
     poll: Poll,
     senders: Vec<SenderHandle>,
     unidentified: BTreeMap<usize, Unidentified>,
-    /// The time by which each client must have sent its name, oldest first.
-    deadlines: VecDeque<(i64, usize)>,
+    /// The deadlines of all unidentified clients, with their tokens.
+    deadlines: BTreeSet<(i64, usize)>,
+    /// The bytes that large first commands take.
+    reservations: Reservations,
+    /// Connections that may have more to read, which the system does not report again.
+    ready: VecDeque<usize>,
     next_token: usize,
     /// The time in which a client must send its name, in microseconds.
     identify_timeout: i64,
+    /// The maximum length of a command, in bytes.
+    max_command: usize,
     clock: Clock,
     /// Whether the service has stopped accepting clients.
     closing: Arc<AtomicBool>,
@@ -67,39 +92,38 @@
 impl Acceptor {
     /// Creates an acceptor, and the waker that makes it check `closing`.
     pub fn new(
-        protocol: Speaks,
-        mut listener: TcpListener,
+        listener: Listener,
         senders: Vec<SenderHandle>,
-        identify_timeout: i64,
         clock: Clock,
         closing: Arc<AtomicBool>,
     ) -> io::Result<(Self, Arc<Waker>)> {
         let poll = Poll::new()?;
-        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let mut socket = listener.socket;
+        poll.registry().register(&mut socket, LISTENER, Interest::READABLE)?;
         let waker = Arc::new(Waker::new(poll.registry(), WAKER)?);
-        let (unidentified, deadlines) = (BTreeMap::new(), VecDeque::new());
-        Ok((
-            Acceptor {
-                protocol,
-                listener,
-                poll,
-                senders,
-                unidentified,
-                deadlines,
-                next_token: FIRST_CLIENT,
-                identify_timeout,
-                clock,
-                closing,
-            },
-            waker,
-        ))
+        let acceptor = Acceptor {
+            protocol: listener.protocol,
+            listener: socket,
+            poll,
+            senders,
+            unidentified: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            reservations: Reservations::new(MAX_RESERVED_BYTES.max(listener.max_command)),
+            ready: VecDeque::new(),
+            next_token: FIRST_CLIENT,
+            identify_timeout: listener.identify_timeout,
+            max_command: listener.max_command,
+            clock,
+            closing,
+        };
+        Ok((acceptor, waker))
     }
 
     /// Runs until the service stops accepting clients.
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(256);
         loop {
-            let timeout = self.deadlines.front().map(|(at, _)| self.clock.until(*at));
+            let timeout = self.timeout();
             match self.poll.poll(&mut events, timeout) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
@@ -111,14 +135,35 @@
                 match event.token() {
                     LISTENER => self.accept(),
                     WAKER => {}
-                    Token(token) => self.read_name(token),
+                    Token(token) => self.identify(token),
                 }
             }
-            let now = self.clock.now();
-            while let Some((_, token)) = self.deadlines.front().copied().filter(|(at, _)| *at <= now) {
-                self.deadlines.pop_front();
-                self.unidentified.remove(&token);
+            for _ in 0..self.ready.len() {
+                if let Some(token) = self.ready.pop_front() {
+                    self.identify(token);
+                }
             }
+            self.close_overdue(self.clock.now());
+        }
+    }
+
+    /// Returns how long nothing has to be done unless a socket is ready.
+    fn timeout(&self) -> Option<Duration> {
+        if !self.ready.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let deadline = self.deadlines.first().map(|(at, _)| *at);
+        let next = [deadline, self.reservations.next_timeout()].into_iter().flatten().min();
+        next.map(|at| self.clock.until(at))
+    }
+
+    /// Closes the connections that sent no name in time, and those that kept others out for too long.
+    fn close_overdue(&mut self, now: i64) {
+        while let Some((_, token)) = self.deadlines.first().copied().filter(|(at, _)| *at <= now) {
+            self.remove(token);
+        }
+        while let Some(token) = self.reservations.overdue(now) {
+            self.remove(token);
         }
     }
 
@@ -133,12 +178,14 @@
                     }
                     // Guards against silent connections that fill the table by closing the oldest of them.
                     while self.unidentified.len() >= MAX_UNIDENTIFIED {
-                        let Some((_, oldest)) = self.deadlines.pop_front() else { break };
-                        self.unidentified.remove(&oldest);
+                        let Some((_, oldest)) = self.deadlines.first().copied() else { break };
+                        self.remove(oldest);
                     }
-                    self.unidentified.insert(token, Unidentified { stream, bytes: Vec::new() });
-                    self.deadlines.push_back((self.clock.now() + self.identify_timeout, token));
-                    self.read_name(token);
+                    let deadline = self.clock.now() + self.identify_timeout;
+                    let command = FirstCommand::new(self.protocol, self.max_command);
+                    self.unidentified.insert(token, Unidentified { stream, command, deadline });
+                    self.deadlines.insert((deadline, token));
+                    self.identify(token);
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -152,34 +199,75 @@
         }
     }
 
-    fn read_name(&mut self, token: usize) {
-        let Some(client) = self.unidentified.get_mut(&token) else { return };
-        let mut buffer = [0; FIRST_COMMAND_LIMIT];
-        let is_closed = match read_some(&mut client.stream, &mut buffer, true) {
-            Progress::Blocked(received) | Progress::More(received) => {
-                client.bytes.extend_from_slice(&buffer[..received]);
-                false
+    /// Reads a connection's first command as far as it has arrived, and passes the connection on once its client is
+    /// known.
+    fn identify(&mut self, token: usize) {
+        let mut buffer = [0; READ_BYTES];
+        for _ in 0..READS_PER_TURN {
+            let Some(client) = self.unidentified.get_mut(&token) else { return };
+            let room = client.command.room().min(buffer.len());
+            let progress = read_some(&mut client.stream, &mut buffer[..room], true);
+            let (received, has_ended) = match progress {
+                Progress::Blocked(received) | Progress::More(received) => (received, false),
+                // A client that sends nothing more may still wait for its answers.
+                Progress::Ended(received) => (received, true),
+                Progress::Broken => (0, true),
+            };
+            client.command.push(&buffer[..received]);
+            let step = client.command.step();
+            let reply = client.command.take_reply();
+            let is_written = reply.is_empty()
+                || matches!(write_some(&mut client.stream, &reply), Progress::More(n) if n == reply.len());
+            match step {
+                Step::PassOn(name) => return self.pass_on(token, &name),
+                Step::Close => return self.remove(token),
+                _ if has_ended || !is_written => return self.remove(token),
+                Step::Reserve(bytes) => {
+                    self.reservations.request(token, bytes);
+                    return self.grant_reservations();
+                }
+                Step::Read if matches!(progress, Progress::Blocked(_)) => return,
+                Step::Read => {}
             }
-            Progress::Ended(_) | Progress::Broken => true,
-        };
-        if is_closed {
-            self.unidentified.remove(&token);
-            return;
         }
-        let name = match self.protocol {
-            Speaks::Smpp => peek_system_id(&client.bytes, FIRST_COMMAND_LIMIT),
-            Speaks::Mqtt => user_name(&client.bytes, FIRST_COMMAND_LIMIT),
-            // RESP clients connect to a sender directly, without an acceptor.
-            Speaks::Resp => None,
-        };
-        let Some(name) = name else { return };
-        let Some(mut client) = self.unidentified.remove(&token) else { return };
-        self.deadlines.retain(|(_, other_token)| *other_token != token);
+        self.ready.push_back(token);
+    }
+
+    /// Removes a connection, which closes it unless it is passed on, with all that is counted for it.
+    fn take(&mut self, token: usize) -> Option<Unidentified> {
+        let client = self.unidentified.remove(&token)?;
+        self.deadlines.remove(&(client.deadline, token));
+        self.reservations.release(token);
+        self.grant_reservations();
+        Some(client)
+    }
+
+    fn remove(&mut self, token: usize) {
+        self.take(token);
+    }
+
+    /// Lets connections go on for whose first commands there is room now.
+    fn grant_reservations(&mut self) {
+        let now = self.clock.now();
+        while let Some((token, bytes)) = self.reservations.grant_next(now) {
+            let Some(client) = self.unidentified.get_mut(&token) else { continue };
+            client.command.reserved(bytes);
+            // The time in which it was not read is not the client's.
+            self.deadlines.remove(&(client.deadline, token));
+            client.deadline = now + self.identify_timeout;
+            self.deadlines.insert((client.deadline, token));
+            self.ready.push_back(token);
+        }
+    }
+
+    /// Passes a connection to its client's home. A client without a name is passed to a sender too, which answers it as
+    /// the protocol requires.
+    fn pass_on(&mut self, token: usize, name: &str) {
+        let Some(mut client) = self.take(token) else { return };
         if self.poll.registry().deregister(&mut client.stream).is_err() {
             return;
         }
-        // A client without a name is passed to a sender too, which answers it as the protocol requires.
-        let sender = &self.senders[home(&name, self.senders.len())];
-        sender.send(Command::Client(self.protocol, client.stream, client.bytes));
+        let sender = &self.senders[home(name, self.senders.len())];
+        sender.send(Command::Client(self.protocol, client.stream, client.command.into_bytes()));
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,9 +19,11 @@
 mod acceptor;
 mod clock;
 mod closing;
+mod first_command;
 pub mod fleet;
 mod journal_writer;
 mod reactor;
+mod reservations;
 mod service;
 mod signals;
 mod socket;
--- a/crates/net/src/service.rs
+++ b/crates/net/src/service.rs
@@ -97,8 +97,8 @@
         let fleet = fleet.map(|setup| BoundMember::new(setup, clock)).transpose()?;
         let journals = journals(&cfg)?;
         let listeners = launch::listeners(&cfg)?;
-        let address = listeners[0].1.local_addr()?;
-        let mqtt = listeners.get(1).map(|l| l.1.local_addr()).transpose()?;
+        let address = listeners[0].socket.local_addr()?;
+        let mqtt = listeners.get(1).map(|listener| listener.socket.local_addr()).transpose()?;
         let list_path = cfg.directory.keep.as_ref().map(PathBuf::from);
         let saved_list = list_path.as_ref().and_then(|path| std::fs::read_to_string(path).ok());
         let member = fleet.as_ref().map(BoundMember::handle);
--- a/crates/net/src/service/launch.rs
+++ b/crates/net/src/service/launch.rs
@@ -1,7 +1,7 @@
 //! Starts the threads of a service: its senders, their journal writers and its acceptors.
 
 use super::StartError;
-use crate::acceptor::{Acceptor, SenderHandle};
+use crate::acceptor::{Acceptor, Listener, SenderHandle};
 use crate::clock::Clock;
 use crate::fleet::{MemberHandle, SenderMemberHandle};
 use crate::journal_writer;
@@ -108,15 +108,22 @@
     }
 }
 
-/// A listener with its protocol, and the time in which a client must send its first command, in microseconds.
-pub type Listener = (Speaks, TcpListener, i64);
-
 /// Opens the listeners: SMPP, and MQTT if the settings enable it.
 pub fn listeners(cfg: &Config) -> Result<Vec<Listener>, StartError> {
     let listen = |at: SocketAddr| TcpListener::bind(at).map_err(|e| StartError::Listen(at, e));
-    let mut listeners = vec![(Speaks::Smpp, listen(cfg.smpp.listen)?, cfg.smpp.session_init)];
+    let mut listeners = vec![Listener {
+        protocol: Speaks::Smpp,
+        socket: listen(cfg.smpp.listen)?,
+        identify_timeout: cfg.smpp.session_init,
+        max_command: cfg.smpp.max_pdu,
+    }];
     if let Some(mqtt) = &cfg.mqtt {
-        listeners.push((Speaks::Mqtt, listen(mqtt.listen)?, mqtt.connect_within));
+        listeners.push(Listener {
+            protocol: Speaks::Mqtt,
+            socket: listen(mqtt.listen)?,
+            identify_timeout: mqtt.connect_within,
+            max_command: mqtt.max_packet as usize,
+        });
     }
     Ok(listeners)
 }
@@ -129,10 +136,9 @@
     closing: &Arc<AtomicBool>,
 ) -> io::Result<Vec<(Thread, Arc<Waker>)>> {
     let mut acceptors = Vec::new();
-    for (protocol, listener, identify_timeout) in listeners {
-        let (acceptor, waker) =
-            Acceptor::new(protocol, listener, senders.to_vec(), identify_timeout, clock, closing.clone())?;
-        let name = format!("door-{protocol:?}").to_lowercase();
+    for listener in listeners {
+        let name = format!("door-{:?}", listener.protocol).to_lowercase();
+        let (acceptor, waker) = Acceptor::new(listener, senders.to_vec(), clock, closing.clone())?;
         acceptors.push((Builder::new().name(name).spawn(move || acceptor.run())?, waker));
     }
     Ok(acceptors)
--- a/crates/smpp/src/server.rs
+++ b/crates/smpp/src/server.rs
@@ -20,6 +20,9 @@
 /// The time for which acknowledgements are accepted after the peer has unbound.
 const UNBIND_GRACE: Micros = 1_000_000;
 
+/// The maximum length of a system_id with its end, in bytes.
+const SYSTEM_ID_BYTES: usize = 16;
+
 /// The limits of a session.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -632,22 +635,49 @@
     Event::Bind { mode, system_id, password, system_type, sequence }
 }
 
-/// Returns the system_id in the first command of a stream: `None` while it is incomplete, an empty one if the
-/// command is not a bind. An acceptor routes the connection by it before a session exists.
-pub fn peek_system_id(bytes: &[u8], max_bytes: usize) -> Option<String> {
-    if bytes.len() < HEADER {
-        return None;
+/// The beginning of a command: its length and its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrameHeader {
+    /// The command_length, in bytes.
+    pub length: usize,
+    /// The command_id.
+    pub id: u32,
+}
+
+impl FrameHeader {
+    /// Returns whether the command is a bind.
+    pub fn is_bind(self) -> bool {
+        [CommandId::BindReceiver, CommandId::BindTransmitter, CommandId::BindTransceiver]
+            .into_iter()
+            .any(|bind| u32::from(bind) == self.id)
+    }
+
+    /// Returns whether the length is possible, and at most `max_bytes`.
+    pub fn has_valid_length(self, max_bytes: usize) -> bool {
+        (HEADER..=max_bytes).contains(&self.length)
     }
-    let read_u32 = |at: usize| u32::from_be_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]]);
-    let (length, id) = (read_u32(0) as usize, read_u32(4));
-    if !matches!(id, 1 | 2 | 9) || !(HEADER..=max_bytes).contains(&length) {
+}
+
+/// Returns the header of the first command of a stream, once it is complete.
+pub fn frame_header(bytes: &[u8]) -> Option<FrameHeader> {
+    let read_u32 = |at: usize| Some(u32::from_be_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
+    (bytes.len() >= HEADER).then_some(())?;
+    Some(FrameHeader { length: read_u32(0)? as usize, id: read_u32(4)? })
+}
+
+/// Returns the system_id in the first command of a stream: `None` while it is incomplete, an empty one if the
+/// command is not a bind. An acceptor routes the connection by it before a session exists. The system_id stands within
+/// the first bytes of a bind, whatever its length.
+pub fn peek_system_id(bytes: &[u8]) -> Option<String> {
+    let header = frame_header(bytes)?;
+    if !header.is_bind() || header.length < HEADER {
         return Some(String::new());
     }
-    let end = bytes.len().min(length);
+    let end = bytes.len().min(header.length);
     let body = &bytes[HEADER..end];
-    match body.iter().take(16).position(|b| *b == 0) {
+    match body.iter().take(SYSTEM_ID_BYTES).position(|b| *b == 0) {
         Some(at) => Some(String::from_utf8_lossy(&body[..at]).into_owned()),
-        None if end == length || body.len() >= 16 => Some(String::new()),
+        None if end == header.length || body.len() >= SYSTEM_ID_BYTES => Some(String::new()),
         None => None,
     }
 }
--- a/crates/smpp/tests/session.rs
+++ b/crates/smpp/tests/session.rs
@@ -198,12 +198,12 @@
     let mut bind = BytesMut::new();
     client::Session::bind(0, LIMITS, Mode::Transceiver, "oduya", "pw", &mut bind);
     for n in 0..22 {
-        assert_eq!(peek_system_id(&bind[..n], 4_096), None);
+        assert_eq!(peek_system_id(&bind[..n]), None);
     }
     for n in 22..=bind.len() {
-        assert_eq!(peek_system_id(&bind[..n], 4_096).as_deref(), Some("oduya"));
+        assert_eq!(peek_system_id(&bind[..n]).as_deref(), Some("oduya"));
     }
-    assert_eq!(peek_system_id(b"GET / HTTP/1.1\r\n", 4_096).as_deref(), Some(""));
+    assert_eq!(peek_system_id(b"GET / HTTP/1.1\r\n").as_deref(), Some(""));
 }
 
 proptest! {
@@ -227,6 +227,6 @@
             s.receive(0, 0, part, &mut out, &mut events);
             client.receive(0, part, &mut out, &mut Vec::new());
         }
-        _ = peek_system_id(&input, 4_096);
+        _ = peek_system_id(&input);
     }
 }
