--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -24,6 +24,7 @@
 mod log;
 mod reader;
 mod recovery;
+pub mod relocation;
 mod repair;
 mod replacement;
 mod snapshot;
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -293,28 +293,7 @@
 
     /// Returns entries that rebuild this state.
     pub fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
-        let messages = self.open.values().flat_map(|o| {
-            let id = o.accepted.id;
-            let mut list: Vec<Entry> = vec![What::Accepted(o.accepted.clone()).into()];
-            // Rebuilds the number of attempts, among them the one that may have taken effect.
-            let without_effect = o.attempts - u32::from(o.may_run.is_some()) - u32::from(o.out.is_some());
-            let intent = Intent { id, ..Intent::default() };
-            for _ in 0..without_effect {
-                list.push(What::Intent(intent.clone()).into());
-                list.push(What::Outcome(crate::entry::Outcome { id, never_ran: true }).into());
-            }
-            if let Some(i) = &o.may_run {
-                list.push(What::Intent(i.clone()).into());
-                list.push(What::Outcome(crate::entry::Outcome { id, never_ran: false }).into());
-            }
-            if let Some(i) = &o.out {
-                list.push(What::Intent(i.clone()).into());
-            }
-            if let Some(a) = &o.answer {
-                list.push(What::Answer(a.clone()).into());
-            }
-            list
-        });
+        let messages = self.open.values().flat_map(Open::entries);
         let sessions = self.sessions.values().map(|k| What::Session(k.to_entry()).into());
         let forgot = Named { until: self.forgot, ..Named::default() };
         let forgot = Some(forgot).filter(|f| f.until > 0);
--- a/crates/net/src/service.rs
+++ b/crates/net/src/service.rs
@@ -1,16 +1,14 @@
 //! The service: starts, controls and joins its threads.
 
+mod journals;
 mod launch;
 
 use crate::acceptor::SenderHandle;
 use crate::clock::Clock;
 use crate::fleet::{BoundMember, MemberAnswer, MemberSetup, RunningMember};
-use crate::journal_writer;
 use crate::reactor::Command;
 use heronroute_config::Config;
 use heronroute_engine::Stats;
-use heronroute_journal::Journal;
-use heronroute_journal::dir::Dir;
 use launch::{SenderLauncher, Thread};
 use mio::Waker;
 use std::io;
@@ -95,7 +93,7 @@
     ) -> Result<Self, StartError> {
         let clock = Clock::start_with_offset(cfg.fleet.as_ref().map_or(0, |fleet| fleet.clock_ahead));
         let fleet = fleet.map(|setup| BoundMember::new(setup, clock)).transpose()?;
-        let journals = journals(&cfg)?;
+        let journals = journals::open_journals(&cfg)?;
         let listeners = launch::listeners(&cfg)?;
         let address = listeners[0].socket.local_addr()?;
         let mqtt = listeners.get(1).map(|listener| listener.socket.local_addr()).transpose()?;
@@ -228,31 +226,3 @@
         }
     })
 }
-
-/// Opens the senders' journals, one folder each, or none if the settings have no journal.
-fn journals(cfg: &Config) -> Result<Vec<Option<Journal<Dir>>>, StartError> {
-    let n = cfg.service.senders;
-    let Some(folder) = &cfg.journal.folder else { return Ok((0..n).map(|_| None).collect()) };
-    let folder = PathBuf::from(folder);
-    std::fs::create_dir_all(&folder)?;
-    // The home sender of a client depends on the number of senders. With another number, an open message
-    // would be answered by a sender to which its client never connects.
-    let count_file = folder.join("senders");
-    let previous_count =
-        std::fs::read_to_string(&count_file).ok().and_then(|t| t.trim().parse::<usize>().ok()).unwrap_or(n);
-    let mut list = Vec::new();
-    for index in 0..n.max(previous_count) {
-        list.push(Some(journal_writer::open(&folder.join(format!("sender-{index}")), cfg.journal.limits)?));
-    }
-    // Under clients' rules, only the home sender has room for held messages. Another sender would drop those
-    // that it held before.
-    let needs_same_count = |journal: &Journal<Dir>| {
-        !journal.state().open.is_empty() || (cfg.fleet.is_some() && !journal.state().held.is_empty())
-    };
-    if previous_count != n && list.iter().flatten().any(needs_same_count) {
-        return Err(StartError::SenderCount(previous_count));
-    }
-    list.truncate(n);
-    std::fs::write(&count_file, n.to_string())?;
-    Ok(list)
-}
