--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -14,6 +14,12 @@
 const INTERIM: &str = "HTTP/1.1 102 Processing\r\n\r\n";
 const CLOSING: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 const SPOILT: &str = "HTTP/1.1 5O3 No\r\ncontent-length: x\r\n\r\n";
+/// The beginning of an answer that never ends.
+const ENDLESS_HEAD: &str = "HTTP/1.1 500 No\r\ncontent-length: 60000\r\n\r\n";
+/// How much of its body is written, in bytes.
+const ENDLESS_BYTES: usize = 55_000;
+/// In runs with answers that never end, one call in so many gets one.
+const ENDLESS_EVERY: u64 = 8;
 const FAILED: &str = "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n";
 const FULL: &str = "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n";
 const GONE: &str = "HTTP/1.1 410 No\r\ncontent-length: 0\r\n\r\n";
@@ -43,6 +49,8 @@
     idle: Duration,
     /// How long the network takes, each way.
     delay: Duration,
+    /// Whether some answers never end.
+    has_endless_answers: bool,
 }
 
 /// After so long an idle connection is closed in some runs.
@@ -55,7 +63,7 @@
 impl Profile {
     /// One run in three has copies of most answers, and more long calls; in one of four idle connections are closed soon, in
     /// one of three the network takes time.
-    pub fn of_run(seed: u64) -> Self {
+    pub fn of_run(seed: u64, has_endless_answers: bool) -> Self {
         let idle = if seed % 4 == 2 { SHORT_IDLE } else { NEVER };
         let delay = NETWORK_DELAYS_MS[(seed % 5) as usize];
         let delay = if seed % 3 == 1 { Duration::from_millis(delay) } else { Duration::ZERO };
@@ -67,9 +75,18 @@
                 long_calls: 5,
                 idle,
                 delay,
+                has_endless_answers,
             };
         }
-        Profile { copied_behind: 2, copied_later: 1, copied_twice: false, long_calls: 3, idle, delay }
+        Profile {
+            copied_behind: 2,
+            copied_later: 1,
+            copied_twice: false,
+            long_calls: 3,
+            idle,
+            delay,
+            has_endless_answers,
+        }
     }
 }
 
@@ -95,10 +112,15 @@
     Closing,
     /// The answer can't be read.
     Spoilt,
+    /// The answer never ends; its connection stays open.
+    Endless,
 }
 
 impl Fate {
-    fn draw(random: &mut Random, in_bulk: bool) -> Self {
+    fn draw(random: &mut Random, in_bulk: bool, profile: Profile) -> Self {
+        if profile.has_endless_answers && random.one_in(ENDLESS_EVERY) {
+            return Fate::Endless;
+        }
         match random.below(26) {
             0..10 => Fate::Delivered,
             10 if in_bulk => Fate::MixedWithWait,
@@ -127,11 +149,17 @@
             Fate::Full | Fate::Limited => "later",
             Fate::Gone => "gone",
             Fate::Exhausted => "exhausted",
-            Fate::Failed | Fate::Broken | Fate::Reset | Fate::Spoilt => "error",
+            Fate::Failed | Fate::Broken | Fate::Reset | Fate::Spoilt | Fate::Endless => "error",
         })
         .collect();
     let answer = match fate {
-        Fate::Full | Fate::Limited | Fate::Failed | Fate::Broken | Fate::Reset | Fate::Spoilt
+        Fate::Full
+        | Fate::Limited
+        | Fate::Failed
+        | Fate::Broken
+        | Fate::Reset
+        | Fate::Spoilt
+        | Fate::Endless
             if call.in_bulk =>
         {
             plain_answer(fate, random)
@@ -168,6 +196,7 @@
         Fate::Broken | Fate::Reset => String::new(),
         Fate::Closing => CLOSING.to_string(),
         Fate::Spoilt => SPOILT.to_string(),
+        Fate::Endless => ENDLESS_HEAD.to_string() + &"x".repeat(ENDLESS_BYTES),
     }
 }
 
@@ -187,6 +216,7 @@
 /// The pieces in which an answer is written: mostly one, at times two, or each octet by itself.
 fn pieces<'a>(answer: &'a str, random: &mut Random) -> Vec<&'a str> {
     match random.below(24) {
+        _ if answer.len() > ENDLESS_BYTES => vec![answer],
         0 => answer.split_inclusive(|_| true).collect(),
         1..4 => {
             let (first, rest) = answer.split_at(1 + random.below(answer.len() as u64 - 1) as usize);
@@ -249,6 +279,10 @@
         if answer.contains("connection: close") || answer == SPOILT {
             return;
         }
+        if answer.starts_with(ENDLESS_HEAD) {
+            _ = connection.stays_open_for(NEVER, world);
+            return;
+        }
         if random.one_in(20) {
             return connection.reset();
         }
@@ -298,7 +332,7 @@
     world: &World,
 ) -> Option<String> {
     let began = Instant::now();
-    let fate = Fate::draw(random, call.in_bulk);
+    let fate = Fate::draw(random, call.in_bulk, profile);
     let (states, answer) = answer_to(call, fate, random);
     let on = connection.description();
     for (id, state) in call.ids.iter().zip(&states) {
--- a/crates/cli/tests/soak/member.rs
+++ b/crates/cli/tests/soak/member.rs
@@ -1,6 +1,6 @@
 //! One process of a run, and the faults that it meets: signals, system calls that fail, another wall clock.
 
-use crate::alone::{Sender, command};
+use crate::alone::{Sender, command, out_add};
 use crate::clients::Submitted;
 use crate::departing::Departing;
 use crate::judge::ProcessHistory;
@@ -8,7 +8,8 @@
 use heronroute_syscall_faults::{Call, Control, ONE_OCTET};
 use serde_json::Value;
 use std::fs::OpenOptions;
-use std::net::SocketAddr;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread::sleep;
@@ -34,6 +35,9 @@
     (Call::Watch, &[28]),
 ];
 
+/// The time within which a message is accepted once all faults are over.
+const ROOM_BACK_WITHIN: Duration = Duration::from_secs(2);
+
 /// The unit in which a file counts, in bytes.
 const DISK_UNIT: u64 = 512;
 
@@ -44,6 +48,16 @@
     sizes.map(|bytes| bytes.next_multiple_of(DISK_UNIT)).sum()
 }
 
+/// Sends a request on a connection of its own, and returns the beginning of the reply.
+fn ask(listen: SocketAddr, request: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect(listen)?;
+    stream.set_read_timeout(Some(ROOM_BACK_WITHIN))?;
+    stream.write_all(request.as_bytes())?;
+    let mut reply = [0; 256];
+    let length = stream.read(&mut reply)?;
+    Ok(String::from_utf8_lossy(&reply[..length]).into_owned())
+}
+
 /// A process under test.
 pub struct Member {
     /// Its number among the processes of the run.
@@ -186,6 +200,20 @@
         self.history.peak_disk = self.history.peak_disk.max(folder_bytes(&self.sender.folder.join("state")));
     }
 
+    /// Notes a broken rule where no message is accepted within a while, now that all faults are over.
+    pub fn check_acceptance(&mut self) {
+        let (began, mut replies) = (Instant::now(), Vec::new());
+        while began.elapsed() < ROOM_BACK_WITHIN {
+            let id = format!("at-rest-{}-{}", self.process, replies.len());
+            match ask(self.sender.listen, &out_add(&id)) {
+                Ok(reply) if reply.starts_with("+OK") => return,
+                reply => replies.push(format!("{reply:?}")),
+            }
+            sleep(Duration::from_millis(100));
+        }
+        self.broken.push(format!("room does not come back: {replies:?} with nothing under way"));
+    }
+
     /// Stops the process for a moment, in which a client that is connected writes requests and leaves.
     fn pause(&mut self, random: &mut Random) {
         self.departed += 1;
--- a/crates/cli/tests/soak/run.rs
+++ b/crates/cli/tests/soak/run.rs
@@ -21,7 +21,8 @@
 const CLIENTS: u64 = 6;
 /// One run in so many has a crowd of idle clients.
 const CROWD_EVERY: u64 = 4;
-/// One run in so many has a crowd that makes the process hold as much as it can, and so much memory and so many descriptors.
+/// One run in so many has a crowd and answers that make the process hold as much as it can, and so much memory and so many
+/// descriptors.
 const GREEDY_EVERY: u64 = 5;
 const LEAST_MEMORY_MB: u64 = 32;
 const GREEDY_SOCKETS: usize = 1_024;
@@ -51,7 +52,7 @@
         let seen = world.clone();
         let at = serve(address, world, move |stream, count| {
             let own_seed = seed * 1_000_003 + number * 1_009 + count;
-            endpoint(number as usize, stream, Profile::of_run(seed), own_seed, &seen);
+            endpoint(number as usize, stream, Profile::of_run(seed, is_greedy(seed)), own_seed, &seen);
         });
         let cell = 1 + number / ENDPOINTS_PER_DESTINATION;
         let kind = if cell == DESTINATIONS { "bulk" } else { "m" };
@@ -220,6 +221,7 @@
     let trails = world.trails.lock().unwrap().clone();
     let (drains, tenancies) = (world.listing.drains(), world.listing.tenancies());
     members.iter_mut().for_each(Member::measure);
+    members.iter_mut().for_each(Member::check_acceptance);
     let mut broken: Vec<String> =
         members.iter_mut().flat_map(|member| std::mem::take(&mut member.broken)).collect();
     members[0].history.has_crowd = seed.is_multiple_of(CROWD_EVERY) || is_greedy(seed);
